--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# The two commands that a newcomer needs. Each does all of the set-up on a fresh Debian machine.
+PACKAGES = cmake g++ ninja-build ccache clang-format clang-tidy curl openssl libboost-dev libboost-fiber-dev \
+  libboost-context-dev libnghttp2-dev libtomlplusplus-dev libcxxopts-dev libgoogle-glog-dev libexpected-dev \
+  libmsgpack-cxx-dev nlohmann-json3-dev libxxhash-dev libssl-dev librapidcheck-dev libgtest-dev libgmock-dev \
+  libbenchmark-dev
+
+.PHONY: demo check build install measure slopes format lint
+
+install:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || (apt-get update && DEBIAN_FRONTEND=noninteractive \
+	  apt-get install -y --no-install-recommends $(PACKAGES))
+
+build: install
+	cmake -S . -B build -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
+	cmake --build build
+
+# Runs the main job on embedded stand-ins.
+demo: build
+	scripts/demo.sh
+
+# Passes the tests.
+check: build
+	ctest --test-dir build --output-on-failure -j 4
+
+# Prints the figures that docs/ quotes.
+measure: build
+	build/bin/coltsfootbend_measure
+
+format:
+	clang-format -i $$(git ls-files '*.h' '*.cpp')
+
+lint: build
+	scripts/lint.sh
--- /dev/null
+++ b/coltsfootbend/base/log_event.h
@@ -0,0 +1,42 @@
+#pragma once
+
+// Numbered log events. Each line that the daemons log begins with its event number, so that operators can search and
+// alert without matching prose; docs/operators/EVENTS.md says what each means and what to do. No body, prompt or key is
+// ever logged.
+//
+//     logEvent(log_event::WorkerSuspected, "worker=w3");
+
+#include <string_view>
+
+namespace coltsfootbend {
+
+enum class log_event {
+    ProcessStarted = 100,
+    ProcessLeaving = 101,
+    ProcessStopped = 102,
+    SettingsRejected = 103,
+    ConfigurationInForce = 200,
+    ConfigurationAccepted = 201,
+    ConfigurationRejected = 202,
+    WorkerJoined = 300,
+    WorkerSuspected = 301,
+    WorkerLeaving = 302,
+    LedgerHandedOver = 400,
+    LedgerRestored = 401,
+    LedgerIncomplete = 402,
+    RequestUnknown = 500,
+    EngineFailed = 501,
+    OperatorRefused = 600,
+    OperatorDrain = 601,
+};
+
+// Logs one line, "E<number> <details>", at the level that the event has. `details` is a list of name=value.
+void logEvent(log_event, std::string_view details);
+
+// Starts the log: to files in `directory`, or to standard error when it is empty.
+void startLog(const char* program, std::string_view directory);
+
+// Writes out what is buffered. Call before the process ends.
+void stopLog();
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/daemon/main.cpp
@@ -0,0 +1,183 @@
+// The daemon: reads its settings, puts the services together that they ask for, and runs until a planned stop is done.
+
+#include "coltsfootbend/base/log_event.h"
+#include "coltsfootbend/engine/standin.h"
+#include "coltsfootbend/net/tls.h"
+#include "coltsfootbend/operators/operator_service.h"
+#include "coltsfootbend/platform/standin.h"
+#include "coltsfootbend/worker/worker_service.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <random>
+
+namespace coltsfootbend {
+
+namespace {
+
+constexpr int exitSettings = 2;
+constexpr int exitStart = 3;
+
+incarnation newLife()
+{
+    std::random_device device;
+    return incarnation((static_cast<std::uint64_t>(device()) << 32U | device()) | 1U);
+}
+
+// One process: its kernel, and how it comes up and goes down.
+class daemon_process {
+public:
+    explicit daemon_process(const daemon_settings& settings)
+        : m_settings(settings)
+        , m_life(newLife())
+        , m_signals(m_runtime.io(), SIGTERM, SIGINT)
+    {
+    }
+
+    int run()
+    {
+        if (auto composed = compose(); !composed)
+            return complain(composed.error());
+        if (auto started = m_kernel.start(); !started)
+            return complain(started.error());
+        registerDrain();
+        logEvent(log_event::ProcessStarted, "vm=" + m_settings.vm.text() + " life=" + std::to_string(m_life.number()));
+        m_signals.async_wait([this](boost::system::error_code code, int) {
+            if (!code)
+                leave();
+        });
+        m_runtime.run();
+        logEvent(log_event::ProcessStopped, "vm=" + m_settings.vm.text());
+        return 0;
+    }
+
+private:
+    static int complain(const error& error)
+    {
+        std::cerr << "coltsfootbend: " << toString(error) << "\n";
+        return exitStart;
+    }
+
+    result<void> compose()
+    {
+        std::function<tls_context()> callerTls;
+        peer_service::options peers { .address = {}, .serverTls = {}, .clientTls = {} };
+        if (m_settings.peers.port != 0)
+            peers.address = m_settings.peers;
+        if (m_settings.peerTls) {
+            auto server = tls_store::open(*m_settings.peerTls, tls_role::MutualServer);
+            auto client = tls_store::open(*m_settings.peerTls, tls_role::MutualClient);
+            if (!server || !client)
+                return tl::unexpected(server ? client.error() : server.error());
+            peers.serverTls = (*server)->source();
+            peers.clientTls = (*client)->current();
+        }
+        if (m_settings.entry && m_settings.entry->callerTls) {
+            auto store = tls_store::open(*m_settings.entry->callerTls, tls_role::Server);
+            if (!store)
+                return tl::unexpected(store.error());
+            callerTls = (*store)->source();
+        }
+        m_kernel.add(std::make_unique<metrics_service>());
+        if (m_settings.platformStandin)
+            m_kernel.add(std::make_unique<platform_standin>(m_runtime, *m_settings.platformStandin));
+        if (m_settings.engineStandin)
+            m_kernel.add(std::make_unique<engine_standin>(m_runtime, *m_settings.engineStandin));
+        if (!m_settings.entry && !m_settings.worker)
+            return {};
+        m_kernel.add(std::make_unique<peer_service>(
+            m_runtime, peer_identity { .vm = m_settings.vm, .life = m_life }, std::move(peers)));
+        m_kernel.add(std::make_unique<config_service>(m_runtime, m_settings));
+        if (m_settings.worker)
+            m_kernel.add(std::make_unique<worker_service>(m_runtime, m_settings, m_life));
+        if (!m_settings.entry)
+            return {};
+        m_kernel.add(std::make_unique<entry_service>(m_runtime, m_settings, m_life, std::move(callerTls)));
+        m_kernel.add(std::make_unique<operator_service>(m_runtime, m_settings, m_life, [this] { leave(); }));
+        return {};
+    }
+
+    void registerDrain()
+    {
+        auto* peers = m_kernel.find<peer_service>("peers");
+        if (!peers)
+            return;
+        peers->on<wire::drain>([this](peer_stream& stream, const wire::message&, const wire::drain& asked) {
+            logEvent(log_event::OperatorDrain, "vm=" + m_settings.vm.text() + " actor=" + asked.actor);
+            (void)stream.send(wire::acknowledge {}, true);
+            leave();
+        });
+    }
+
+    // A planned stop: nothing in flight is cut off before the limit.
+    void leave()
+    {
+        if (m_leaving)
+            return;
+        m_leaving = true;
+        logEvent(log_event::ProcessLeaving, "vm=" + m_settings.vm.text());
+        m_runtime.spawn([this] {
+            m_kernel.leave(clock_type::now() + m_settings.drainLimit);
+            m_kernel.stop();
+            m_runtime.stop();
+        });
+    }
+
+    const daemon_settings& m_settings;
+    const incarnation m_life;
+    fiber_runtime m_runtime;
+    kernel m_kernel;
+    boost::asio::signal_set m_signals;
+    bool m_leaving = false;
+};
+
+int runDaemon(int argc, char** argv)
+{
+    cxxopts::Options options("coltsfootbend", "Load balancer for expert-parallel model groups: the daemon");
+    options.add_options()("s,settings", "TOML settings file", cxxopts::value<std::string>())(
+        "check", "check the settings and exit")("version", "print the version and exit")("h,help", "print this");
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+        std::cout << options.help();
+        return 0;
+    }
+    if (arguments.count("version") > 0) {
+        std::cout << "coltsfootbend " COLTSFOOTBEND_VERSION "\n";
+        return 0;
+    }
+    if (arguments.count("settings") == 0) {
+        std::cerr << "coltsfootbend: no settings. Give --settings FILE; see --help\n";
+        return exitSettings;
+    }
+    const auto path = arguments["settings"].as<std::string>();
+    const auto settings = loadSettings(path);
+    if (!settings) {
+        for (const auto& error : settings.error())
+            std::cerr << path << ": " << toString(error) << "\n";
+        return exitSettings;
+    }
+    if (arguments.count("check") > 0) {
+        std::cout << path << ": good\n";
+        return 0;
+    }
+    startLog(argv[0], settings->logDirectory);
+    return daemon_process(*settings).run();
+}
+
+} // namespace
+
+} // namespace coltsfootbend
+
+int main(int argc, char** argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        return coltsfootbend::runDaemon(argc, argv);
+    } catch (const std::exception& exception) {
+        std::cerr << "coltsfootbend: " << exception.what() << ". See --help\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/coltsfootbend/entry/caller_exchange.h
@@ -0,0 +1,64 @@
+#pragma once
+
+// Drives one `request_flow`: performs its actions over the network and feeds back what came of them, and writes the
+// answer to the caller. One for each request, on the fiber of the caller's connection. All decisions are the flow's.
+//
+//     auto exchange = std::make_shared<caller_exchange>(entry, request, parsed);
+//     exchange->run(responder);
+
+#include "coltsfootbend/entry/entry_service.h"
+#include "coltsfootbend/net/fiber_signal.h"
+
+#include <memory>
+
+namespace coltsfootbend {
+
+class caller_exchange final : public std::enable_shared_from_this<caller_exchange>, private worker_chooser {
+public:
+    caller_exchange(entry_service&, const http_request&, const caller_request&);
+
+    // Blocks until the caller has its final answer.
+    void run(http_responder&);
+
+    // What the caller was told.
+    const finish_request& conclusion() const { return m_conclusion; }
+
+private:
+    std::optional<run_place> choose(time_point now, const std::vector<vm_id>& tried) override;
+
+    void perform(const flow_action&, http_responder&);
+    void begin(const send_claim&);
+    void begin(const send_dispatch&);
+    void begin(const send_revoke&);
+    void begin(const send_join&);
+    void begin(const send_close&);
+    void conclude(const finish_request&, http_responder&);
+
+    template <typename Work> void spawn(Work);
+    void ask(std::uint64_t operation, const vm_id& worker, wire::body question, bool isClose = false);
+    void pump(std::uint64_t operation, const vm_id& worker, wire::body question, bool isDispatch);
+    void push(std::uint64_t operation, decltype(flow_event::what) what);
+    void dropStream();
+    void recordEvent(const flow_event&);
+    void endRouted(std::optional<duration> served);
+
+    entry_service& m_entry;
+    const http_request& m_request; // Used on the caller's fiber only.
+    const caller_request m_parsed; // A copy: operations may outlast the caller's connection.
+    entry_service::deployment_state& m_deployment;
+    mailbox<flow_event> m_events;
+    fiber_signal m_drained;
+    request_flow m_flow;
+    std::shared_ptr<peer_stream> m_stream;
+    bool m_headSent = false;
+    bool m_done = false;
+    finish_request m_conclusion;
+    // The attempt that the router counts as in flight.
+    std::optional<send_dispatch> m_routed;
+    time_point m_routedAt {};
+};
+
+// The body and headers that tell a caller how its request ended, when that is not an answer.
+http_response outcomeResponse(const finish_request&);
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/entry/entry_service.cpp
@@ -0,0 +1,219 @@
+#include "coltsfootbend/entry/entry_service.h"
+
+#include "coltsfootbend/base/hash.h"
+#include "coltsfootbend/base/log_event.h"
+#include "coltsfootbend/entry/caller_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootbend {
+
+namespace {
+
+constexpr std::chrono::milliseconds expireInterval { 250 };
+
+int statusOf(const error& error)
+{
+    switch (error.kind) {
+    case error_kind::Denied:
+        return 401;
+    case error_kind::NotFound:
+        return 404;
+    case error_kind::Overloaded:
+    case error_kind::Unavailable:
+        return 503;
+    default:
+        return 400;
+    }
+}
+
+// A request that never got as far as an attempt: certainly not run.
+http_response notRun(const error& error)
+{
+    auto response = errorResponse(statusOf(error), error);
+    response.head.headers.push_back({ "Coltsfootbend-Outcome", toString(outcome::NotRun) });
+    if (response.head.status == 503)
+        response.head.headers.push_back({ "Retry-After", "1" });
+    return response;
+}
+
+} // namespace
+
+entry_service::entry_service(
+    fiber_runtime& runtime, const daemon_settings& settings, incarnation life, std::function<tls_context()> callerTls)
+    : m_runtime(runtime)
+    , m_settings(settings)
+    , m_life(life)
+    , m_callerTls(std::move(callerTls))
+    , m_directory({ .own = settings.dataCentre })
+    , m_attempts(settings.vm, life)
+{
+}
+
+entry_service::~entry_service() = default;
+
+result<void> entry_service::start(kernel& kernel)
+{
+    m_peers = kernel.find<peer_service>("peers");
+    m_configuration = kernel.find<config_service>("configuration");
+    auto metrics = kernel.require<metrics_service>("metrics");
+    if (!metrics)
+        return tl::unexpected(metrics.error());
+    m_metrics = *metrics;
+    if (!m_peers || !m_configuration)
+        return fail(error_kind::NotFound, "it needs 'peers' and 'configuration'", "Add them to the process");
+    m_metrics->gauge("oldest_request_seconds", [this] { return toMilliseconds(oldestRequestAge()) / 1000; });
+    m_metrics->gauge("requests_in_flight", [this] { return static_cast<double>(inFlight()); });
+    m_metrics->gauge("workers_known", [this] { return static_cast<double>(m_directory.workers().size()); });
+    m_metrics->gauge(
+        "configuration_version", [this] { return static_cast<double>(m_configuration->version().number()); });
+    m_configuration->onChange([this] { refreshRouters(); });
+    m_peers->on<wire::announce>([this](peer_stream& stream, const wire::message&, const wire::announce& announcement) {
+        onAnnounce(announcement);
+        (void)stream.send(wire::acknowledge {}, true);
+    });
+    auto opened = listener::open(m_runtime,
+        { .address = m_settings.entry->callers,
+            .tls = m_callerTls,
+            .maxConnections = m_settings.entry->maxConnections },
+        [this](const byte_stream_ptr& stream) {
+            serveHttp(
+                m_runtime, stream, { .maxBodyBytes = m_settings.entry->maxBodyBytes },
+                [this](const http_request& request, http_responder& responder) { handle(request, responder); },
+                [this] { return m_leaving; });
+        });
+    if (!opened)
+        return tl::unexpected(opened.error());
+    m_listener = *opened;
+    m_runtime.spawn([this] { expireLoop(); });
+    return {};
+}
+
+void entry_service::handle(const http_request& request, http_responder& responder)
+{
+    if (pathOf(request.target) == "/health") {
+        const bool isReady = !m_leaving && !m_configuration->version().isNone();
+        (void)responder.send({ { isReady ? 200 : 503, {} }, isReady ? "ready\n" : "not ready\n" });
+        return;
+    }
+    if (m_startedAt.size() >= m_settings.entry->maxRequests) {
+        (void)responder.send(notRun({ error_kind::Overloaded, "this entry VM has all the requests it takes",
+            "Send the request again after Retry-After" }));
+        return;
+    }
+    const auto configuration = m_configuration->current();
+    if (configuration->version.isNone()) {
+        (void)responder.send(notRun({ error_kind::Unavailable, "this entry VM has no configuration yet",
+            "Send the request again after Retry-After" }));
+        return;
+    }
+    const auto parsed
+        = parseCallerRequest(*configuration, request, clock_type::now(), m_settings.entry->defaultTimeout);
+    if (!parsed) {
+        m_metrics->count("requests_rejected_total", { { "kind", toString(parsed.error().kind) } });
+        (void)responder.send(notRun(parsed.error()));
+        return;
+    }
+    serve(request, *parsed, responder);
+}
+
+void entry_service::serve(const http_request& request, const caller_request& parsed, http_responder& responder)
+{
+    const auto number = ++m_requests;
+    const auto startedAt = clock_type::now();
+    m_startedAt[number] = startedAt;
+    const auto exchange = std::make_shared<caller_exchange>(*this, request, parsed);
+    exchange->run(responder);
+    m_startedAt.erase(number);
+    m_metrics->count("requests_total",
+        { { "outcome", toString(exchange->conclusion().result) },
+            { "reason", toString(exchange->conclusion().reason) } });
+    m_metrics->observe("request_seconds", toMilliseconds(clock_type::now() - startedAt) / 1000);
+}
+
+std::optional<endpoint> entry_service::addressOf(const vm_id& worker) const
+{
+    if (const auto* known = m_directory.find(worker)) {
+        if (auto address = parseEndpoint(known->last.address))
+            return *address;
+    }
+    const auto configuration = m_configuration->current();
+    const auto found = configuration->workers.find(worker);
+    if (found == configuration->workers.end())
+        return std::nullopt;
+    auto address = parseEndpoint(found->second.address);
+    return address ? std::optional<endpoint>(*address) : std::nullopt;
+}
+
+void entry_service::onAnnounce(const wire::announce& announcement)
+{
+    const auto now = clock_type::now();
+    const bool changed = m_directory.observe(now, announcement);
+    for (const auto& deployment : announcement.deployments) {
+        stateOf(deployment)
+            .routes.observe(now, announcement.worker,
+                { .pendingService = std::chrono::microseconds(announcement.current.pendingServiceUs),
+                    .slots = announcement.current.slots,
+                    .groupSlowestPending = std::chrono::microseconds(announcement.current.groupSlowestPendingUs),
+                    .age = std::chrono::microseconds(announcement.current.ageUs) });
+    }
+    if (!changed)
+        return;
+    logEvent(announcement.leaving ? log_event::WorkerLeaving : log_event::WorkerJoined,
+        "worker=" + announcement.worker.text() + " life=" + std::to_string(announcement.life.number()));
+    refreshRouters();
+}
+
+entry_service::deployment_state& entry_service::stateOf(const deployment_id& id)
+{
+    auto& state = m_deployments[id];
+    if (!state) {
+        const auto seed = stableHash(m_settings.vm.text() + id.text(), m_life.number());
+        state = std::make_unique<deployment_state>(deployment_state { router({ .seed = seed }), retry_budget({}) });
+    }
+    return *state;
+}
+
+// A worker is used when it announces a deployment and the configuration lists it there.
+void entry_service::refreshRouters()
+{
+    const auto configuration = m_configuration->current();
+    const auto now = clock_type::now();
+    for (const auto& [id, deployment] : configuration->deployments) {
+        auto workers = m_directory.workersOf(id, now);
+        const auto& listed = deployment.workers;
+        std::erase_if(workers, [&listed](const routing_worker& worker) {
+            return std::find(listed.begin(), listed.end(), worker.place.worker) == listed.end();
+        });
+        stateOf(id).routes.setWorkers(workers);
+    }
+}
+
+void entry_service::expireLoop()
+{
+    while (!m_stopped) {
+        if (m_directory.expire(clock_type::now()))
+            refreshRouters();
+        m_runtime.sleepFor(expireInterval);
+    }
+}
+
+duration entry_service::oldestRequestAge() const
+{
+    return m_startedAt.empty() ? duration::zero() : clock_type::now() - m_startedAt.begin()->second;
+}
+
+void entry_service::leave(time_point deadline)
+{
+    m_leaving = true;
+    // The balancer sees the closed listener and sends no more; connections that are open finish what they have.
+    m_listener->close();
+    constexpr std::chrono::milliseconds look { 20 };
+    while (!m_startedAt.empty() && clock_type::now() < deadline)
+        m_runtime.sleepFor(look);
+}
+
+void entry_service::stop() { m_stopped = true; }
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/entry/entry_service.h
@@ -0,0 +1,88 @@
+#pragma once
+
+// The entry VM's part: takes callers' requests, drives each through a `request_flow`, and routes to the worker daemons
+// that announce themselves. Found by the name "entry".
+
+#include "coltsfootbend/config/config_service.h"
+#include "coltsfootbend/entry/caller_request.h"
+#include "coltsfootbend/limits/retry_budget.h"
+#include "coltsfootbend/membership/worker_directory.h"
+#include "coltsfootbend/metrics/metrics.h"
+#include "coltsfootbend/net/http.h"
+#include "coltsfootbend/settings/settings.h"
+#include "coltsfootbend/wire/peer.h"
+
+#include <map>
+#include <memory>
+
+namespace coltsfootbend {
+
+class caller_exchange;
+
+// Makes the attempt ids of one life of one entry VM.
+class serial_attempts final : public attempt_source {
+public:
+    serial_attempts(vm_id entry, incarnation life)
+        : m_entry(std::move(entry))
+        , m_life(life)
+    {
+    }
+    attempt_id nextAttempt() override { return { m_entry, m_life, ++m_serial }; }
+
+private:
+    const vm_id m_entry;
+    const incarnation m_life;
+    std::uint64_t m_serial = 0;
+};
+
+class entry_service final : public service {
+public:
+    struct deployment_state {
+        router routes;
+        retry_budget retries;
+    };
+
+    entry_service(fiber_runtime&, const daemon_settings&, incarnation life, std::function<tls_context()> callerTls);
+    ~entry_service() override;
+
+    std::string_view name() const override { return "entry"; }
+    result<void> start(kernel&) override;
+    void leave(time_point deadline) override;
+    void stop() override;
+
+    const worker_directory& directory() const { return m_directory; }
+    std::size_t inFlight() const { return m_startedAt.size(); }
+    bool isLeaving() const { return m_leaving; }
+    // Age of the oldest request that is neither answered nor refused.
+    duration oldestRequestAge() const;
+    // Where the peers of the worker daemon listen; none when nobody knows.
+    std::optional<endpoint> addressOf(const vm_id&) const;
+
+private:
+    friend class caller_exchange;
+
+    void handle(const http_request&, http_responder&);
+    void serve(const http_request&, const caller_request&, http_responder&);
+    void onAnnounce(const wire::announce&);
+    void refreshRouters();
+    deployment_state& stateOf(const deployment_id&);
+    void expireLoop();
+
+    fiber_runtime& m_runtime;
+    const daemon_settings& m_settings;
+    const incarnation m_life;
+    const std::function<tls_context()> m_callerTls;
+    peer_service* m_peers = nullptr;
+    config_service* m_configuration = nullptr;
+    metrics_service* m_metrics = nullptr;
+    std::shared_ptr<listener> m_listener;
+    worker_directory m_directory;
+    serial_attempts m_attempts;
+    std::map<deployment_id, std::unique_ptr<deployment_state>> m_deployments;
+    std::map<std::uint64_t, time_point> m_startedAt; // Of requests in flight, oldest first.
+    std::uint64_t m_requests = 0;
+    bool m_leaving = false;
+    bool m_stopped = false;
+};
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/membership/worker_directory.cpp
@@ -0,0 +1,86 @@
+#include "coltsfootbend/membership/worker_directory.h"
+
+#include "coltsfootbend/base/hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootbend {
+
+namespace {
+
+constexpr std::size_t formerLivesKept = 8;
+
+} // namespace
+
+bool worker_directory::observe(time_point now, const wire::announce& announcement)
+{
+    const auto [found, isNew] = m_workers.try_emplace(announcement.worker);
+    auto& worker = found->second;
+    const auto& former = worker.formerLives;
+    if (std::find(former.begin(), former.end(), announcement.life) != former.end())
+        return false;
+    const bool isNewLife = !isNew && worker.last.life != announcement.life;
+    if (isNewLife) {
+        worker.formerLives.push_back(worker.last.life);
+        if (worker.formerLives.size() > formerLivesKept)
+            worker.formerLives.pop_front();
+    }
+    const bool wasLeaving = !isNew && !isNewLife && worker.last.leaving;
+    const bool wasSuspected = !isNew && now >= worker.suspectAt;
+    const bool changed = isNew || isNewLife || wasSuspected || wasLeaving != announcement.leaving
+        || worker.last.deployments != announcement.deployments;
+    worker.last = announcement;
+    // Leaving is for good in one life: announcements may overtake each other.
+    worker.last.leaving = announcement.leaving || wasLeaving;
+    const std::chrono::microseconds interval(announcement.nextWithinUs);
+    worker.suspectAt = now + interval * m_options.suspectAfterMissed;
+    worker.forgetAt = now + interval * m_options.forgetAfterMissed;
+    return changed;
+}
+
+bool worker_directory::expire(time_point now)
+{
+    const auto dropped = std::erase_if(m_workers, [&](const auto& entry) { return now >= entry.second.forgetAt; });
+    const auto suspects = static_cast<std::size_t>(std::count_if(
+        m_workers.begin(), m_workers.end(), [&](const auto& entry) { return now >= entry.second.suspectAt; }));
+    return std::exchange(m_suspects, suspects) != suspects || dropped > 0;
+}
+
+std::vector<routing_worker> worker_directory::workersOf(const deployment_id& deployment, time_point now) const
+{
+    std::vector<routing_worker> found;
+    for (const auto& [id, worker] : m_workers) {
+        const auto& served = worker.last.deployments;
+        if (std::find(served.begin(), served.end(), deployment) == served.end())
+            continue;
+        found.push_back({ .place = { id, worker.last.life },
+            .leaving = worker.last.leaving,
+            .remote = worker.last.dataCentre != m_options.own,
+            .suspected = now >= worker.suspectAt });
+    }
+    return found;
+}
+
+const known_worker* worker_directory::find(const vm_id& id) const
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+std::vector<announce_target> chooseAnnounceTargets(const vm_id& worker, const data_centre_id& own,
+    const std::vector<std::pair<vm_id, data_centre_id>>& entries, std::size_t localTargets)
+{
+    std::map<data_centre_id, std::vector<vm_id>> byDataCentre;
+    for (const auto& [entry, dataCentre] : entries)
+        byDataCentre[dataCentre].push_back(entry);
+    std::vector<announce_target> targets;
+    for (const auto& [dataCentre, candidates] : byDataCentre) {
+        const bool isLocal = dataCentre == own;
+        for (auto& entry : rendezvousRanking(worker.text(), candidates, isLocal ? localTargets : 1))
+            targets.push_back({ std::move(entry), isLocal });
+    }
+    return targets;
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/metrics/metrics.cpp
@@ -0,0 +1,84 @@
+#include "coltsfootbend/metrics/metrics.h"
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <sstream>
+#include <utility>
+
+namespace coltsfootbend {
+
+namespace accumulators = boost::accumulators;
+
+namespace {
+
+constexpr const char* prefix = "coltsfootbend_";
+constexpr std::array<double, 3> quantiles { 0.5, 0.95, 0.99 };
+
+using distribution = accumulators::accumulator_set<double,
+    accumulators::stats<accumulators::tag::count, accumulators::tag::sum,
+        accumulators::tag::extended_p_square_quantile>>;
+
+} // namespace
+
+struct metrics_service::summary {
+    summary()
+        : values(accumulators::extended_p_square_probabilities = quantiles)
+    {
+    }
+    distribution values;
+};
+
+metrics_service::metrics_service() = default;
+metrics_service::~metrics_service() = default;
+
+void metrics_service::count(std::string_view name, const std::vector<metric_label>& labels, std::uint64_t by)
+{
+    std::string key = prefix + std::string(name);
+    if (!labels.empty()) {
+        char separator = '{';
+        for (const auto& label : labels) {
+            key += separator + label.name + "=\"" + label.value + "\"";
+            separator = ',';
+        }
+        key += '}';
+    }
+    m_counters[key] += by;
+}
+
+void metrics_service::observe(std::string_view name, double value)
+{
+    auto found = m_summaries.find(name);
+    if (found == m_summaries.end())
+        found = m_summaries.emplace(std::string(name), std::make_unique<summary>()).first;
+    found->second->values(value);
+}
+
+void metrics_service::gauge(std::string name, std::function<double()> read)
+{
+    m_gauges[std::move(name)] = std::move(read);
+}
+
+std::string metrics_service::text() const
+{
+    std::ostringstream out;
+    for (const auto& [key, value] : m_counters)
+        out << key << ' ' << value << '\n';
+    for (const auto& [name, read] : m_gauges)
+        out << prefix << name << ' ' << read() << '\n';
+    for (const auto& [name, summary] : m_summaries) {
+        const auto count = accumulators::count(summary->values);
+        for (const double quantile : quantiles) {
+            out << prefix << name << "{quantile=\"" << quantile << "\"} "
+                << accumulators::quantile(summary->values, accumulators::quantile_probability = quantile) << '\n';
+        }
+        out << prefix << name << "_sum " << accumulators::sum(summary->values) << '\n';
+        out << prefix << name << "_count " << count << '\n';
+    }
+    return out.str();
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/net/byte_stream.cpp
@@ -0,0 +1,268 @@
+#include "coltsfootbend/net/byte_stream.h"
+
+#include "coltsfootbend/net/use_fiber.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/ssl/ssl_stream.hpp>
+#include <charconv>
+#include <utility>
+
+namespace coltsfootbend {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::seconds tlsHandshakeLimit { 5 };
+
+// What plain TCP and TLS share: the socket below. `Stream` is the layer that bytes go through.
+template <typename Stream> class stream_base : public byte_stream {
+public:
+    template <typename... Args>
+    explicit stream_base(Args&&... args)
+        : m_stream(std::forward<Args>(args)...)
+    {
+    }
+
+    io_result<std::size_t> readSome(asio::mutable_buffer buffer) override
+    {
+        return m_stream.async_read_some(buffer, useFiber);
+    }
+
+    io_result<std::size_t> writeSome(asio::const_buffer buffer) override
+    {
+        return m_stream.async_write_some(buffer, useFiber);
+    }
+
+    void setDeadline(time_point deadline) override { lowest().expires_at(deadline); }
+
+    bool waitForClose() override
+    {
+        const auto ready = socket().async_wait(tcp::socket::wait_read, useFiber);
+        if (!ready)
+            return ready.error() != asio::error::operation_aborted;
+        return peek() == peeked::Closed;
+    }
+
+    bool isOpenAndQuiet() override { return peek() == peeked::Nothing; }
+
+    void cancelWait() override
+    {
+        boost::system::error_code ignored;
+        socket().cancel(ignored);
+    }
+
+    void close() override
+    {
+        boost::system::error_code ignored;
+        socket().shutdown(tcp::socket::shutdown_both, ignored);
+        socket().close(ignored);
+    }
+
+protected:
+    enum class peeked { Nothing, Bytes, Closed };
+
+    peeked peek()
+    {
+        char byte = 0;
+        boost::system::error_code code;
+        socket().non_blocking(true, code);
+        const auto got = socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+        if (code == asio::error::would_block)
+            return peeked::Nothing;
+        return code || got == 0 ? peeked::Closed : peeked::Bytes;
+    }
+
+    beast::tcp_stream& lowest() { return beast::get_lowest_layer(m_stream); }
+    tcp::socket& socket() { return lowest().socket(); }
+
+    Stream m_stream;
+};
+
+using tcp_byte_stream = stream_base<beast::tcp_stream>;
+
+class tls_byte_stream final : public stream_base<beast::ssl_stream<beast::tcp_stream>> {
+public:
+    tls_byte_stream(tcp::socket socket, tls_context context)
+        : stream_base(beast::tcp_stream(std::move(socket)), *context)
+        , m_context(std::move(context))
+    {
+    }
+
+    io_result<void> handshake(asio::ssl::stream_base::handshake_type type)
+    {
+        setDeadline(clock_type::now() + tlsHandshakeLimit);
+        auto done = m_stream.async_handshake(type, useFiber);
+        lowest().expires_never();
+        return done;
+    }
+
+    std::string peerName() const override
+    {
+        auto* native = const_cast<tls_byte_stream*>(this)->m_stream.native_handle();
+        X509* certificate = SSL_get_peer_certificate(native);
+        if (!certificate)
+            return {};
+        std::string name(256, '\0');
+        const int length = X509_NAME_get_text_by_NID(
+            X509_get_subject_name(certificate), NID_commonName, name.data(), static_cast<int>(name.size()));
+        X509_free(certificate);
+        name.resize(static_cast<std::size_t>(std::max(length, 0)));
+        return name;
+    }
+
+private:
+    tls_context m_context;
+};
+
+io_result<byte_stream_ptr> wrap(tcp::socket socket, const tls_context& tls, asio::ssl::stream_base::handshake_type type)
+{
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    if (!tls)
+        return std::make_shared<tcp_byte_stream>(std::move(socket));
+    auto stream = std::make_shared<tls_byte_stream>(std::move(socket), tls);
+    if (auto done = stream->handshake(type); !done)
+        return tl::unexpected(done.error());
+    return stream;
+}
+
+error unavailable(const endpoint& address, const std::string& what)
+{
+    return { error_kind::Unavailable, toString(address) + ": " + what,
+        "Check that the address is right and that the process there runs" };
+}
+
+} // namespace
+
+result<endpoint> parseEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    const auto bad = [&] {
+        return fail(error_kind::BadInput, "'" + std::string(text) + "' is no address",
+            "Write an IP number and a port, such as 127.0.0.1:8080 or [::1]:8080");
+    };
+    if (colon == std::string_view::npos)
+        return bad();
+    auto ip = text.substr(0, colon);
+    if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
+        ip = ip.substr(1, ip.size() - 2);
+    const auto digits = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto [end, code] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    boost::system::error_code addressCode;
+    asio::ip::make_address(std::string(ip), addressCode);
+    if (code != std::errc {} || end != digits.data() + digits.size() || addressCode)
+        return bad();
+    return endpoint { std::string(ip), port };
+}
+
+std::string toString(const endpoint& address)
+{
+    const bool isV6 = address.ip.find(':') != std::string::npos;
+    return (isV6 ? "[" + address.ip + "]" : address.ip) + ":" + std::to_string(address.port);
+}
+
+io_result<void> byte_stream::writeAll(std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const auto written = writeSome(asio::buffer(bytes.data(), bytes.size()));
+        if (!written)
+            return tl::unexpected(written.error());
+        bytes.remove_prefix(*written);
+    }
+    return {};
+}
+
+result<byte_stream_ptr> connectTcp(
+    fiber_runtime& runtime, const endpoint& address, time_point deadline, const tls_context& tls)
+{
+    boost::system::error_code code;
+    const tcp::endpoint target(asio::ip::make_address(address.ip, code), address.port);
+    if (code)
+        return tl::unexpected(unavailable(address, "not an IP number"));
+    beast::tcp_stream connecting(runtime.io());
+    connecting.expires_at(deadline);
+    if (const auto done = connecting.async_connect(target, useFiber); !done)
+        return tl::unexpected(unavailable(address, done.error().message()));
+    connecting.expires_never();
+    auto stream = wrap(connecting.release_socket(), tls, asio::ssl::stream_base::client);
+    if (!stream)
+        return tl::unexpected(unavailable(address, "TLS: " + stream.error().message()));
+    return *stream;
+}
+
+listener::listener(fiber_runtime& runtime, options options, handler handler)
+    : m_runtime(runtime)
+    , m_options(std::move(options))
+    , m_handler(std::move(handler))
+    , m_acceptor(runtime.io())
+{
+}
+
+listener::~listener() = default;
+
+result<std::shared_ptr<listener>> listener::open(fiber_runtime& runtime, options options, handler handler)
+{
+    std::shared_ptr<listener> self(new listener(runtime, std::move(options), std::move(handler)));
+    boost::system::error_code code;
+    const tcp::endpoint address(asio::ip::make_address(self->m_options.address.ip, code), self->m_options.address.port);
+    if (!code)
+        self->m_acceptor.open(address.protocol(), code);
+    if (!code)
+        self->m_acceptor.set_option(tcp::acceptor::reuse_address(true), code);
+    if (!code)
+        self->m_acceptor.bind(address, code);
+    if (!code)
+        self->m_acceptor.listen(asio::socket_base::max_listen_connections, code);
+    if (code)
+        return tl::unexpected(unavailable(self->m_options.address, "cannot listen: " + code.message()));
+    runtime.spawn([self] { self->acceptLoop(self); });
+    return self;
+}
+
+void listener::acceptLoop(const std::shared_ptr<listener>& self)
+{
+    while (m_acceptor.is_open()) {
+        tcp::socket socket(m_runtime.io());
+        if (const auto done = m_acceptor.async_accept(socket, useFiber); !done) {
+            // Out of file numbers or the like: wait, for accepting again at once would only spin.
+            if (m_acceptor.is_open())
+                m_runtime.sleepFor(std::chrono::milliseconds(20));
+            continue;
+        }
+        if (m_connections >= m_options.maxConnections)
+            continue; // The socket closes; the balancer tries another VM.
+        serve(self, std::move(socket));
+    }
+}
+
+void listener::serve(const std::shared_ptr<listener>& self, tcp::socket socket)
+{
+    ++m_connections;
+    auto shared = std::make_shared<tcp::socket>(std::move(socket));
+    m_runtime.spawn([self, shared] {
+        const auto tls = self->m_options.tls ? self->m_options.tls() : tls_context {};
+        if (auto stream = wrap(std::move(*shared), tls, asio::ssl::stream_base::server))
+            self->m_handler(*stream);
+        --self->m_connections;
+    });
+}
+
+void listener::close()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+std::uint16_t listener::port() const
+{
+    boost::system::error_code code;
+    return m_acceptor.local_endpoint(code).port();
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/net/fiber_runtime.cpp
@@ -0,0 +1,84 @@
+#include "coltsfootbend/net/fiber_runtime.h"
+
+#include "coltsfootbend/net/use_fiber.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/fiber/algo/round_robin.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+
+namespace coltsfootbend {
+
+namespace {
+
+// Fibers hold no large objects on their stacks; 128 KiB leaves room for TLS and Beast.
+constexpr std::size_t stackBytes = std::size_t { 128 } * 1024;
+
+} // namespace
+
+// Round robin that can say whether any fiber but the dispatcher is ready, so that the main loop may block on I/O.
+class fiber_runtime::scheduler : public boost::fibers::algo::round_robin {
+public:
+    explicit scheduler(fiber_runtime& runtime) { runtime.m_scheduler = this; }
+
+    void awakened(boost::fibers::context* context) noexcept override
+    {
+        if (!context->is_context(boost::fibers::type::dispatcher_context))
+            ++m_ready;
+        round_robin::awakened(context);
+    }
+
+    boost::fibers::context* pick_next() noexcept override
+    {
+        auto* context = round_robin::pick_next();
+        if (context && !context->is_context(boost::fibers::type::dispatcher_context))
+            --m_ready;
+        return context;
+    }
+
+    std::size_t ready() const { return m_ready; }
+
+private:
+    std::size_t m_ready = 0;
+};
+
+fiber_runtime::fiber_runtime()
+    : m_work(boost::asio::make_work_guard(m_io))
+{
+    boost::fibers::use_scheduling_algorithm<scheduler>(std::ref(*this));
+}
+
+fiber_runtime::~fiber_runtime() = default;
+
+void fiber_runtime::spawn(std::function<void()> work)
+{
+    ++m_fibers;
+    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, boost::fibers::fixedsize_stack(stackBytes),
+        [this, work = std::move(work)] {
+            work();
+            --m_fibers;
+        })
+        .detach();
+}
+
+void fiber_runtime::sleepUntil(time_point deadline)
+{
+    boost::asio::steady_timer timer(m_io);
+    timer.expires_at(deadline);
+    (void)timer.async_wait(useFiber);
+}
+
+void fiber_runtime::run()
+{
+    while (!m_stopped) {
+        m_io.poll();
+        // Every fiber that is ready now runs before this one goes on.
+        boost::this_fiber::yield();
+        if (m_scheduler->ready() == 0 && !m_stopped)
+            m_io.run_one();
+    }
+}
+
+void fiber_runtime::stop() { m_stopped = true; }
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/net/h2.h
@@ -0,0 +1,122 @@
+#pragma once
+
+// HTTP/2 streams between the system's own processes, over nghttp2. One connection carries many streams; each stream
+// carries messages as bytes in both directions, with flow control a stream, so that one slow reader holds up nobody
+// else. Not for callers and backend servers, who speak HTTP/1.1.
+//
+//     auto connection = h2_connection::connect(runtime, address, {}, deadline);
+//     auto stream = (*connection)->open("/messages");
+//     stream->send(bytes, true);
+//     auto reply = stream->receive(deadline);
+
+#include "coltsfootbend/base/error.h"
+#include "coltsfootbend/net/byte_stream.h"
+#include "coltsfootbend/net/fiber_signal.h"
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace coltsfootbend {
+
+class h2_connection;
+
+// One stream. Ends when both sides have ended it, when either resets it, or with its connection.
+class h2_stream {
+public:
+    h2_stream(fiber_runtime& runtime, std::weak_ptr<h2_connection> connection, std::int32_t id)
+        : m_connection(std::move(connection))
+        , m_id(id)
+        , m_news(runtime)
+    {
+    }
+
+    // Queues `bytes`, and blocks while too much is queued. Fails with `Lost` once the stream is broken. `last` ends
+    // this side.
+    result<void> send(std::string_view bytes, bool last);
+
+    // Returns the next bytes, or none when the other side has ended. Fails with `Lost` when the stream broke and with
+    // `TimedOut` at `deadline`.
+    result<std::optional<std::string>> receive(time_point deadline);
+
+    // Gives the stream up.
+    void reset();
+
+private:
+    friend class h2_connection;
+
+    std::weak_ptr<h2_connection> m_connection;
+    const std::int32_t m_id;
+    std::string m_outgoing;
+    bool m_outgoingEnded = false;
+    std::string m_incoming;
+    bool m_incomingEnded = false;
+    bool m_broken = false;
+    boost::fibers::mutex m_mutex;
+    boost::fibers::condition_variable m_changed;
+    fiber_signal m_news; // Something came in, or will not come any more.
+};
+
+using h2_stream_ptr = std::shared_ptr<h2_stream>;
+
+class h2_connection : public std::enable_shared_from_this<h2_connection> {
+public:
+    // Called on a fiber of its own for each stream that the other side opens.
+    using stream_handler = std::function<void(const std::string& path, h2_stream_ptr)>;
+
+    // Fails with `Unavailable`; then nothing was sent.
+    static result<std::shared_ptr<h2_connection>> connect(
+        fiber_runtime&, const endpoint&, const tls_context&, time_point deadline);
+
+    // Serves streams on an accepted connection until it closes.
+    static void serve(fiber_runtime&, byte_stream_ptr, const stream_handler&);
+
+    ~h2_connection();
+    h2_connection(const h2_connection&) = delete;
+    h2_connection& operator=(const h2_connection&) = delete;
+
+    // Opens a stream. Fails with `Unavailable` when the connection is closing; then nothing was sent.
+    result<h2_stream_ptr> open(const std::string& path);
+
+    bool isOpen() const { return !m_closed; }
+    void close();
+    std::size_t streams() const { return m_streams.size(); }
+    // Bytes sent and received since the start, framing included.
+    std::uint64_t bytesMoved() const { return m_bytesMoved; }
+
+private:
+    friend class h2_stream;
+    struct callbacks;
+    struct session_deleter {
+        void operator()(void* session) const;
+    };
+
+    h2_connection(fiber_runtime&, byte_stream_ptr, bool isServer, stream_handler);
+    void start();
+    void readLoop();
+    void writeLoop();
+    void wakeWriter();
+    void fail();
+    void breakStream(h2_stream&);
+    void consumed(std::int32_t stream, std::size_t bytes);
+    h2_stream_ptr find(std::int32_t) const;
+
+    fiber_runtime& m_runtime;
+    byte_stream_ptr m_stream;
+    stream_handler m_handler;
+    std::unique_ptr<void, session_deleter> m_session;
+    std::map<std::int32_t, h2_stream_ptr> m_streams;
+    std::map<std::int32_t, std::string> m_paths;
+    bool m_closed = false;
+    bool m_writeWanted = false;
+    std::uint64_t m_bytesMoved = 0;
+    boost::fibers::mutex m_mutex;
+    boost::fibers::condition_variable m_writable;
+};
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/net/http.cpp
@@ -0,0 +1,386 @@
+#include "coltsfootbend/net/http.h"
+
+#include "coltsfootbend/net/fiber_signal.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace coltsfootbend {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::size_t streamBufferBytes = std::size_t { 16 } * 1024;
+
+template <typename Fields> std::vector<http_header> copyHeaders(const Fields& fields)
+{
+    std::vector<http_header> headers;
+    for (const auto& field : fields)
+        headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    return headers;
+}
+
+bool hasControlBytes(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), [](char byte) { return static_cast<unsigned char>(byte) < 0x20; });
+}
+
+template <typename Message> void setHeaders(Message& message, const std::vector<http_header>& headers)
+{
+    for (const auto& header : headers) {
+        if (!hasControlBytes(header.value))
+            message.insert(header.name, header.value);
+    }
+}
+
+// Answers one request on one connection.
+class beast_responder final : public http_responder {
+public:
+    beast_responder(fiber_runtime& runtime, byte_stream_ptr stream, const http_server_options& options,
+        unsigned version, bool keepAlive)
+        : m_runtime(runtime)
+        , m_stream(std::move(stream))
+        , m_options(options)
+        , m_version(version)
+        , m_keepAlive(keepAlive)
+    {
+    }
+
+    io_result<void> send(const http_response& response) override
+    {
+        stopWatching();
+        http::response<http::string_body> message(static_cast<http::status>(response.head.status), m_version);
+        setHeaders(message, response.head.headers);
+        message.keep_alive(m_keepAlive);
+        message.body() = response.body;
+        message.prepare_payload();
+        m_answered = true;
+        extendDeadline();
+        boost::system::error_code code;
+        http::write(*m_stream, message, code);
+        return finish(code);
+    }
+
+    io_result<void> begin(const http_head& head) override
+    {
+        m_message.emplace(static_cast<http::status>(head.status), m_version);
+        setHeaders(*m_message, head.headers);
+        m_message->keep_alive(m_keepAlive);
+        m_message->chunked(m_version >= 11);
+        m_serializer.emplace(*m_message);
+        m_answered = true;
+        extendDeadline();
+        boost::system::error_code code;
+        http::write_header(*m_stream, *m_serializer, code);
+        return finish(code);
+    }
+
+    io_result<void> write(std::string_view bytes) override
+    {
+        if (bytes.empty())
+            return {};
+        extendDeadline();
+        boost::system::error_code code;
+        if (m_version >= 11)
+            boost::asio::write(*m_stream, http::make_chunk(boost::asio::buffer(bytes.data(), bytes.size())), code);
+        else
+            boost::asio::write(*m_stream, boost::asio::buffer(bytes.data(), bytes.size()), code);
+        return finish(code);
+    }
+
+    io_result<void> end() override
+    {
+        stopWatching();
+        extendDeadline();
+        boost::system::error_code code;
+        if (m_version >= 11)
+            boost::asio::write(*m_stream, http::make_chunk_last(), code);
+        else
+            m_keepAlive = false;
+        return finish(code);
+    }
+
+    void abort() override
+    {
+        stopWatching();
+        m_keepAlive = false;
+        m_stream->close();
+    }
+
+    void watch(std::function<void()> gone) override
+    {
+        m_watch = std::make_shared<watch_state>(m_runtime);
+        m_runtime.spawn([stream = m_stream, watch = m_watch, gone = std::move(gone)] {
+            const bool closed = stream->waitForClose();
+            if (closed && !watch->stopped)
+                gone();
+            watch->ended = true;
+            watch->changed.notify();
+        });
+    }
+
+    std::string peerName() const override { return m_stream->peerName(); }
+
+    // The watcher must be gone before the connection is read again.
+    void stopWatching()
+    {
+        if (!m_watch)
+            return;
+        m_watch->stopped = true;
+        m_stream->cancelWait();
+        while (!m_watch->ended)
+            (void)m_watch->changed.waitUntil(time_point::max());
+        m_watch.reset();
+    }
+
+    bool isAnswered() const { return m_answered; }
+    bool keepsAlive() const { return m_keepAlive; }
+
+private:
+    struct watch_state {
+        explicit watch_state(fiber_runtime& runtime)
+            : changed(runtime)
+        {
+        }
+        bool stopped = false;
+        bool ended = false;
+        fiber_signal changed;
+    };
+
+    void extendDeadline() { m_stream->setDeadline(clock_type::now() + m_options.writeLimit); }
+
+    io_result<void> finish(boost::system::error_code code)
+    {
+        if (!code)
+            return {};
+        m_keepAlive = false;
+        return tl::unexpected(code);
+    }
+
+    fiber_runtime& m_runtime;
+    byte_stream_ptr m_stream;
+    const http_server_options& m_options;
+    const unsigned m_version;
+    bool m_keepAlive;
+    bool m_answered = false;
+    std::optional<http::response<http::empty_body>> m_message;
+    std::optional<http::response_serializer<http::empty_body>> m_serializer;
+    std::shared_ptr<watch_state> m_watch;
+};
+
+http_response parseFailure(boost::system::error_code code)
+{
+    if (code == http::error::body_limit)
+        return errorResponse(
+            413, { error_kind::BadInput, "the body is larger than this server takes", "Send a smaller body" });
+    if (code == http::error::header_limit)
+        return errorResponse(431,
+            { error_kind::BadInput, "the headers are larger than this server takes", "Send fewer or shorter headers" });
+    return errorResponse(
+        400, { error_kind::BadInput, "not a valid HTTP/1.1 request: " + code.message(), "Check the client" });
+}
+
+bool isParseError(boost::system::error_code code)
+{
+    return code.category() == http::make_error_code(http::error::bad_method).category()
+        && code != http::error::end_of_stream && code != http::error::partial_message;
+}
+
+// Reads, serves and answers one request. Returns whether the connection can carry another.
+bool serveOne(fiber_runtime& runtime, const byte_stream_ptr& stream, beast::flat_buffer& buffer,
+    const http_server_options& options, const http_handler& handler, const std::function<bool()>& isLeaving)
+{
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(options.maxHeaderBytes));
+    parser.body_limit(options.maxBodyBytes);
+    boost::system::error_code code;
+    stream->setDeadline(clock_type::now() + options.idleLimit);
+    http::read_header(*stream, buffer, parser, code);
+    if (!code) {
+        stream->setDeadline(clock_type::now() + options.readLimit);
+        const auto expect = parser.get()[http::field::expect];
+        if (boost::algorithm::iequals(expect, "100-continue"))
+            (void)stream->writeAll("HTTP/1.1 100 Continue\r\n\r\n");
+        http::read(*stream, buffer, parser, code);
+    }
+    if (code) {
+        if (isParseError(code)) {
+            beast_responder responder(runtime, stream, options, 11, false);
+            (void)responder.send(parseFailure(code));
+        }
+        return false;
+    }
+    auto& message = parser.get();
+    http_request request { std::string(message.method_string()), std::string(message.target()), copyHeaders(message),
+        std::move(message.body()) };
+    beast_responder responder(runtime, stream, options, message.version(), message.keep_alive() && !isLeaving());
+    handler(request, responder);
+    responder.stopWatching();
+    if (!responder.isAnswered()) {
+        (void)responder.send(
+            errorResponse(500, { error_kind::Internal, "the request was not answered", "Report this" }));
+    }
+    return responder.keepsAlive();
+}
+
+http::request<http::string_body> toBeast(const endpoint& address, const http_request& request)
+{
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.target);
+    message.version(11);
+    setHeaders(message, request.headers);
+    message.set(http::field::host, toString(address));
+    message.keep_alive(true);
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
+}
+
+error lost(const endpoint& address, boost::system::error_code code)
+{
+    return { error_kind::Lost, toString(address) + ": " + code.message(),
+        "The request may have taken effect; look before repeating it" };
+}
+
+} // namespace
+
+std::optional<std::string> findHeader(const std::vector<http_header>& headers, std::string_view name)
+{
+    std::optional<std::string> found;
+    for (const auto& header : headers) {
+        if (!boost::algorithm::iequals(header.name, name))
+            continue;
+        if (found)
+            return std::nullopt;
+        found = header.value;
+    }
+    return found;
+}
+
+std::size_t headerCount(const std::vector<http_header>& headers, std::string_view name)
+{
+    return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(),
+        [&](const http_header& header) { return boost::algorithm::iequals(header.name, name); }));
+}
+
+std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
+
+std::optional<std::string> queryValue(std::string_view target, std::string_view name)
+{
+    auto rest = target.substr(std::min(target.find('?'), target.size()));
+    while (!rest.empty()) {
+        rest.remove_prefix(1); // '?' or '&'
+        const auto part = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(part.size());
+        const auto equals = part.find('=');
+        if (part.substr(0, equals) == name)
+            return equals == std::string_view::npos ? std::string() : std::string(part.substr(equals + 1));
+    }
+    return std::nullopt;
+}
+
+void serveHttp(fiber_runtime& runtime, const byte_stream_ptr& stream, const http_server_options& options,
+    const http_handler& handler, const std::function<bool()>& isLeaving)
+{
+    beast::flat_buffer buffer;
+    while (serveOne(runtime, stream, buffer, options, handler, isLeaving)) { }
+    stream->close();
+}
+
+result<byte_stream_ptr> http_client::obtain(const endpoint& address, time_point deadline, bool& reused)
+{
+    auto& idle = m_idle[address];
+    reused = !idle.empty();
+    if (!reused)
+        return connectTcp(m_runtime, address, deadline, m_options.tls);
+    auto stream = std::move(idle.back());
+    idle.pop_back();
+    return stream;
+}
+
+void http_client::keep(const endpoint& address, byte_stream_ptr stream)
+{
+    auto& idle = m_idle[address];
+    if (idle.size() < m_options.keptPerEndpoint)
+        idle.push_back(std::move(stream));
+}
+
+result<http_response> http_client::send(const endpoint& address, const http_request& request, time_point deadline)
+{
+    http_response response;
+    const auto done = stream(address, request, deadline,
+        { .onHead = [&](const http_head& head) { response.head = head; },
+            .onBytes =
+                [&](std::string_view bytes) {
+                    response.body.append(bytes);
+                    return response.body.size() <= m_options.maxBodyBytes;
+                } });
+    if (!done)
+        return tl::unexpected(done.error());
+    return response;
+}
+
+result<void> http_client::stream(
+    const endpoint& address, const http_request& request, time_point deadline, const streaming& streaming)
+{
+    bool reused = false;
+    auto connection = obtain(address, deadline, reused);
+    // A kept connection that the other side closed meanwhile is noticed before anything is sent on it.
+    while (connection && reused && !(*connection)->isOpenAndQuiet()) {
+        (*connection)->close();
+        connection = obtain(address, deadline, reused);
+    }
+    if (!connection)
+        return tl::unexpected(connection.error());
+    auto& stream = **connection;
+    stream.setDeadline(deadline);
+    auto message = toBeast(address, request);
+    boost::system::error_code code;
+    http::write(stream, message, code);
+    if (code)
+        return tl::unexpected(lost(address, code));
+
+    beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(m_options.maxBodyBytes);
+    parser.skip(request.method == "HEAD");
+    http::read_header(stream, buffer, parser, code);
+    if (code)
+        return tl::unexpected(lost(address, code));
+    streaming.onHead({ static_cast<int>(parser.get().result_int()), copyHeaders(parser.get()) });
+    std::array<char, streamBufferBytes> bytes; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    while (!parser.is_done()) {
+        parser.get().body().data = bytes.data();
+        parser.get().body().size = bytes.size();
+        http::read_some(stream, buffer, parser, code);
+        if (code == http::error::need_buffer)
+            code = {};
+        if (code)
+            return tl::unexpected(lost(address, code));
+        const auto got = bytes.size() - parser.get().body().size;
+        if (got > 0 && !streaming.onBytes({ bytes.data(), got })) {
+            stream.close();
+            return fail(error_kind::Lost, "cancelled", "Ask again if the answer is still wanted");
+        }
+    }
+    if (parser.get().keep_alive())
+        keep(address, *connection);
+    return {};
+}
+
+http_response errorResponse(int status, const error& error)
+{
+    const nlohmann::json body { { "error",
+        { { "kind", toString(error.kind) }, { "message", error.message }, { "remedy", error.remedy } } } };
+    return { { status, { { "Content-Type", "application/json" } } }, body.dump() + "\n" };
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/operators/operator_service.cpp
@@ -0,0 +1,215 @@
+#include "coltsfootbend/operators/operator_service.h"
+
+#include "coltsfootbend/base/log_event.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace coltsfootbend {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::chrono::seconds operationLimit { 5 };
+
+int statusOf(const error& error)
+{
+    switch (error.kind) {
+    case error_kind::BadInput:
+        return 400;
+    case error_kind::Denied:
+        return 401;
+    case error_kind::NotFound:
+        return 404;
+    case error_kind::Stale:
+        return 409;
+    case error_kind::Lost:
+    case error_kind::TimedOut:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+http_response failed(const error& error) { return errorResponse(statusOf(error), error); }
+
+http_response answer(const json& body)
+{
+    return { { 200, { { "Content-Type", "application/json" } } }, body.dump(2) + "\n" };
+}
+
+json toJson(const wire::config_step& step)
+{
+    return { { "version", step.version.number() }, { "id", step.id.text() }, { "actor", step.actor },
+        { "accepted_at_ms", step.acceptedAtMs }, { "patch", json::parse(step.mergePatch, nullptr, false) },
+        { "undo", json::parse(step.undoPatch, nullptr, false) } };
+}
+
+double milliseconds(std::uint64_t microseconds) { return static_cast<double>(microseconds) / 1000; }
+
+} // namespace
+
+operator_service::operator_service(
+    fiber_runtime& runtime, const daemon_settings& settings, incarnation life, std::function<void()> onDrain)
+    : m_runtime(runtime)
+    , m_settings(settings)
+    , m_life(life)
+    , m_onDrain(std::move(onDrain))
+{
+}
+
+result<void> operator_service::start(kernel& kernel)
+{
+    m_entry = kernel.find<entry_service>("entry");
+    m_configuration = kernel.find<config_service>("configuration");
+    m_metrics = kernel.find<metrics_service>("metrics");
+    m_peers = kernel.find<peer_service>("peers");
+    if (!m_entry || !m_configuration || !m_metrics || !m_peers)
+        return fail(error_kind::NotFound, "it needs 'entry' and its services", "Add a table [entry] to the settings");
+    auto opened = listener::open(
+        m_runtime, { .address = m_settings.entry->operators, .tls = {} }, [this](const byte_stream_ptr& stream) {
+            serveHttp(
+                m_runtime, stream, {},
+                [this](
+                    const http_request& request, http_responder& responder) { (void)responder.send(respond(request)); },
+                [] { return false; });
+        });
+    if (!opened)
+        return tl::unexpected(opened.error());
+    m_listener = *opened;
+    return {};
+}
+
+void operator_service::stop() { m_listener->close(); }
+
+http_response operator_service::respond(const http_request& request)
+{
+    const auto path = pathOf(request.target);
+    if (path == "/metrics" && request.method == "GET")
+        return { { 200, { { "Content-Type", "text/plain; version=0.0.4" } } }, m_metrics->text() };
+    const auto identity = authenticateOperator(*m_configuration->current(), request);
+    if (!identity)
+        return failed(identity.error());
+    const bool isRead = request.method == "GET";
+    if (!isRead && identity->role != operator_role::Editor) {
+        logEvent(log_event::OperatorRefused, "actor=" + identity->name + " method=" + request.method);
+        return errorResponse(
+            403, { error_kind::Denied, "a viewer may only look", "Use the key of an operator with the role editor" });
+    }
+    if (path == "/operator/v1/status" && isRead)
+        return status();
+    if (path == "/operator/v1/configuration" && isRead)
+        return showConfiguration();
+    if (path == "/operator/v1/configuration" && request.method == "PATCH")
+        return patchConfiguration(request, *identity);
+    if (path == "/operator/v1/history" && isRead)
+        return history(request);
+    if (path == "/operator/v1/drain" && request.method == "POST")
+        return drain(request, *identity);
+    return failed({ error_kind::NotFound, "there is no such resource", "See docs/operators/API.md" });
+}
+
+http_response operator_service::status() const
+{
+    const auto now = clock_type::now();
+    json workers = json::array();
+    for (const auto& [id, worker] : m_entry->directory().workers()) {
+        const bool isSuspected = now >= worker.suspectAt;
+        const char* state = worker.last.leaving ? "leaving" : isSuspected ? "suspected" : "serving";
+        json deployments = json::array();
+        for (const auto& deployment : worker.last.deployments)
+            deployments.push_back(deployment.text());
+        workers.push_back({ { "vm", id.text() }, { "life", worker.last.life.number() }, { "state", state },
+            { "data_centre", worker.last.dataCentre.text() }, { "address", worker.last.address },
+            { "deployments", deployments }, { "slots", worker.last.current.slots },
+            { "pending_ms", milliseconds(worker.last.current.pendingServiceUs) } });
+    }
+    return answer({ { "vm", m_settings.vm.text() }, { "life", m_life.number() },
+        { "data_centre", m_settings.dataCentre.text() }, { "state", m_entry->isLeaving() ? "leaving" : "serving" },
+        { "configuration_version", m_configuration->version().number() }, { "in_flight", m_entry->inFlight() },
+        { "oldest_request_ms", toMilliseconds(m_entry->oldestRequestAge()) },
+        { "platform_silent_ms", toMilliseconds(now - m_configuration->platformHeardAt()) }, { "workers", workers } });
+}
+
+http_response operator_service::showConfiguration() const
+{
+    return answer({ { "version", m_configuration->version().number() },
+        { "document", json::parse(m_configuration->state().document(), nullptr, false) } });
+}
+
+http_response operator_service::patchConfiguration(const http_request& request, const operator_identity& identity)
+{
+    const auto body = json::parse(request.body, nullptr, false);
+    const bool isWhole = body.is_object() && body.contains("against") && body["against"].is_number_unsigned()
+        && body.contains("id") && body["id"].is_string() && body.contains("patch") && body["patch"].is_object();
+    if (!isWhole) {
+        return failed({ error_kind::BadInput, "the body is no patch",
+            "Send {\"against\": VERSION, \"id\": \"UNIQUE TEXT\", \"patch\": {…}}" });
+    }
+    const auto wallClock = std::chrono::system_clock::now().time_since_epoch();
+    const config_patch patch { .id = patch_id(body["id"].get<std::string>()),
+        .against = config_version(body["against"].get<std::uint64_t>()),
+        .actor = identity.name,
+        .mergePatch = body["patch"].dump(),
+        .acceptedAtMs
+        = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(wallClock).count()) };
+    const auto deadline = clock_type::now() + operationLimit;
+    const auto accepted = m_configuration->accept(patch, deadline);
+    if (accepted)
+        return answer({ { "version", accepted->number() } });
+    if (accepted.error().kind != error_kind::Stale)
+        return failed(accepted.error());
+    // Whoever is late is told what happened meanwhile, to write the patch anew with open eyes.
+    auto response = json::parse(failed(accepted.error()).body);
+    response["changes"] = json::array();
+    if (const auto steps = m_configuration->history(config_version(patch.against.number() + 1), deadline)) {
+        for (const auto& step : *steps)
+            response["changes"].push_back(toJson(step));
+    }
+    return { { 409, { { "Content-Type", "application/json" } } }, response.dump(2) + "\n" };
+}
+
+http_response operator_service::history(const http_request& request)
+{
+    const auto text = queryValue(request.target, "from").value_or("1");
+    std::uint64_t first = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), first);
+    if (code != std::errc {} || end != text.data() + text.size())
+        return failed({ error_kind::BadInput, "'from' is no number", "Send ?from=VERSION" });
+    const auto steps = m_configuration->history(config_version(first), clock_type::now() + operationLimit);
+    if (!steps)
+        return failed(steps.error());
+    json listed = json::array();
+    for (const auto& step : *steps)
+        listed.push_back(toJson(step));
+    return answer({ { "steps", listed } });
+}
+
+http_response operator_service::drain(const http_request& request, const operator_identity& identity)
+{
+    const auto body = json::parse(request.body, nullptr, false);
+    if (!body.is_object() || !body.contains("vm") || !body["vm"].is_string())
+        return failed({ error_kind::BadInput, "the body names no VM", "Send {\"vm\": \"ID\"}" });
+    const vm_id vm(body["vm"].get<std::string>());
+    logEvent(log_event::OperatorDrain, "vm=" + vm.text() + " actor=" + identity.name);
+    if (vm == m_settings.vm) {
+        m_onDrain();
+        return answer({ { "draining", vm.text() } });
+    }
+    const auto& entries = m_settings.entries;
+    const auto entry
+        = std::find_if(entries.begin(), entries.end(), [&](const peer_settings& known) { return known.id == vm; });
+    const auto address = entry != entries.end() ? std::optional<endpoint>(entry->address) : m_entry->addressOf(vm);
+    if (!address)
+        return failed({ error_kind::NotFound, "no VM is called '" + vm.text() + "'", "See coltsfootbendctl status" });
+    const auto reply
+        = m_peers->client().ask(*address, wire::drain { identity.name }, clock_type::now() + operationLimit);
+    if (!reply)
+        return failed(reply.error());
+    return answer({ { "draining", vm.text() } });
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/operators/operator_service.h
@@ -0,0 +1,40 @@
+#pragma once
+
+// The operators' side of an entry VM over HTTP: status, the configuration and its history, drains and metrics.
+// `coltsfootbendctl` is its usual client; docs/operators/API.md lists the resources. Found by the name "operators".
+
+#include "coltsfootbend/entry/entry_service.h"
+
+#include <functional>
+
+namespace coltsfootbend {
+
+class operator_service final : public service {
+public:
+    // `onDrain` makes this process leave.
+    operator_service(fiber_runtime&, const daemon_settings&, incarnation life, std::function<void()> onDrain);
+
+    std::string_view name() const override { return "operators"; }
+    result<void> start(kernel&) override;
+    void stop() override;
+
+private:
+    http_response respond(const http_request&);
+    http_response status() const;
+    http_response showConfiguration() const;
+    http_response patchConfiguration(const http_request&, const operator_identity&);
+    http_response history(const http_request&);
+    http_response drain(const http_request&, const operator_identity&);
+
+    fiber_runtime& m_runtime;
+    const daemon_settings& m_settings;
+    const incarnation m_life;
+    const std::function<void()> m_onDrain;
+    entry_service* m_entry = nullptr;
+    config_service* m_configuration = nullptr;
+    metrics_service* m_metrics = nullptr;
+    peer_service* m_peers = nullptr;
+    std::shared_ptr<listener> m_listener;
+};
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/request/request_flow.h
@@ -0,0 +1,253 @@
+#pragma once
+
+// The life of one caller's request inside an entry VM, as a deterministic state machine: it takes the time and one
+// typed event and returns typed actions. It claims the caller's key, dispatches attempts, settles lost ones by revoke
+// or join, retries only what may be retried, and ends in exactly one outcome. No clock, socket or random source inside:
+// a driver performs the actions and feeds back what came of them. Not for requests between our own processes.
+//
+//     request_flow flow(request, { chooser, permit, attempts }, home);
+//     auto actions = flow.handle(now, { 0, caller_started {} });
+//     // perform each action; feed its result with the action's operation number; call tick by flow.nextDeadline()
+
+#include "coltsfootbend/base/time.h"
+#include "coltsfootbend/request/attempt.h"
+#include "coltsfootbend/request/attempt_table.h"
+#include "coltsfootbend/request/claim_ledger.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace coltsfootbend {
+
+// What the flow needs to know of the caller's request.
+struct flow_request {
+    customer_id customer;
+    std::optional<request_key> key;
+    std::uint32_t attemptNumber = 0;
+    std::uint64_t bodyHash = 0;
+    bool idempotent = false;
+    time_point deadline {};
+};
+
+// Picks where the next attempt goes. `tried` holds the workers that refused or failed this request.
+class worker_chooser {
+public:
+    virtual ~worker_chooser() = default;
+    virtual std::optional<run_place> choose(time_point now, const std::vector<vm_id>& tried) = 0;
+};
+
+// Says whether one more retry is within the retry budget, and takes it from the budget if so.
+class retry_permit {
+public:
+    virtual ~retry_permit() = default;
+    virtual bool takeRetry(time_point now) = 0;
+};
+
+// Makes attempt ids with serials that rise.
+class attempt_source {
+public:
+    virtual ~attempt_source() = default;
+    virtual attempt_id nextAttempt() = 0;
+};
+
+// Why a worker daemon or the flow itself refused.
+enum class refusal {
+    None,
+    NoWorker, // No backend server can take it.
+    QueueFull,
+    DeadlineTooClose,
+    WorkerLeaving,
+    OtherLife, // The worker daemon that was addressed has been restarted.
+    Revoked,
+    EngineDown,
+    HomeUnreachable,
+    HomeCannotRuleOut,
+    KeyClosed,
+    KeyReused,
+    RetryBudgetSpent,
+    Lost, // It was sent, and what came of it cannot be learned.
+    AnswerGone, // It ran; the answer is no longer kept.
+    AnswerBroken, // Part of the answer was delivered; the rest cannot be.
+    CallerGone,
+};
+
+// Returns the name of `reason` for bodies, logs and metrics.
+const char* toString(refusal reason);
+
+// Actions. Each that expects a result carries the operation number that the result must name.
+struct send_claim {
+    std::uint64_t operation = 0;
+    vm_id home;
+    claim_request request;
+};
+struct send_dispatch {
+    std::uint64_t operation = 0;
+    attempt_id attempt;
+    run_place place;
+};
+struct send_revoke {
+    std::uint64_t operation = 0;
+    attempt_id attempt;
+    run_place place;
+};
+struct send_join {
+    std::uint64_t operation = 0;
+    attempt_id attempt;
+    run_place place;
+    std::uint64_t offset = 0;
+};
+struct send_close {
+    std::uint64_t operation = 0;
+    vm_id home;
+    customer_key key;
+    std::uint32_t attemptNumber = 0;
+    std::optional<attempt_id> releases;
+};
+struct forward_head {
+    int status = 0;
+    std::string contentType;
+};
+struct forward_bytes {
+    std::string bytes;
+};
+struct finish_request {
+    outcome result = outcome::Unknown;
+    refusal reason = refusal::None;
+    // When the caller should come back; zero when coming back does not help.
+    std::chrono::milliseconds retryAfter {};
+    // The caller may send the same key again: it will run at most once.
+    bool sameKeyMayRetry = false;
+};
+using flow_action = std::variant<send_claim, send_dispatch, send_revoke, send_join, send_close, forward_head,
+    forward_bytes, finish_request>;
+
+// Events.
+struct caller_started { };
+struct caller_gone { };
+struct timer_fired { };
+struct claim_answered {
+    claim_reply reply;
+};
+// The request never left (`nothingSent`) or its answer never came.
+struct operation_lost {
+    bool nothingSent = false;
+};
+struct attempt_refused {
+    refusal reason = refusal::None;
+    std::chrono::milliseconds retryAfter {};
+};
+// It was started, and its answer will never be whole.
+struct attempt_failed { };
+struct answer_head {
+    int status = 0;
+    std::string contentType;
+};
+struct answer_bytes {
+    std::uint64_t offset = 0;
+    std::string bytes;
+};
+struct answer_end {
+    std::uint64_t totalBytes = 0;
+};
+struct revoke_answered {
+    revoke_verdict verdict = revoke_verdict::Forgotten;
+};
+// The worker daemon that was asked is another life: the former one can never answer.
+struct other_life_answered { };
+struct close_answered {
+    claim_reply reply;
+};
+struct flow_event {
+    std::uint64_t operation = 0;
+    std::variant<caller_started, caller_gone, timer_fired, claim_answered, operation_lost, attempt_refused,
+        attempt_failed, answer_head, answer_bytes, answer_end, revoke_answered, other_life_answered, close_answered>
+        what;
+};
+
+class request_flow {
+public:
+    struct services {
+        worker_chooser& chooser;
+        retry_permit& retries;
+        attempt_source& attempts;
+    };
+    struct limits {
+        // How long before the caller's deadline an undecided attempt is revoked, so that proof arrives in time.
+        duration settleMargin = std::chrono::milliseconds(100);
+        duration firstSettleRetry = std::chrono::milliseconds(10);
+        std::chrono::milliseconds retryAfter { 500 };
+        int maxAttempts = 4;
+    };
+
+    // `home` holds the key's claims; it is not used when the request has no key.
+    request_flow(flow_request, services, vm_id home, limits);
+
+    // Takes one event and returns what to do now, in order. Events of operations that were given up are ignored.
+    std::vector<flow_action> handle(time_point now, const flow_event&);
+
+    // When `timer_fired` is next due.
+    time_point nextDeadline() const { return m_timer; }
+    bool isDone() const { return m_state == state::Done; }
+
+private:
+    enum class state { Idle, Claiming, Dispatching, Streaming, Revoking, Closing, Done };
+
+    void on(time_point, const caller_started&);
+    void on(time_point, const caller_gone&);
+    void on(time_point, const timer_fired&);
+    void on(time_point, const claim_answered&);
+    void on(time_point, const operation_lost&);
+    void on(time_point, const attempt_refused&);
+    void on(time_point, const attempt_failed&);
+    void on(time_point, const answer_head&);
+    void on(time_point, const answer_bytes&);
+    void on(time_point, const answer_end&);
+    void on(time_point, const revoke_answered&);
+    void on(time_point, const other_life_answered&);
+    void on(time_point, const close_answered&);
+
+    bool mayRepeat() const { return m_request.idempotent && !m_request.key && !m_headForwarded; }
+    void repeatElsewhere(time_point, refusal);
+    void startAttempt(time_point);
+    void claim(time_point);
+    void dispatch(time_point);
+    void settle(time_point);
+    void retrySettle(time_point);
+    void join(time_point);
+    void retryElsewhere(time_point, refusal, std::chrono::milliseconds retryAfter);
+    void refuse(time_point, refusal, std::chrono::milliseconds retryAfter = {});
+    void finish(outcome, refusal, std::chrono::milliseconds retryAfter = {}, bool sameKey = false);
+    template <typename Action> void send(Action);
+
+    const flow_request m_request;
+    const services m_services;
+    const vm_id m_home;
+    const limits m_limits;
+
+    state m_state = state::Idle;
+    std::vector<flow_action> m_actions;
+    std::uint64_t m_operation = 0;
+    time_point m_timer {};
+    duration m_settleBackoff {};
+
+    // The attempt that is being tried or settled; ours, or the one that holds the key.
+    attempt_id m_attempt;
+    run_place m_place;
+    bool m_attemptIsOurs = false;
+    // The attempt that holds our key at its home, proven never to start.
+    std::optional<attempt_id> m_replaces;
+    std::vector<vm_id> m_tried;
+    int m_attempts = 0;
+    int m_claimTries = 0;
+    int m_joins = 0;
+    bool m_unproven = false; // Some attempt may have run.
+    bool m_headForwarded = false;
+    std::uint64_t m_forwarded = 0;
+    refusal m_refusal = refusal::None;
+    std::chrono::milliseconds m_retryAfter {};
+};
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/routing/router.cpp
@@ -0,0 +1,254 @@
+#include "coltsfootbend/routing/router.h"
+
+#include "coltsfootbend/base/hash.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace coltsfootbend {
+
+namespace {
+
+constexpr double slowdownSmoothing = 0.2;
+constexpr double smallestSlowdown = 0.25;
+constexpr double largestSlowdown = 20;
+constexpr std::size_t meanSamples = 8;
+
+} // namespace
+
+router::router(const options& options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+}
+
+void router::setWorkers(const std::vector<routing_worker>& workers)
+{
+    std::vector<worker_state> next;
+    next.reserve(workers.size());
+    for (const auto& worker : workers) {
+        const auto known = m_index.find(worker.place.worker);
+        if (known != m_index.end() && m_workers[known->second].worker.place == worker.place)
+            next.push_back(std::move(m_workers[known->second]));
+        else
+            next.emplace_back();
+        next.back().worker = worker;
+    }
+    m_workers = std::move(next);
+    m_index.clear();
+    m_names.clear();
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        m_index[m_workers[i].worker.place.worker] = i;
+        m_names.push_back(m_workers[i].worker.place.worker);
+    }
+}
+
+void router::setLeaving(const vm_id& worker)
+{
+    if (const auto found = m_index.find(worker); found != m_index.end())
+        m_workers[found->second].worker.leaving = true;
+}
+
+void router::observe(time_point now, const vm_id& worker, const load_report& report)
+{
+    const auto found = m_index.find(worker);
+    if (found == m_index.end())
+        return;
+    auto& state = m_workers[found->second];
+    state.report = report;
+    state.reportTakenAt = now - report.age;
+    // Own work sent before the reading was taken is in it.
+    std::erase_if(state.unreportedAttempts, [&](const attempt_id& attempt) {
+        const auto own = state.inFlight.find(attempt);
+        if (own != state.inFlight.end() && own->second.sentAt > state.reportTakenAt)
+            return false;
+        if (own != state.inFlight.end())
+            state.unreported -= own->second.expected;
+        return true;
+    });
+}
+
+void router::recordDispatch(
+    time_point now, const vm_id& worker, const attempt_id& attempt, const routing_request& request)
+{
+    const auto found = m_index.find(worker);
+    if (found == m_index.end())
+        return;
+    auto& state = m_workers[found->second];
+    const auto expected = request.serviceTime
+        + fromMilliseconds(toMilliseconds(request.prefillTime) * (1 - coveredShare(state, request)));
+    state.inFlight[attempt] = { now, expected };
+    state.unreported += expected;
+    state.unreportedAttempts.push_back(attempt);
+    rememberPrefixes(state, request);
+}
+
+void router::recordEnd(time_point, const vm_id& worker, const attempt_id& attempt, std::optional<duration> served)
+{
+    const auto found = m_index.find(worker);
+    if (found == m_index.end())
+        return;
+    auto& state = m_workers[found->second];
+    const auto own = state.inFlight.find(attempt);
+    if (own == state.inFlight.end())
+        return;
+    if (served && own->second.expected > duration::zero()) {
+        const double ratio = toMilliseconds(*served) / toMilliseconds(own->second.expected);
+        const double measured = std::clamp(ratio, smallestSlowdown, largestSlowdown);
+        state.slowdown += slowdownSmoothing * (measured - state.slowdown);
+        state.failures = 0;
+        state.nextEjection = {};
+    }
+    if (std::erase(state.unreportedAttempts, attempt) > 0)
+        state.unreported -= own->second.expected;
+    state.inFlight.erase(own);
+}
+
+void router::recordFailure(time_point now, const vm_id& worker)
+{
+    const auto found = m_index.find(worker);
+    if (found == m_index.end())
+        return;
+    auto& state = m_workers[found->second];
+    if (++state.failures < m_options.failuresToEject)
+        return;
+    const auto ejected = std::count_if(
+        m_workers.begin(), m_workers.end(), [&](const worker_state& other) { return other.ejectedUntil > now; });
+    if (static_cast<double>(ejected + 1) > m_options.maxEjectedShare * static_cast<double>(m_workers.size()))
+        return;
+    state.nextEjection = state.nextEjection == duration::zero()
+        ? m_options.firstEjection
+        : std::min(state.nextEjection * 2, m_options.longestEjection);
+    state.ejectedUntil = now + state.nextEjection;
+    state.failures = m_options.failuresToEject - 1; // One more failure after it is back ejects it again.
+}
+
+std::optional<run_place> router::choose(time_point now, const routing_request& request, const std::vector<vm_id>& tried)
+{
+    for (const auto reach : { circle::Local, circle::Anywhere, circle::EvenSuspected }) {
+        if (const auto index = pick(now, request, tried, reach))
+            return m_workers[*index].worker.place;
+    }
+    return std::nullopt;
+}
+
+bool router::isUsable(time_point now, const worker_state& state, const std::vector<vm_id>& tried, circle reach) const
+{
+    if (state.worker.leaving)
+        return false;
+    if (reach == circle::Local && state.worker.remote)
+        return false;
+    if (reach != circle::EvenSuspected && (state.worker.suspected || state.ejectedUntil > now))
+        return false;
+    return std::find(tried.begin(), tried.end(), state.worker.place.worker) == tried.end();
+}
+
+std::optional<std::size_t> router::pick(
+    time_point now, const routing_request& request, const std::vector<vm_id>& tried, circle reach)
+{
+    std::optional<std::size_t> best;
+    double bestCost = std::numeric_limits<double>::infinity();
+    const auto consider = [&](std::size_t index) {
+        if (!isUsable(now, m_workers[index], tried, reach))
+            return false;
+        const double cost = costMs(now, m_workers[index], request);
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = index;
+        }
+        return true;
+    };
+
+    if (m_workers.empty())
+        return std::nullopt;
+    if (!request.prefixes.empty()) {
+        // The longest prefix that many requests share decides; the shortest one kept is the best guess of that.
+        const auto key = std::to_string(request.prefixes.front());
+        const double bound = m_options.affinityLoadBound * (meanPendingMs(now) + toMilliseconds(request.serviceTime));
+        for (const auto& name : rendezvousRanking(key, m_names, m_options.affinityCandidates)) {
+            const auto index = m_index.at(name);
+            if (pendingMs(now, m_workers[index]) <= bound)
+                consider(index);
+        }
+    }
+    std::size_t considered = 0;
+    const std::size_t start = m_random() % m_workers.size();
+    const std::size_t stride = m_workers.size() > 1 ? 1 + m_random() % (m_workers.size() - 1) : 1;
+    std::size_t index = start;
+    for (std::size_t probes = 0; probes < m_workers.size() && considered < m_options.randomCandidates; ++probes) {
+        if (consider(index))
+            ++considered;
+        index = (index + stride) % m_workers.size();
+    }
+    if (best)
+        return best;
+    // The stride may have skipped the only usable one.
+    for (std::size_t i = 0; i < m_workers.size() && !best; ++i)
+        consider(i);
+    return best;
+}
+
+double router::pendingMs(time_point now, const worker_state& state) const
+{
+    const double slots = std::max<std::uint32_t>(state.report.slots, 1);
+    const double drainedMs
+        = state.reportTakenAt == time_point {} ? 0 : toMilliseconds(now - state.reportTakenAt) * slots / state.slowdown;
+    const double reported = std::max(0.0, toMilliseconds(state.report.pendingService) - drainedMs);
+    return (reported + toMilliseconds(state.unreported)) * state.slowdown / slots;
+}
+
+double router::costMs(time_point now, const worker_state& state, const routing_request& request) const
+{
+    const double wait = pendingMs(now, state);
+    const double prefill = toMilliseconds(request.prefillTime) * (1 - coveredShare(state, request)) * state.slowdown;
+    const double service = toMilliseconds(request.serviceTime) * state.slowdown;
+    double skew = 0;
+    if (state.report.groupSlowestPending > duration::zero()) {
+        const double slots = std::max<std::uint32_t>(state.report.slots, 1);
+        const double slowest = toMilliseconds(state.report.groupSlowestPending) / slots;
+        skew = std::max(0.0, wait + (prefill + service) / slots - slowest);
+    }
+    return wait + prefill + service + m_options.skewWeight * skew;
+}
+
+double router::coveredShare(const worker_state& state, const routing_request& request) const
+{
+    for (std::size_t i = request.prefixes.size(); i > 0; --i) {
+        if (state.prefixes.contains(request.prefixes[i - 1]))
+            return static_cast<double>(i) / static_cast<double>(request.prefixes.size());
+    }
+    return 0;
+}
+
+void router::rememberPrefixes(worker_state& state, const routing_request& request)
+{
+    for (const auto prefix : request.prefixes) {
+        if (const auto known = state.prefixes.find(prefix); known != state.prefixes.end())
+            state.prefixOrder.erase(known->second);
+        state.prefixOrder.push_front(prefix);
+        state.prefixes[prefix] = state.prefixOrder.begin();
+    }
+    while (state.prefixOrder.size() > m_options.prefixMemory) {
+        state.prefixes.erase(state.prefixOrder.back());
+        state.prefixOrder.pop_back();
+    }
+}
+
+// The mean over a few workers drawn at random: enough to tell a crowded one, and of constant cost.
+double router::meanPendingMs(time_point now)
+{
+    const auto samples = std::min(meanSamples, m_workers.size());
+    double sum = 0;
+    for (std::size_t i = 0; i < samples; ++i)
+        sum += pendingMs(now, m_workers[m_random() % m_workers.size()]);
+    return sum / static_cast<double>(std::max<std::size_t>(samples, 1));
+}
+
+duration router::expectedWait(time_point now, const vm_id& worker) const
+{
+    const auto found = m_index.find(worker);
+    return found == m_index.end() ? duration::zero() : fromMilliseconds(pendingMs(now, m_workers[found->second]));
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/settings/settings.cpp
@@ -0,0 +1,264 @@
+#include "coltsfootbend/settings/settings.h"
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <toml++/toml.h>
+#include <utility>
+
+namespace coltsfootbend {
+
+namespace {
+
+// Reads the keys of one table, and collects what is wrong with them.
+class table_reader {
+public:
+    table_reader(const toml::table& table, std::string path, std::vector<error>& errors)
+        : m_table(table)
+        , m_path(std::move(path))
+        , m_errors(errors)
+    {
+    }
+
+    std::string text(const std::string& key, bool required = true, std::string fallback = {})
+    {
+        const auto* node = look(key, required, "Set it to a text in double quotes");
+        if (!node)
+            return fallback;
+        if (const auto value = node->value<std::string>(); value && !value->empty())
+            return *value;
+        complain(key, node, "must be a text that is not empty", "Write it in double quotes");
+        return fallback;
+    }
+
+    endpoint address(const std::string& key, bool required = true)
+    {
+        const auto value = text(key, required);
+        if (value.empty())
+            return {};
+        auto parsed = parseEndpoint(value);
+        if (parsed)
+            return *parsed;
+        complain(key, m_table.get(key), parsed.error().message, parsed.error().remedy);
+        return {};
+    }
+
+    std::int64_t number(const std::string& key, std::int64_t fallback, std::int64_t least, std::int64_t most)
+    {
+        const auto* node = look(key, false, "");
+        if (!node)
+            return fallback;
+        const auto value = node->value_exact<std::int64_t>();
+        if (value && *value >= least && *value <= most)
+            return *value;
+        complain(key, node, "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most),
+            "Change it, or leave it out for " + std::to_string(fallback));
+        return fallback;
+    }
+
+    std::vector<std::string> texts(const std::string& key, bool required = true)
+    {
+        std::vector<std::string> values;
+        const auto* node = look(key, required, "Set it to a list of texts");
+        if (!node)
+            return values;
+        const auto* array = node->as_array();
+        for (std::size_t i = 0; array && i < array->size(); ++i) {
+            if (const auto value = array->get(i)->value<std::string>())
+                values.push_back(*value);
+        }
+        if (!array || values.size() != array->size() || values.empty())
+            complain(key, node, "must be a list of texts that is not empty", "Write it as [\"a\", \"b\"]");
+        return values;
+    }
+
+    std::optional<table_reader> table(const std::string& key)
+    {
+        const auto* node = look(key, false, "");
+        if (!node)
+            return std::nullopt;
+        if (const auto* found = node->as_table())
+            return table_reader(*found, m_path + key + ".", m_errors);
+        complain(key, node, "must be a table", "Write it as [" + m_path + key + "]");
+        return std::nullopt;
+    }
+
+    std::vector<table_reader> tables(const std::string& key)
+    {
+        std::vector<table_reader> readers;
+        const auto* node = look(key, false, "");
+        const auto* array = node ? node->as_array() : nullptr;
+        for (std::size_t i = 0; array && i < array->size(); ++i) {
+            if (const auto* found = array->get(i)->as_table())
+                readers.emplace_back(*found, m_path + key + ".", m_errors);
+        }
+        if (node && (!array || readers.size() != array->size()))
+            complain(key, node, "must be a list of tables", "Write each as [[" + m_path + key + "]]");
+        return readers;
+    }
+
+    void complain(const std::string& key, const toml::node* node, const std::string& what, std::string remedy)
+    {
+        const auto line = node ? node->source().begin.line : m_table.source().begin.line;
+        m_errors.push_back({ error_kind::BadInput, "line " + std::to_string(line) + ": '" + m_path + key + "' " + what,
+            std::move(remedy) });
+    }
+
+    // Call last: a key that nobody asked for is most likely misspelt.
+    void rejectOthers()
+    {
+        for (const auto& [key, node] : m_table) {
+            const std::string name(key.str());
+            if (!m_known.contains(name))
+                complain(name, &node, "is not a setting", "Remove it, or correct its spelling");
+        }
+    }
+
+private:
+    const toml::node* look(const std::string& key, bool required, std::string remedy)
+    {
+        m_known.insert(key);
+        const auto* node = m_table.get(key);
+        if (!node && required)
+            complain(key, nullptr, "is missing", std::move(remedy));
+        return node;
+    }
+
+    const toml::table& m_table;
+    const std::string m_path;
+    std::vector<error>& m_errors;
+    std::set<std::string> m_known;
+};
+
+std::optional<tls_settings> readTls(table_reader& parent, const std::string& key)
+{
+    auto reader = parent.table(key);
+    if (!reader)
+        return std::nullopt;
+    tls_settings tls { reader->text("certificate"), reader->text("key"), reader->text("authority", false) };
+    reader->rejectOthers();
+    return tls;
+}
+
+entry_settings readEntry(table_reader& reader)
+{
+    constexpr auto mebibyte = std::int64_t { 1024 } * 1024;
+    entry_settings entry;
+    entry.callers = reader.address("callers");
+    entry.operators = reader.address("operators");
+    entry.callerTls = readTls(reader, "tls");
+    entry.maxConnections = static_cast<std::size_t>(reader.number("max_connections", 4096, 1, 65'536));
+    entry.maxRequests = static_cast<std::size_t>(reader.number("max_requests", 4096, 1, 65'536));
+    entry.maxBodyBytes = static_cast<std::size_t>(reader.number("max_body_bytes", 4 * mebibyte, 1024, 64 * mebibyte));
+    entry.defaultTimeout = std::chrono::milliseconds(reader.number("default_timeout_ms", 60'000, 100, 600'000));
+    reader.rejectOthers();
+    return entry;
+}
+
+worker_settings readWorker(table_reader& reader)
+{
+    constexpr auto mebibyte = std::int64_t { 1024 } * 1024;
+    worker_settings worker;
+    worker.backend = reader.address("backend");
+    const auto kind = reader.text("kind", false, "engine");
+    if (kind != "engine" && kind != "plain")
+        reader.complain("kind", nullptr, "must be \"engine\" or \"plain\"", "Choose one of the two");
+    worker.kind = kind == "plain" ? backend_kind::Plain : backend_kind::Engine;
+    for (auto& id : reader.texts("deployments"))
+        worker.deployments.emplace_back(std::move(id));
+    worker.slots = static_cast<std::size_t>(reader.number("slots", 16, 1, 4096));
+    worker.maxWaiting = static_cast<std::size_t>(reader.number("max_waiting", 256, 0, 65'536));
+    worker.maxAnswerBytes
+        = static_cast<std::size_t>(reader.number("max_answer_bytes", 48 * mebibyte, mebibyte, 1024 * mebibyte));
+    reader.rejectOthers();
+    return worker;
+}
+
+peer_settings readPeer(table_reader& reader)
+{
+    peer_settings peer { vm_id(reader.text("id")), data_centre_id(reader.text("data_centre")),
+        reader.address("address") };
+    reader.rejectOthers();
+    return peer;
+}
+
+void readStandins(table_reader& root, daemon_settings& settings)
+{
+    auto reader = root.table("standin");
+    if (!reader)
+        return;
+    if (const auto address = reader->address("platform", false); address.port != 0)
+        settings.platformStandin = address;
+    if (auto engine = reader->table("engine")) {
+        settings.engineStandin = engine_standin_settings { engine->address("address"),
+            std::chrono::milliseconds(engine->number("step_ms", 6, 1, 1000)),
+            static_cast<std::size_t>(engine->number("slots", 16, 1, 4096)) };
+        engine->rejectOthers();
+    }
+    reader->rejectOthers();
+}
+
+void checkWhole(const daemon_settings& settings, table_reader& root)
+{
+    if (!settings.entry && !settings.worker && !settings.platformStandin && !settings.engineStandin)
+        root.complain("entry", nullptr, "and 'worker' are both missing", "Add a table [entry] or [worker]");
+    if ((settings.entry || settings.worker) && settings.entries.empty())
+        root.complain("entries", nullptr, "is missing", "Name every entry VM in a table [[entries]]");
+    if (settings.entry && !settings.platform)
+        root.complain("platform", nullptr, "is missing", "Give the address of the platform's service");
+}
+
+} // namespace
+
+tl::expected<daemon_settings, std::vector<error>> parseSettings(std::string_view toml)
+{
+    std::vector<error> errors;
+    toml::table table;
+    try {
+        table = toml::parse(toml);
+    } catch (const toml::parse_error& problem) {
+        errors.push_back({ error_kind::BadInput,
+            "line " + std::to_string(problem.source().begin.line) + ": " + std::string(problem.description()),
+            "Correct the TOML" });
+        return tl::unexpected(std::move(errors));
+    }
+    table_reader root(table, "", errors);
+    daemon_settings settings;
+    settings.vm = vm_id(root.text("vm"));
+    settings.dataCentre = data_centre_id(root.text("data_centre"));
+    settings.peers = root.address("peers", false);
+    settings.peerTls = readTls(root, "peer_tls");
+    for (auto& reader : root.tables("entries"))
+        settings.entries.push_back(readPeer(reader));
+    if (const auto address = root.address("platform", false); address.port != 0)
+        settings.platform = address;
+    if (auto reader = root.table("entry"))
+        settings.entry = readEntry(*reader);
+    if (auto reader = root.table("worker"))
+        settings.worker = readWorker(*reader);
+    readStandins(root, settings);
+    settings.logDirectory = root.text("log_directory", false);
+    settings.firstConfigurationFile = root.text("first_configuration", false);
+    settings.drainLimit = std::chrono::milliseconds(root.number("drain_limit_ms", 120'000, 0, 3'600'000));
+    settings.keyLifetime = std::chrono::milliseconds(root.number("key_lifetime_ms", 600'000, 1000, 86'400'000));
+    checkWhole(settings, root);
+    root.rejectOthers();
+    if (!errors.empty())
+        return tl::unexpected(std::move(errors));
+    return settings;
+}
+
+tl::expected<daemon_settings, std::vector<error>> loadSettings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return tl::unexpected(std::vector<error> {
+            { error_kind::NotFound, "cannot read '" + path + "'", "Give the path of a settings file" } });
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseSettings(text.str());
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/wire/codec.cpp
@@ -0,0 +1,285 @@
+#include "coltsfootbend/wire/codec.h"
+
+#include <algorithm>
+#include <msgpack.hpp>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+
+// The fields of each message in the order in which they travel. Append only. The functions are static, not in an
+// unnamed namespace, because argument-dependent lookup has to find them.
+namespace coltsfootbend {
+
+static auto fieldsOf(attempt_id& value) { return std::tie(value.entry, value.entryLife, value.serial); }
+static auto fieldsOf(run_place& value) { return std::tie(value.worker, value.life); }
+static auto fieldsOf(customer_key& value) { return std::tie(value.customer, value.key); }
+static auto fieldsOf(claim_holder& value) { return std::tie(value.attempt, value.place); }
+static auto fieldsOf(claim_request& value)
+{
+    return std::tie(value.key, value.attempt, value.place, value.attemptNumber, value.bodyHash, value.replaces);
+}
+static auto fieldsOf(claim_snapshot_row& value)
+{
+    return std::tie(value.key, value.holder, value.closedThrough, value.closed, value.bodyHash);
+}
+
+namespace wire {
+
+static auto fieldsOf(dispatch& value)
+{
+    return std::tie(value.attempt, value.workerLife, value.customer, value.priority, value.weight, value.deadlineLeftUs,
+        value.expectedServiceUs, value.deployment, value.method, value.target, value.contentType, value.body);
+}
+static auto fieldsOf(head& value) { return std::tie(value.status, value.contentType); }
+static auto fieldsOf(bytes& value) { return std::tie(value.offset, value.data); }
+static auto fieldsOf(end& value) { return std::tie(value.totalBytes); }
+static auto fieldsOf(refused& value) { return std::tie(value.reason, value.retryAfterMs); }
+static auto fieldsOf(failed&) { return std::tie(); }
+static auto fieldsOf(other_life&) { return std::tie(); }
+static auto fieldsOf(revoke& value) { return std::tie(value.attempt, value.workerLife); }
+static auto fieldsOf(revoke_reply& value) { return std::tie(value.verdict); }
+static auto fieldsOf(join& value) { return std::tie(value.attempt, value.workerLife, value.offset); }
+static auto fieldsOf(cancel& value) { return std::tie(value.attempt, value.workerLife); }
+static auto fieldsOf(claim& value) { return std::tie(value.request); }
+static auto fieldsOf(claim_reply& value) { return std::tie(value.verdict, value.holder); }
+static auto fieldsOf(close& value) { return std::tie(value.key, value.attemptNumber, value.releases); }
+static auto fieldsOf(load& value)
+{
+    return std::tie(value.pendingServiceUs, value.slots, value.groupSlowestPendingUs, value.ageUs);
+}
+static auto fieldsOf(announce& value)
+{
+    return std::tie(value.worker, value.life, value.dataCentre, value.address, value.deployments, value.leaving,
+        value.current, value.nextWithinUs);
+}
+static auto fieldsOf(acknowledge&) { return std::tie(); }
+static auto fieldsOf(config_request& value) { return std::tie(value.have); }
+static auto fieldsOf(config_step& value)
+{
+    return std::tie(value.version, value.id, value.actor, value.acceptedAtMs, value.mergePatch);
+}
+static auto fieldsOf(config_reply& value) { return std::tie(value.base, value.document, value.steps); }
+static auto fieldsOf(config_notice&) { return std::tie(); }
+static auto fieldsOf(drain& value) { return std::tie(value.actor); }
+static auto fieldsOf(problem& value) { return std::tie(value.kind, value.message, value.remedy); }
+
+} // namespace wire
+
+template <typename T>
+concept has_fields = requires(T& value)
+{
+    fieldsOf(value);
+};
+
+} // namespace coltsfootbend
+
+// NOLINTBEGIN(readability-identifier-naming): msgpack's names.
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
+{
+    namespace adaptor {
+
+    template <typename T> struct pack<T, std::enable_if_t<coltsfootbend::has_fields<T>>> {
+        template <typename Stream> packer<Stream>& operator()(packer<Stream>& out, const T& value) const
+        {
+            auto fields = fieldsOf(const_cast<T&>(value));
+            out.pack_array(static_cast<std::uint32_t>(std::tuple_size_v<decltype(fields)>));
+            std::apply([&](auto&... field) { (out.pack(field), ...); }, fields);
+            return out;
+        }
+    };
+
+    template <typename T> struct convert<T, std::enable_if_t<coltsfootbend::has_fields<T>>> {
+        const msgpack::object& operator()(const msgpack::object& in, T& value) const
+        {
+            if (in.type != msgpack::type::ARRAY)
+                throw msgpack::type_error();
+            std::uint32_t index = 0;
+            const auto take = [&](auto& field) {
+                if (index < in.via.array.size)
+                    in.via.array.ptr[index].convert(field);
+                ++index;
+            };
+            auto fields = fieldsOf(value);
+            std::apply([&](auto&... field) { (take(field), ...); }, fields);
+            return in;
+        }
+    };
+
+    template <typename Tag> struct pack<coltsfootbend::text_id<Tag>> {
+        template <typename Stream>
+        packer<Stream>& operator()(packer<Stream>& out, const coltsfootbend::text_id<Tag>& value) const
+        {
+            return out.pack(value.text());
+        }
+    };
+    template <typename Tag> struct convert<coltsfootbend::text_id<Tag>> {
+        const msgpack::object& operator()(const msgpack::object& in, coltsfootbend::text_id<Tag>& value) const
+        {
+            value = coltsfootbend::text_id<Tag>(in.as<std::string>());
+            return in;
+        }
+    };
+    template <typename Tag> struct pack<coltsfootbend::number_id<Tag>> {
+        template <typename Stream>
+        packer<Stream>& operator()(packer<Stream>& out, const coltsfootbend::number_id<Tag>& value) const
+        {
+            return out.pack(value.number());
+        }
+    };
+    template <typename Tag> struct convert<coltsfootbend::number_id<Tag>> {
+        const msgpack::object& operator()(const msgpack::object& in, coltsfootbend::number_id<Tag>& value) const
+        {
+            value = coltsfootbend::number_id<Tag>(in.as<std::uint64_t>());
+            return in;
+        }
+    };
+
+    template <typename T> struct pack<T, std::enable_if_t<std::is_enum_v<T>>> {
+        template <typename Stream> packer<Stream>& operator()(packer<Stream>& out, const T& value) const
+        {
+            return out.pack(static_cast<std::uint32_t>(value));
+        }
+    };
+
+    } // namespace adaptor
+}
+} // namespace msgpack
+
+// An enumeration is checked against its last member, so that no value without a name comes in.
+#define COLTSFOOTBEND_WIRE_ENUM(type_name, last)                                                                       \
+    namespace msgpack {                                                                                                \
+    MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)                                                              \
+    {                                                                                                                  \
+        namespace adaptor {                                                                                            \
+        template <> struct convert<coltsfootbend::type_name> {                                                         \
+            const msgpack::object& operator()(const msgpack::object& in, coltsfootbend::type_name& value) const        \
+            {                                                                                                          \
+                const auto number = in.as<std::uint32_t>();                                                            \
+                if (number > static_cast<std::uint32_t>(coltsfootbend::type_name::last))                               \
+                    throw msgpack::type_error();                                                                       \
+                value = static_cast<coltsfootbend::type_name>(number);                                                 \
+                return in;                                                                                             \
+            }                                                                                                          \
+        };                                                                                                             \
+        }                                                                                                              \
+    }                                                                                                                  \
+    }
+
+COLTSFOOTBEND_WIRE_ENUM(refusal, CallerGone)
+COLTSFOOTBEND_WIRE_ENUM(revoke_verdict, Forgotten)
+COLTSFOOTBEND_WIRE_ENUM(claim_verdict, Leaving)
+// NOLINTEND(readability-identifier-naming)
+
+namespace coltsfootbend::wire {
+
+namespace {
+
+constexpr std::uint32_t envelopeFields = 5;
+
+template <std::size_t Index = 0> bool convertBody(std::uint32_t kind, const msgpack::object& in, body& out)
+{
+    if constexpr (Index < std::variant_size_v<body>) {
+        if (kind != Index)
+            return convertBody<Index + 1>(kind, in, out);
+        in.convert(out.emplace<Index>());
+        return true;
+    } else {
+        return false;
+    }
+}
+
+tl::unexpected<error> badMessage(const std::string& what)
+{
+    return fail(error_kind::BadInput, "not a message of this system: " + what,
+        "Check that both processes are of versions that can talk, and that the port is the right one");
+}
+
+msgpack::unpack_limit limits(std::size_t maxMessageBytes)
+{
+    constexpr std::size_t maxItems = 65'536;
+    constexpr std::size_t maxDepth = 8;
+    return { maxItems, maxItems, maxMessageBytes, maxMessageBytes, maxMessageBytes, maxDepth };
+}
+
+} // namespace
+
+std::string encode(const message& message)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> out(buffer);
+    out.pack_array(envelopeFields);
+    out.pack(message.sender);
+    out.pack(message.senderLife);
+    out.pack(message.version);
+    out.pack(static_cast<std::uint32_t>(message.content.index()));
+    std::visit([&](const auto& content) { out.pack(content); }, message.content);
+    return { buffer.data(), buffer.size() };
+}
+
+struct message_decoder::unpacker {
+    explicit unpacker(std::size_t maxMessageBytes)
+        : stream(nullptr, nullptr, MSGPACK_UNPACKER_INIT_BUFFER_SIZE, limits(maxMessageBytes))
+    {
+    }
+    msgpack::unpacker stream;
+};
+
+message_decoder::message_decoder(std::size_t maxMessageBytes)
+    : m_unpacker(std::make_unique<unpacker>(maxMessageBytes))
+    , m_maxMessageBytes(maxMessageBytes)
+{
+}
+
+message_decoder::~message_decoder() = default;
+
+void message_decoder::feed(std::string_view bytes)
+{
+    m_unpacker->stream.reserve_buffer(bytes.size());
+    std::copy(bytes.begin(), bytes.end(), m_unpacker->stream.buffer());
+    m_unpacker->stream.buffer_consumed(bytes.size());
+}
+
+result<std::optional<message>> message_decoder::next()
+{
+    try {
+        msgpack::object_handle handle;
+        if (!m_unpacker->stream.next(handle)) {
+            if (m_unpacker->stream.nonparsed_size() > m_maxMessageBytes)
+                return badMessage("it is too long");
+            return std::optional<message>();
+        }
+        const auto& in = handle.get();
+        if (in.type != msgpack::type::ARRAY || in.via.array.size < envelopeFields)
+            return badMessage("its envelope is incomplete");
+        const auto* fields = in.via.array.ptr;
+        message decoded;
+        fields[0].convert(decoded.sender);
+        fields[1].convert(decoded.senderLife);
+        fields[2].convert(decoded.version);
+        if (!convertBody(fields[3].as<std::uint32_t>(), fields[4], decoded.content))
+            return badMessage("its kind is unknown");
+        return std::optional<message>(std::move(decoded));
+    } catch (const std::exception& exception) {
+        // The library throws; nothing beyond this file sees it.
+        return badMessage(exception.what());
+    }
+}
+
+std::string encodeLedger(const std::vector<claim_snapshot_row>& rows)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, rows);
+    return { buffer.data(), buffer.size() };
+}
+
+result<std::vector<claim_snapshot_row>> decodeLedger(std::string_view bytes)
+{
+    try {
+        return msgpack::unpack(bytes.data(), bytes.size()).get().as<std::vector<claim_snapshot_row>>();
+    } catch (const std::exception& exception) {
+        return badMessage(exception.what());
+    }
+}
+
+} // namespace coltsfootbend::wire
--- /dev/null
+++ b/coltsfootbend/wire/messages.h
@@ -0,0 +1,152 @@
+#pragma once
+
+// Every message that the system's processes send each other. They travel as MessagePack on HTTP/2 streams: see
+// `wire/codec.h` for the bytes and docs/PROTOCOL.md for who sends what when. Times travel as what is left of them, for
+// the clocks of two VMs are not compared.
+
+#include "coltsfootbend/request/claim_ledger.h"
+#include "coltsfootbend/request/request_flow.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace coltsfootbend::wire {
+
+// Entry to worker daemon: run this attempt.
+struct dispatch {
+    attempt_id attempt;
+    incarnation workerLife;
+    customer_id customer;
+    std::uint32_t priority = 0;
+    double weight = 1;
+    std::uint64_t deadlineLeftUs = 0;
+    std::uint64_t expectedServiceUs = 0;
+    deployment_id deployment;
+    std::string method;
+    std::string target;
+    std::string contentType;
+    std::string body;
+};
+// Worker daemon to entry, in answer to `dispatch` and `join`: the head, the bytes in order, and the end.
+struct head {
+    std::uint32_t status = 0;
+    std::string contentType;
+};
+struct bytes {
+    std::uint64_t offset = 0;
+    std::string data;
+};
+struct end {
+    std::uint64_t totalBytes = 0;
+};
+// Proof that the attempt was not started and never will be.
+struct refused {
+    refusal reason = refusal::None;
+    std::uint64_t retryAfterMs = 0;
+};
+// It was started, and its answer will never be whole.
+struct failed { };
+// The addressed life of the worker daemon is over.
+struct other_life { };
+
+struct revoke {
+    attempt_id attempt;
+    incarnation workerLife;
+};
+struct revoke_reply {
+    revoke_verdict verdict = revoke_verdict::Forgotten;
+};
+// Sends the answer of an attempt from `offset` on, as far as it is and as it comes.
+struct join {
+    attempt_id attempt;
+    incarnation workerLife;
+    std::uint64_t offset = 0;
+};
+// The entry's caller is gone and nobody else may join: the engine need not go on.
+struct cancel {
+    attempt_id attempt;
+    incarnation workerLife;
+};
+
+// Entry to the key's home.
+struct claim {
+    claim_request request;
+};
+struct claim_reply {
+    claim_verdict verdict = claim_verdict::CannotRuleOut;
+    std::vector<claim_holder> holder; // None or one.
+};
+struct close {
+    customer_key key;
+    std::uint32_t attemptNumber = 0;
+    std::vector<attempt_id> releases; // None or one.
+};
+
+// What a worker daemon measures of its load.
+struct load {
+    std::uint64_t pendingServiceUs = 0;
+    std::uint32_t slots = 1;
+    std::uint64_t groupSlowestPendingUs = 0;
+    std::uint64_t ageUs = 0;
+};
+// Worker daemon to the entry VMs that route to it.
+struct announce {
+    vm_id worker;
+    incarnation life;
+    data_centre_id dataCentre;
+    std::string address;
+    std::vector<deployment_id> deployments;
+    bool leaving = false;
+    load current;
+    // When the next announcement is due; silence for several times as long is suspicious.
+    std::uint64_t nextWithinUs = 1'000'000;
+};
+struct acknowledge { };
+
+// Any process to one that has a newer configuration.
+struct config_request {
+    config_version have;
+};
+struct config_step {
+    config_version version;
+    patch_id id;
+    std::string actor;
+    std::uint64_t acceptedAtMs = 0; // Wall clock of the accepting entry VM, for the audit trail only.
+    std::string mergePatch;
+    // The merge patch that takes it back, and so the values before; kept with the platform, not sent between processes.
+    std::string undoPatch;
+};
+struct config_reply {
+    config_version base; // Of `document`; when it is none, `steps` continue from what the asker has.
+    std::string document;
+    std::vector<config_step> steps;
+};
+// A new configuration is in force; pull it from the sender.
+struct config_notice { };
+
+// An operator wants this worker daemon to leave.
+struct drain {
+    std::string actor;
+};
+
+struct problem {
+    std::uint32_t kind = 0;
+    std::string message;
+    std::string remedy;
+};
+
+using body
+    = std::variant<dispatch, head, bytes, end, refused, failed, other_life, revoke, revoke_reply, join, cancel, claim,
+        claim_reply, close, load, announce, acknowledge, config_request, config_reply, config_notice, problem, drain>;
+
+// What every message carries besides its body.
+struct message {
+    vm_id sender;
+    incarnation senderLife;
+    config_version version; // The highest configuration that the sender has in force.
+    body content;
+};
+
+} // namespace coltsfootbend::wire
--- /dev/null
+++ b/coltsfootbend/wire/peer.h
@@ -0,0 +1,115 @@
+#pragma once
+
+// How the system's processes talk: a stream of messages opened by one side and answered by the other. `peer_client`
+// keeps one connection to each address; `peer_service` hands each stream that comes in to whoever registered for its
+// first message. Not for callers, operators or backend servers.
+//
+//     peers->on<wire::revoke>([](peer_stream& stream, const wire::message&, const wire::revoke& asked) {
+//         stream.send(wire::revoke_reply { verdict }, true);
+//     });
+//     auto reply = peers->client().ask(address, wire::revoke { ... }, deadline);
+
+#include "coltsfootbend/kernel/kernel.h"
+#include "coltsfootbend/net/h2.h"
+#include "coltsfootbend/wire/codec.h"
+
+#include <functional>
+#include <map>
+#include <unordered_map>
+
+namespace coltsfootbend {
+
+// Who a process is towards others, and what it does with what every message says of its sender.
+struct peer_identity {
+    vm_id vm;
+    incarnation life;
+    std::function<config_version()> version = [] { return config_version(); };
+    std::function<void(const wire::message&)> onMessage = [](const wire::message&) {};
+};
+
+// One stream of messages.
+class peer_stream {
+public:
+    peer_stream(h2_stream_ptr, const peer_identity&);
+
+    // Fails with `Lost` once the other side is gone.
+    result<void> send(wire::body, bool last);
+
+    // Returns the next message. Fails with `Lost` when the stream has ended or broken, with `TimedOut` at `deadline`,
+    // and with `BadInput` when what came is no message.
+    result<wire::message> receive(time_point deadline);
+
+    void reset() { m_stream->reset(); }
+
+private:
+    h2_stream_ptr m_stream;
+    const peer_identity& m_identity;
+    wire::message_decoder m_decoder;
+};
+
+class peer_client {
+public:
+    peer_client(fiber_runtime&, const peer_identity&);
+
+    void setTls(tls_context tls) { m_tls = std::move(tls); }
+
+    // Opens a stream and sends its first message. Fails with `Unavailable` when nothing was sent.
+    result<std::unique_ptr<peer_stream>> open(const endpoint&, wire::body first, bool last, time_point deadline);
+
+    // Sends one message and waits for one. Fails as `open` and `peer_stream::receive` do.
+    result<wire::message> ask(const endpoint&, wire::body, time_point deadline);
+
+    std::uint64_t bytesMoved() const;
+    std::size_t connections() const { return m_connections.size(); }
+
+private:
+    result<std::shared_ptr<h2_connection>> connection(const endpoint&, time_point deadline);
+
+    fiber_runtime& m_runtime;
+    const peer_identity& m_identity;
+    tls_context m_tls;
+    std::map<endpoint, std::shared_ptr<h2_connection>> m_connections;
+    std::uint64_t m_bytesOfClosed = 0;
+};
+
+class peer_service final : public service {
+public:
+    struct options {
+        std::optional<endpoint> address;
+        std::function<tls_context()> serverTls;
+        tls_context clientTls;
+    };
+
+    peer_service(fiber_runtime&, peer_identity, options);
+
+    std::string_view name() const override { return "peers"; }
+    result<void> start(kernel&) override;
+    void stop() override;
+
+    // Registers what is done with streams that begin with a `Message`. Call before `start` of the process ends.
+    template <typename Message> void on(std::function<void(peer_stream&, const wire::message&, const Message&)> handler)
+    {
+        const auto index = wire::body(Message {}).index();
+        m_handlers[index] = [handler = std::move(handler)](peer_stream& stream, const wire::message& message) {
+            handler(stream, message, std::get<Message>(message.content));
+        };
+    }
+
+    peer_client& client() { return m_client; }
+    peer_identity& identity() { return m_identity; }
+
+private:
+    void serve(const h2_stream_ptr&);
+
+    fiber_runtime& m_runtime;
+    peer_identity m_identity;
+    const options m_options;
+    peer_client m_client;
+    std::unordered_map<std::size_t, std::function<void(peer_stream&, const wire::message&)>> m_handlers;
+    std::shared_ptr<listener> m_listener;
+};
+
+// Sends an error as a message.
+wire::problem toProblem(const error&);
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/worker/worker_service.h
@@ -0,0 +1,85 @@
+#pragma once
+
+// The worker daemon's part beside one backend server: admits attempts, gives them to the engine or plain service over
+// HTTP, keeps their answers for joins, keeps the claims of the keys whose home it is, and announces itself. The
+// decisions are `attempt_table`, `admission_queue` and `claim_ledger`; this drives them. Found by the name "worker".
+
+#include "coltsfootbend/config/config_service.h"
+#include "coltsfootbend/limits/admission_queue.h"
+#include "coltsfootbend/net/http.h"
+#include "coltsfootbend/request/attempt_table.h"
+#include "coltsfootbend/request/claim_ledger.h"
+#include "coltsfootbend/settings/settings.h"
+#include "coltsfootbend/wire/peer.h"
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace coltsfootbend {
+
+class worker_service final : public service {
+public:
+    worker_service(fiber_runtime&, const daemon_settings&, incarnation life);
+
+    std::string_view name() const override { return "worker"; }
+    result<void> start(kernel&) override;
+    void leave(time_point deadline) override;
+    void stop() override { m_stopped = true; }
+
+private:
+    // An attempt that waits or runs.
+    struct run {
+        wire::dispatch request;
+        time_point deadline {};
+        refusal reason = refusal::Revoked;
+        std::chrono::milliseconds retryAfter {};
+        std::vector<fiber_signal*> waiters;
+        bool cancelled = false;
+    };
+    using run_ptr = std::shared_ptr<run>;
+
+    void registerHandlers();
+    void onDispatch(peer_stream&, const wire::dispatch&);
+    void onRevoke(peer_stream&, const wire::revoke&);
+    void onJoin(peer_stream&, const wire::join&);
+    void onCancel(peer_stream&, const wire::cancel&);
+    void onClaim(peer_stream&, const wire::claim&);
+    void onClose(peer_stream&, const wire::close&);
+
+    void streamAnswer(peer_stream&, const attempt_id&, const run_ptr&, std::uint64_t offset, time_point deadline);
+    bool sendProgress(peer_stream&, const attempt_id&, const run_ptr&, bool& headSent, std::uint64_t& offset);
+    void perform(const std::vector<admission_decision>&);
+    void startOnBackend(const run_ptr&);
+    void runOnBackend(const run_ptr&);
+    void orderBackend(const attempt_id&, const char* verb);
+    http_request toBackend(const wire::dispatch&) const;
+    static void wake(const run_ptr&);
+
+    wire::load currentLoad() const;
+    void announceLoop();
+    void announceTo(const peer_settings&, bool isLocal);
+    void announceEverywhere();
+    void expireLoop();
+
+    void registerLedger();
+    bool tryRegisterLedger();
+    void handOverLedger(time_point deadline);
+
+    fiber_runtime& m_runtime;
+    const daemon_settings& m_settings;
+    const worker_settings& m_worker;
+    const incarnation m_life;
+    peer_service* m_peers = nullptr;
+    config_service* m_configuration = nullptr;
+    http_client m_backend;
+    attempt_table m_table;
+    admission_queue m_queue;
+    claim_ledger m_ledger;
+    std::unordered_map<attempt_id, run_ptr> m_runs;
+    std::size_t m_openStreams = 0;
+    bool m_leaving = false;
+    bool m_stopped = false;
+};
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Checks format and lint of every source file. Fails on the first kind that is not clean.
+set -eu
+cd "$(dirname "$0")/.."
+clang-format --dry-run --Werror $(git ls-files '*.h' '*.cpp')
+git ls-files '*.cpp' | xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>&1 |
+  { grep -vE '^[0-9]+ warnings? generated|^Suppressed|^Use -header-filter' || true; } | tee build/lint.log
+! grep -qE '(warning|error):' build/lint.log
