--- a/coltsfootbend/entry/caller_exchange.cpp
+++ b/coltsfootbend/entry/caller_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "coltsfootbend/base/hash.h"
 #include "coltsfootbend/base/log_event.h"
+#include "coltsfootbend/request/ticket.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -23,7 +24,11 @@
 
 vm_id homeOf(const configuration& configuration, const flow_request& request)
 {
-    if (!request.key || configuration.holders.empty())
+    if (!request.key)
+        return {};
+    if (const auto ticket = parseTicket(*request.key))
+        return ticket->worker;
+    if (configuration.holders.empty())
         return {};
     const auto text = request.customer.text() + "/" + request.key->text();
     return configuration.holders[rendezvousIndex(text, configuration.holders)];
@@ -68,6 +73,11 @@
         return "This key is closed; send the request again under a new Idempotency-Key";
     if (finished.result == outcome::NotRun)
         return "It did not run: send the request again after Retry-After";
+    if (finished.reason == refusal::HomeCannotRuleOut) {
+        return "If this was the first attempt, send it again with Coltsfootbend-Attempt: 1 or under a ticket; "
+               "otherwise "
+               "check its effect first";
+    }
     if (finished.reason == refusal::KeyReused)
         return "The key was used for another request; use a new one for each request";
     return "It may have run: check its effect before sending it again";
@@ -230,7 +240,7 @@
 
 void caller_exchange::begin(const send_close& action)
 {
-    wire::close question { action.key, action.attemptNumber, {} };
+    wire::close question { action.key, action.attemptNumber, {}, action.ticketLife };
     if (action.releases)
         question.releases.push_back(*action.releases);
     ask(action.operation, action.home, std::move(question), true);
--- a/coltsfootbend/entry/caller_request.cpp
+++ b/coltsfootbend/entry/caller_request.cpp
@@ -1,6 +1,7 @@
 #include "coltsfootbend/entry/caller_request.h"
 
 #include "coltsfootbend/base/hash.h"
+#include "coltsfootbend/request/ticket.h"
 
 #include <algorithm>
 #include <charconv>
@@ -137,6 +138,8 @@
             return fail(error_kind::BadInput, "the Idempotency-Key is empty or too long",
                 "Send from 1 to 255 characters, a random UUID for example");
         flow.key = request_key(**key);
+        if (const auto ticket = parseTicket(*flow.key))
+            flow.ticketLife = ticket->life;
     }
     const auto attempt = numberHeader(request, "Coltsfootbend-Attempt", 1, 1'000'000);
     if (!attempt)
--- a/coltsfootbend/entry/entry_service.cpp
+++ b/coltsfootbend/entry/entry_service.cpp
@@ -3,8 +3,10 @@
 #include "coltsfootbend/base/hash.h"
 #include "coltsfootbend/base/log_event.h"
 #include "coltsfootbend/entry/caller_exchange.h"
+#include "coltsfootbend/request/ticket.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace coltsfootbend {
@@ -48,6 +50,7 @@
     , m_callerTls(std::move(callerTls))
     , m_directory({ .own = settings.dataCentre })
     , m_attempts(settings.vm, life)
+    , m_random(std::random_device()())
 {
 }
 
@@ -108,6 +111,10 @@
             "Send the request again after Retry-After" }));
         return;
     }
+    if (pathOf(request.target) == "/v1/tickets") {
+        (void)responder.send(giveTickets(request));
+        return;
+    }
     const auto parsed
         = parseCallerRequest(*configuration, request, clock_type::now(), m_settings.entry->defaultTimeout);
     if (!parsed) {
@@ -118,6 +125,31 @@
     serve(request, *parsed, responder);
 }
 
+http_response entry_service::giveTickets(const http_request& request)
+{
+    constexpr std::size_t ticketsAtOnce = 16;
+    if (request.method != "POST")
+        return notRun({ error_kind::BadInput, "tickets are asked for with POST", "Use the method POST" });
+    if (const auto customer = authenticate(*m_configuration->current(), request); !customer)
+        return notRun(customer.error());
+    // Holders of this data centre, so that a cut elsewhere does not matter to their keys.
+    std::vector<run_place> holders;
+    const auto now = clock_type::now();
+    for (const auto& [id, worker] : m_directory.workers()) {
+        if (!worker.last.leaving && now < worker.suspectAt && worker.last.dataCentre == m_settings.dataCentre)
+            holders.push_back({ id, worker.last.life });
+    }
+    if (holders.empty()) {
+        return notRun({ error_kind::Unavailable, "no worker daemon can hold tickets now",
+            "Try again after Retry-After, or use a key of your own" });
+    }
+    nlohmann::json tickets = nlohmann::json::array();
+    for (std::size_t i = 0; i < ticketsAtOnce; ++i)
+        tickets.push_back(makeTicket(holders[m_random() % holders.size()], m_random()).text());
+    return { { 200, { { "Content-Type", "application/json" } } },
+        nlohmann::json { { "tickets", tickets } }.dump() + "\n" };
+}
+
 void entry_service::serve(const http_request& request, const caller_request& parsed, http_responder& responder)
 {
     const auto number = ++m_requests;
--- a/coltsfootbend/entry/entry_service.h
+++ b/coltsfootbend/entry/entry_service.h
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <random>
 
 namespace coltsfootbend {
 
@@ -63,6 +64,7 @@
 
     void handle(const http_request&, http_responder&);
     void serve(const http_request&, const caller_request&, http_responder&);
+    http_response giveTickets(const http_request&);
     void onAnnounce(const wire::announce&);
     void refreshRouters();
     deployment_state& stateOf(const deployment_id&);
@@ -81,6 +83,7 @@
     std::map<deployment_id, std::unique_ptr<deployment_state>> m_deployments;
     std::map<std::uint64_t, time_point> m_startedAt; // Of requests in flight, oldest first.
     std::uint64_t m_requests = 0;
+    std::mt19937_64 m_random; // For the nonces of tickets.
     bool m_leaving = false;
     bool m_stopped = false;
 };
--- a/coltsfootbend/limits/admission_queue.h
+++ b/coltsfootbend/limits/admission_queue.h
@@ -11,7 +11,7 @@
 //         perform(decision);
 
 #include "coltsfootbend/base/time.h"
-#include "coltsfootbend/request/request_flow.h"
+#include "coltsfootbend/request/attempt.h"
 
 #include <cstddef>
 #include <map>
--- /dev/null
+++ b/coltsfootbend/measure/request_trial.cpp
@@ -0,0 +1,722 @@
+#include "coltsfootbend/measure/request_trial.h"
+
+#include "coltsfootbend/base/hash.h"
+#include "coltsfootbend/execution/attempt_executor.h"
+#include "coltsfootbend/execution/ledger_registration.h"
+#include "coltsfootbend/limits/retry_budget.h"
+#include "coltsfootbend/measure/virtual_time.h"
+#include "coltsfootbend/platform/standin.h"
+#include "coltsfootbend/request/request_flow.h"
+#include "coltsfootbend/request/ticket.h"
+#include "coltsfootbend/routing/router.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace coltsfootbend {
+
+using namespace std::chrono_literals;
+
+const char* toString(fault_kind kind)
+{
+    constexpr const char* names[] = { "message_lost", "message_late", "entry_dies", "worker_dies", "worker_paused",
+        "worker_leaves", "engine_fails", "data_centre_cut", "store_down", "caller_gone" };
+    return names[static_cast<std::size_t>(kind)];
+}
+
+const char* toString(claim_way way)
+{
+    constexpr const char* names[] = { "home", "table", "ticket", "none" };
+    return names[static_cast<std::size_t>(way)];
+}
+
+void request_trial_report::add(const request_trial_report& other)
+{
+    tried += other.tried;
+    answered += other.answered;
+    notRun += other.notRun;
+    unknown += other.unknown;
+    callerAttempts += other.callerAttempts;
+    refusedAttempts += other.refusedAttempts;
+    doubled += other.doubled;
+    mispaired += other.mispaired;
+    falseNotRun += other.falseNotRun;
+    tableWrites += other.tableWrites;
+    answerTime += other.answerTime;
+}
+
+namespace {
+
+constexpr int dataCentres = 3;
+constexpr int entriesEach = 2;
+constexpr int workersEach = 3;
+constexpr int maxCallerAttempts = 5;
+constexpr auto requestTimeout = 1500ms;
+constexpr auto keyLifetime = 60s;
+constexpr auto requestSpacing = 4ms;
+constexpr auto faultSpacing = 1500ms;
+
+// One caller's request and all that is known of it from outside.
+struct trial_request {
+    std::size_t index = 0;
+    bool keyed = false;
+    bool counted = false;
+    bool usesTicket = false;
+    int attempts = 0;
+    int current = 0; // The attempt that the caller listens to.
+    int runs = 0;
+    bool settled = false;
+    bool toldNotRun = false;
+    std::string received;
+    time_point firstAt {};
+    std::optional<request_key> ticket;
+
+    std::string answer() const { return "answer-" + std::to_string(index) + "-abcdefghijklmnopqrstuvwxyz"; }
+};
+
+struct trial_worker {
+    vm_id id;
+    int dataCentre = 0;
+    std::uint64_t life = 0;
+    std::unique_ptr<attempt_executor> executor;
+    time_point pausedUntil {};
+    // Who follows an attempt's answer, and how far each has got.
+    std::multimap<attempt_id, std::pair<std::function<bool(const answer_piece&)>, answer_position>> followers;
+    std::map<attempt_id, std::size_t> requests;
+};
+
+struct trial_entry final : public attempt_source {
+    vm_id id;
+    int dataCentre = 0;
+    incarnation life;
+    std::uint64_t serial = 0;
+    std::unique_ptr<router> routes;
+    std::unique_ptr<retry_budget> retries;
+
+    attempt_id nextAttempt() override { return { id, life, ++serial }; }
+};
+
+class request_trial {
+public:
+    explicit request_trial(const request_trial_options& options)
+        : m_options(options)
+        , m_random(options.seed)
+        , m_tableLedger({ .keyLifetime = 24h, .maxKeys = 1'000'000, .completeFrom = {} })
+    {
+        for (int i = 0; i < dataCentres * workersEach; ++i) {
+            m_workers.push_back(std::make_unique<trial_worker>());
+            m_workers.back()->id = vm_id("w" + std::to_string(i));
+            m_workers.back()->dataCentre = i / workersEach;
+            m_holders.push_back(m_workers.back()->id);
+            startLife(*m_workers.back());
+        }
+        for (int i = 0; i < dataCentres * entriesEach; ++i)
+            m_entries.push_back(newEntry(i));
+    }
+
+    request_trial_report run()
+    {
+        for (std::size_t i = 0; i < m_options.requests; ++i) {
+            m_requests.push_back(std::make_unique<trial_request>());
+            auto& request = *m_requests.back();
+            request.index = i;
+            request.keyed = chance(m_options.keyedShare);
+            request.counted = request.keyed && chance(m_options.countedShare);
+            request.usesTicket = request.keyed
+                && (m_options.way == claim_way::Ticket
+                    || (m_options.way == claim_way::Home && chance(m_options.ticketShare)));
+            m_time.after(requestSpacing * i, [this, &request] { callerSends(request); });
+        }
+        const auto end = m_time.now() + requestSpacing * m_options.requests;
+        for (auto at = m_time.now() + 50ms; at < end; at += faultSpacing) {
+            for (const auto kind : m_options.faults)
+                m_time.at(at + milliseconds(0, 700), [this, kind] { inject(kind); });
+        }
+        scheduleTicks(end + 30s);
+        m_time.runUntil(end + 60s);
+        return report();
+    }
+
+private:
+    struct exchange;
+    using exchange_ptr = std::shared_ptr<exchange>;
+
+    // --- chance and time
+    bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(m_random) < share; }
+    duration milliseconds(int least, int most)
+    {
+        return std::chrono::microseconds(std::uniform_int_distribution<int>(least * 1000, most * 1000)(m_random));
+    }
+    std::size_t pick(std::size_t count) { return m_random() % count; }
+    bool has(fault_kind kind) const
+    {
+        return std::find(m_options.faults.begin(), m_options.faults.end(), kind) != m_options.faults.end();
+    }
+
+    // --- processes
+    std::shared_ptr<trial_entry> newEntry(int index)
+    {
+        auto entry = std::make_shared<trial_entry>();
+        entry->id = vm_id("e" + std::to_string(index));
+        entry->dataCentre = index / entriesEach;
+        entry->life = incarnation(++m_lives);
+        entry->routes = std::make_unique<router>(router::options { .seed = m_random() });
+        entry->retries = std::make_unique<retry_budget>(retry_budget::options { .reserve = 50, .most = 200 });
+        tellWorkers(*entry);
+        return entry;
+    }
+
+    void tellWorkers(trial_entry& entry)
+    {
+        std::vector<routing_worker> known;
+        for (const auto& worker : m_workers)
+            known.push_back({ .place = { worker->id, worker->executor->life() },
+                .leaving = worker->executor->isLeaving(),
+                .remote = worker->dataCentre != entry.dataCentre });
+        entry.routes->setWorkers(known);
+    }
+
+    // Entry VMs learn of a change at different times.
+    void announce()
+    {
+        for (auto& entry : m_entries)
+            m_time.after(milliseconds(0, 900), [this, entry] { tellWorkers(*entry); });
+    }
+
+    void startLife(trial_worker& worker)
+    {
+        const auto life = incarnation(++m_lives);
+        const bool isFirst = worker.life == 0;
+        worker.life = life.number();
+        worker.followers.clear();
+        worker.requests.clear();
+        worker.executor = std::make_unique<attempt_executor>(attempt_executor::options { .life = life,
+            .table = { .maxAttempts = 2000, .maxAnswerBytes = 1'000'000 },
+            .queue = { .slots = 4, .maxWaiting = 16 },
+            .ledger = { .keyLifetime = keyLifetime,
+                .maxKeys = 100'000,
+                .completeFrom = m_time.now() + keyLifetime,
+                .waitForRegistration = true } });
+        registerLife(worker, life);
+        if (!isFirst)
+            announce();
+    }
+
+    void registerLife(trial_worker& worker, incarnation life)
+    {
+        if (worker.executor->life() != life)
+            return;
+        const auto done = registerLedger(
+            { m_platform, m_platform }, { worker.id, life }, worker.executor->ledger(), m_time.now(), m_time.now());
+        if (!done)
+            m_time.after(200ms, [this, &worker, life] { registerLife(worker, life); });
+    }
+
+    trial_worker& workerOf(const vm_id& id)
+    {
+        return **std::find_if(m_workers.begin(), m_workers.end(), [&](const auto& worker) { return worker->id == id; });
+    }
+
+    // --- faults
+    void inject(fault_kind kind)
+    {
+        auto& worker = *m_workers[pick(m_workers.size())];
+        switch (kind) {
+        case fault_kind::EntryDies: {
+            const auto index = pick(m_entries.size());
+            m_entries[index] = newEntry(static_cast<int>(index));
+            return;
+        }
+        case fault_kind::WorkerDies:
+            startLife(worker);
+            return;
+        case fault_kind::WorkerPaused:
+            worker.pausedUntil = m_time.now() + milliseconds(200, 4000);
+            return;
+        case fault_kind::WorkerLeaves:
+            worker.executor->leave();
+            perform(worker);
+            (void)handOverLedger({ m_platform, m_platform }, { worker.id, worker.executor->life() },
+                worker.executor->ledger(), m_time.now(), m_time.now());
+            announce();
+            m_time.after(300ms, [this, &worker, life = worker.life] {
+                if (worker.life == life)
+                    startLife(worker);
+            });
+            return;
+        case fault_kind::DataCentreCut:
+            m_cutOff = static_cast<int>(pick(dataCentres));
+            m_time.after(milliseconds(300, 1200), [this] { m_cutOff = -1; });
+            return;
+        case fault_kind::StoreDown:
+            m_platform.setFaults({ .down = chance(0.7), .loseNextAnswers = static_cast<int>(pick(3)) });
+            m_time.after(milliseconds(300, 1300), [this] { m_platform.setFaults({}); });
+            return;
+        case fault_kind::MessageLost:
+        case fault_kind::MessageLate:
+        case fault_kind::EngineFails:
+        case fault_kind::CallerGone:
+            return; // Happen by chance to single messages and requests.
+        }
+    }
+
+    bool isCut(int from, int to) const { return from != to && (from == m_cutOff || to == m_cutOff); }
+
+    // --- network: `sent` may arrive late or never; the sender may learn that it broke
+    duration flightTime()
+    {
+        if (has(fault_kind::MessageLate) && chance(0.03))
+            return milliseconds(20, 3000);
+        return milliseconds(1, 2);
+    }
+
+    // Carries one message into a worker daemon, which may be paused. Returns false when it never arrives.
+    bool carry(int from, trial_worker& worker, std::function<void()> deliver)
+    {
+        const bool lost = isCut(from, worker.dataCentre) || (has(fault_kind::MessageLost) && chance(0.02));
+        if (lost)
+            return false;
+        deliverTo(worker, m_time.now() + flightTime(), std::move(deliver));
+        return true;
+    }
+
+    void deliverTo(trial_worker& worker, time_point when, std::function<void()> deliver)
+    {
+        m_time.at(when, [this, &worker, deliver = std::move(deliver)]() mutable {
+            if (m_time.now() < worker.pausedUntil)
+                deliverTo(worker, worker.pausedUntil, std::move(deliver));
+            else
+                deliver();
+        });
+    }
+
+    // --- entry VM: drives one request_flow
+    struct exchange : public worker_chooser {
+        exchange(request_trial& owner, trial_request& forRequest, std::shared_ptr<trial_entry> at, int callerAttempt)
+            : trial(owner)
+            , request(forRequest)
+            , entry(std::move(at))
+            , attempt(callerAttempt)
+        {
+        }
+        std::optional<run_place> choose(time_point now, const std::vector<vm_id>& tried) override
+        {
+            return entry->routes->choose(now, { .prefixes = {}, .serviceTime = 8ms }, tried);
+        }
+        request_trial& trial;
+        trial_request& request;
+        std::shared_ptr<trial_entry> entry;
+        const int attempt;
+        std::unique_ptr<request_flow> flow;
+        std::string forwarded;
+        time_point timerSetFor {};
+    };
+
+    bool isAlive(const exchange_ptr& exchange) const
+    {
+        return std::find(m_entries.begin(), m_entries.end(), exchange->entry) != m_entries.end();
+    }
+
+    void callerSends(trial_request& request)
+    {
+        const auto number = ++request.attempts;
+        request.current = number;
+        if (number == 1)
+            request.firstAt = m_time.now();
+        ++m_report.callerAttempts;
+        const auto entry = m_entries[pick(m_entries.size())];
+        if (request.usesTicket && !request.ticket)
+            request.ticket = newTicket(entry->dataCentre);
+        auto started = std::make_shared<exchange>(*this, request, entry, number);
+        flow_request flow { .customer = customer_id("c"),
+            .key = std::nullopt,
+            .attemptNumber = request.counted ? static_cast<std::uint32_t>(number) : 0,
+            .bodyHash = request.index + 1,
+            .idempotent = m_options.way == claim_way::None,
+            .deadline = m_time.now() + requestTimeout };
+        if (request.keyed && m_options.way != claim_way::None)
+            flow.key = request.ticket.value_or(request_key("k" + std::to_string(request.index)));
+        auto home = m_holders[rendezvousIndex("c/k" + std::to_string(request.index), m_holders)];
+        if (request.ticket) {
+            const auto named = *parseTicket(*request.ticket);
+            flow.ticketLife = named.life;
+            home = named.worker;
+        }
+        started->flow = std::make_unique<request_flow>(
+            flow, request_flow::services { *started, *entry->retries, *entry }, home, request_flow::limits {});
+        m_time.after(milliseconds(1, 3), [this, started] { feed(started, { 0, caller_started {} }); });
+        m_time.after(requestTimeout + 200ms, [this, started] { callerGivesUp(started); });
+        if (has(fault_kind::CallerGone) && chance(0.05)) {
+            m_time.after(milliseconds(1, 30), [this, started] {
+                feed(started, { 0, caller_gone {} });
+                callerGivesUp(started);
+            });
+        }
+    }
+
+    request_key newTicket(int dataCentre)
+    {
+        const auto& holder = *m_workers[static_cast<std::size_t>(dataCentre * workersEach) + pick(workersEach)];
+        return makeTicket({ holder.id, incarnation(holder.life) }, m_random());
+    }
+
+    void feed(const exchange_ptr& exchange, const flow_event& event)
+    {
+        if (!isAlive(exchange) || exchange->flow->isDone())
+            return;
+        for (const auto& action : exchange->flow->handle(m_time.now(), event))
+            std::visit([&](const auto& what) { perform(exchange, what); }, action);
+        const auto deadline = exchange->flow->nextDeadline();
+        if (exchange->flow->isDone() || deadline == exchange->timerSetFor)
+            return;
+        exchange->timerSetFor = deadline;
+        m_time.at(deadline, [this, exchange] {
+            exchange->timerSetFor = {};
+            feed(exchange, { 0, timer_fired {} });
+        });
+    }
+
+    void lose(const exchange_ptr& exchange, std::uint64_t operation, bool nothingSent)
+    {
+        m_time.after(milliseconds(1, 200), [this, exchange, operation, nothingSent] {
+            feed(exchange, { operation, operation_lost { nothingSent } });
+        });
+    }
+
+    // Sends a question to a worker daemon; `answer` makes the event that comes back.
+    template <typename Answer>
+    void ask(const exchange_ptr& exchange, std::uint64_t operation, const vm_id& to, Answer answer)
+    {
+        auto& worker = workerOf(to);
+        const int from = exchange->entry->dataCentre;
+        const bool sent = carry(from, worker, [this, exchange, operation, answer, &worker, from] {
+            auto event = answer(worker);
+            const bool lost = isCut(worker.dataCentre, from) || (has(fault_kind::MessageLost) && chance(0.02));
+            if (lost)
+                lose(exchange, operation, false);
+            else
+                m_time.after(flightTime(), [this, exchange, operation, event] {
+                    feed(exchange, { operation, event });
+                });
+        });
+        if (!sent)
+            lose(exchange, operation, isCut(from, worker.dataCentre) && chance(0.5));
+    }
+
+    void perform(const exchange_ptr& exchange, const send_claim& action)
+    {
+        if (m_options.way == claim_way::Table) {
+            claimInTable(exchange, action);
+            return;
+        }
+        ask(exchange, action.operation, action.home,
+            [this, action](trial_worker& worker) -> decltype(flow_event::what) {
+                return claim_answered { worker.executor->claim(m_time.now(), action.request) };
+            });
+    }
+
+    void claimInTable(const exchange_ptr& exchange, const send_claim& action)
+    {
+        ++m_report.tableWrites;
+        if (m_platform.faults().down || exchange->entry->dataCentre == m_cutOff) {
+            lose(exchange, action.operation, true);
+            return;
+        }
+        m_time.after(milliseconds(4, 8), [this, exchange, action] {
+            const auto reply = m_tableLedger.claim(m_time.now(), action.request);
+            feed(exchange, { action.operation, claim_answered { reply } });
+        });
+    }
+
+    void perform(const exchange_ptr& exchange, const send_close& action)
+    {
+        if (m_options.way == claim_way::Table) {
+            if (action.releases)
+                m_tableLedger.release(action.key, *action.releases);
+            const auto reply = m_tableLedger.close(m_time.now(), action.key, action.attemptNumber);
+            m_time.after(6ms, [this, exchange, action, reply] {
+                feed(exchange, { action.operation, close_answered { reply } });
+            });
+            return;
+        }
+        ask(exchange, action.operation, action.home,
+            [this, action](trial_worker& worker) -> decltype(flow_event::what) {
+                return close_answered { worker.executor->close(
+                    m_time.now(), action.key, action.attemptNumber, action.ticketLife, action.releases) };
+            });
+    }
+
+    void perform(const exchange_ptr& exchange, const send_revoke& action)
+    {
+        ask(exchange, action.operation, action.place.worker,
+            [this, action](trial_worker& worker) -> decltype(flow_event::what) {
+                const auto verdict = worker.executor->revoke(m_time.now(), action.attempt, action.place.life);
+                perform(worker);
+                if (!verdict)
+                    return other_life_answered {};
+                return revoke_answered { *verdict };
+            });
+    }
+
+    void perform(const exchange_ptr& exchange, const send_dispatch& action)
+    {
+        auto& worker = workerOf(action.place.worker);
+        const auto deadline = m_time.now() + requestTimeout;
+        const bool sent = carry(exchange->entry->dataCentre, worker, [this, exchange, action, &worker, deadline] {
+            const admission_job job { .attempt = action.attempt,
+                .customer = customer_id("c"),
+                .deadline = deadline,
+                .expectedService = 8ms,
+                .preemptible = true };
+            if (action.place.life == worker.executor->life())
+                worker.requests[action.attempt] = exchange->request.index;
+            const auto refused = worker.executor->dispatch(m_time.now(), job, action.place.life);
+            if (refused) {
+                (void)sendPiece(exchange, action.operation, worker, *refused);
+                return;
+            }
+            follow(exchange, action.operation, worker, action.attempt, 0);
+            perform(worker);
+        });
+        if (!sent)
+            lose(exchange, action.operation, isCut(exchange->entry->dataCentre, worker.dataCentre) && chance(0.5));
+    }
+
+    void perform(const exchange_ptr& exchange, const send_join& action)
+    {
+        auto& worker = workerOf(action.place.worker);
+        const bool sent = carry(exchange->entry->dataCentre, worker, [this, exchange, action, &worker] {
+            if (action.place.life != worker.executor->life())
+                m_time.after(flightTime(), [this, exchange, action] {
+                    feed(exchange, { action.operation, other_life_answered {} });
+                });
+            else
+                follow(exchange, action.operation, worker, action.attempt, action.offset);
+        });
+        if (!sent)
+            lose(exchange, action.operation, false);
+    }
+
+    void perform(const exchange_ptr&, const forward_head&) { }
+    void perform(const exchange_ptr& exchange, const forward_bytes& action) { exchange->forwarded += action.bytes; }
+    void perform(const exchange_ptr& exchange, const finish_request& action)
+    {
+        if (action.reason == refusal::CallerGone)
+            return;
+        const bool arrives = isAlive(exchange);
+        if (arrives)
+            m_time.after(milliseconds(1, 3), [this, exchange, action] { callerHears(exchange, action); });
+    }
+
+    // --- worker daemon
+    void follow(const exchange_ptr& exchange, std::uint64_t operation, trial_worker& worker, const attempt_id& attempt,
+        std::uint64_t offset)
+    {
+        const auto sender = [this, exchange, operation, &worker](
+                                const answer_piece& piece) { return sendPiece(exchange, operation, worker, piece); };
+        worker.followers.emplace(
+            attempt, std::pair { sender, answer_position { .headSent = false, .offset = offset } });
+        sendPieces(worker, attempt);
+    }
+
+    // Returns false when the stream broke.
+    bool sendPiece(
+        const exchange_ptr& exchange, std::uint64_t operation, trial_worker& worker, const answer_piece& piece)
+    {
+        const int to = exchange->entry->dataCentre;
+        if (isCut(worker.dataCentre, to) || (has(fault_kind::MessageLost) && chance(0.01))) {
+            lose(exchange, operation, false);
+            return false;
+        }
+        struct visitor {
+            std::optional<decltype(flow_event::what)> operator()(const nothing_yet&) const { return std::nullopt; }
+            std::optional<decltype(flow_event::what)> operator()(const head_piece& piece) const
+            {
+                return answer_head { piece.status, piece.contentType };
+            }
+            std::optional<decltype(flow_event::what)> operator()(const bytes_piece& piece) const
+            {
+                return answer_bytes { piece.offset, piece.bytes };
+            }
+            std::optional<decltype(flow_event::what)> operator()(const end_piece& piece) const
+            {
+                return answer_end { piece.totalBytes };
+            }
+            std::optional<decltype(flow_event::what)> operator()(const refused_piece& piece) const
+            {
+                return attempt_refused { piece.reason, piece.retryAfter };
+            }
+            std::optional<decltype(flow_event::what)> operator()(const failed_piece&) const
+            {
+                return attempt_failed {};
+            }
+        };
+        // Late pieces may overtake each other here, which TCP would not allow: the flow has to bear that too.
+        if (const auto event = std::visit(visitor {}, piece))
+            m_time.after(flightTime(), [this, exchange, operation, event = *event] {
+                feed(exchange, { operation, event });
+            });
+        return true;
+    }
+
+    void sendPieces(trial_worker& worker, const attempt_id& attempt)
+    {
+        auto [position, end] = worker.followers.equal_range(attempt);
+        while (position != end) {
+            bool isOver = false;
+            while (!isOver) {
+                const auto piece = worker.executor->nextPiece(attempt, position->second.second);
+                if (std::holds_alternative<nothing_yet>(piece))
+                    break;
+                const bool goesOn
+                    = std::holds_alternative<head_piece>(piece) || std::holds_alternative<bytes_piece>(piece);
+                isOver = !position->second.first(piece) || !goesOn;
+            }
+            position = isOver ? worker.followers.erase(position) : std::next(position);
+        }
+    }
+
+    void perform(trial_worker& worker)
+    {
+        for (const auto& action : worker.executor->takeActions()) {
+            if (const auto* start = std::get_if<start_on_backend>(&action))
+                runOnEngine(worker, start->attempt);
+            else if (const auto* changed = std::get_if<answer_changed>(&action))
+                sendPieces(worker, changed->attempt);
+        }
+    }
+
+    void runOnEngine(trial_worker& worker, const attempt_id& attempt)
+    {
+        auto& request = *m_requests[worker.requests.at(attempt)];
+        const bool unreachable = has(fault_kind::EngineFails) && chance(0.03);
+        if (!unreachable)
+            ++request.runs;
+        const bool breaks = has(fault_kind::EngineFails) && chance(0.03);
+        const auto life = worker.life;
+        const auto later = [this, &worker, life](duration delay, std::function<void(attempt_executor&)> what) {
+            deliverTo(worker, m_time.now() + delay, [this, &worker, life, what = std::move(what)] {
+                if (worker.life != life)
+                    return;
+                what(*worker.executor);
+                perform(worker);
+            });
+        };
+        if (unreachable) {
+            later(1ms,
+                [this, attempt](attempt_executor& executor) { executor.backendUnreachable(m_time.now(), attempt); });
+            return;
+        }
+        const auto whole = request.answer();
+        later(2ms, [attempt](attempt_executor& executor) { executor.backendHead(attempt, 200, "text/plain"); });
+        later(
+            4ms, [attempt, whole](attempt_executor& executor) { executor.backendBytes(attempt, whole.substr(0, 10)); });
+        if (breaks) {
+            later(6ms, [this, attempt](attempt_executor& executor) { executor.backendFailed(m_time.now(), attempt); });
+            return;
+        }
+        later(6ms, [attempt, whole](attempt_executor& executor) { executor.backendBytes(attempt, whole.substr(10)); });
+        later(8ms, [this, attempt](attempt_executor& executor) { executor.backendEnd(m_time.now(), attempt); });
+    }
+
+    void scheduleTicks(time_point end)
+    {
+        for (auto& worker : m_workers) {
+            if (m_time.now() >= worker->pausedUntil) {
+                worker->executor->tick(m_time.now());
+                perform(*worker);
+            }
+        }
+        if (m_time.now() < end)
+            m_time.after(25ms, [this, end] { scheduleTicks(end); });
+    }
+
+    // --- caller
+    void callerHears(const exchange_ptr& exchange, const finish_request& told)
+    {
+        auto& request = exchange->request;
+        if (request.settled || request.current != exchange->attempt)
+            return;
+        if (told.result == outcome::Answer) {
+            request.settled = true;
+            ++m_report.answered;
+            m_report.answerTime += m_time.now() - request.firstAt;
+            if (exchange->forwarded != request.answer())
+                ++m_report.mispaired;
+            return;
+        }
+        ++m_report.refusedAttempts;
+        if (told.result == outcome::NotRun) {
+            if (request.runs > 0)
+                ++m_report.falseNotRun;
+            request.toldNotRun
+                = chance(0.5) || request.attempts >= maxCallerAttempts || told.reason == refusal::KeyClosed;
+            if (request.toldNotRun) {
+                request.settled = true;
+                ++m_report.notRun;
+                return;
+            }
+        }
+        callerDecides(
+            request, told.result == outcome::NotRun, told.reason != refusal::HomeCannotRuleOut, told.retryAfter);
+    }
+
+    void callerGivesUp(const exchange_ptr& exchange)
+    {
+        auto& request = exchange->request;
+        if (request.settled || request.current != exchange->attempt)
+            return;
+        ++m_report.refusedAttempts;
+        callerDecides(request, false, true, {});
+    }
+
+    // A caller without a key sends again only what was not run; one with a key unless it is told not to, and within the
+    // key's lifetime.
+    void callerDecides(trial_request& request, bool wasNotRun, bool keyHelps, duration wait)
+    {
+        request.current = -1;
+        const bool inLifetime = m_time.now() + wait + requestTimeout < request.firstAt + keyLifetime;
+        const bool mayRepeat
+            = (request.keyed && keyHelps && inLifetime) || wasNotRun || m_options.way == claim_way::None;
+        if (!mayRepeat || request.attempts >= maxCallerAttempts) {
+            request.settled = true;
+            ++m_report.unknown;
+            return;
+        }
+        m_time.after(wait + milliseconds(1, 100), [this, &request] { callerSends(request); });
+    }
+
+    request_trial_report report()
+    {
+        m_report.tried = m_requests.size();
+        for (const auto& request : m_requests) {
+            m_report.doubled += request->runs > 1 ? 1 : 0;
+            m_report.falseNotRun += request->toldNotRun && request->runs > 0 ? 1 : 0;
+        }
+        return m_report;
+    }
+
+    const request_trial_options m_options;
+    std::mt19937_64 m_random;
+    virtual_time m_time;
+    memory_platform m_platform;
+    claim_ledger m_tableLedger;
+    std::vector<std::unique_ptr<trial_worker>> m_workers;
+    std::vector<vm_id> m_holders;
+    std::vector<std::shared_ptr<trial_entry>> m_entries;
+    std::vector<std::unique_ptr<trial_request>> m_requests;
+    std::uint64_t m_lives = 0;
+    int m_cutOff = -1;
+    request_trial_report m_report;
+};
+
+} // namespace
+
+request_trial_report runRequestTrial(const request_trial_options& options)
+{
+    return std::make_unique<request_trial>(options)->run();
+}
+
+} // namespace coltsfootbend
--- a/coltsfootbend/request/attempt.h
+++ b/coltsfootbend/request/attempt.h
@@ -57,6 +57,69 @@
     return "unknown";
 }
 
+// Why a worker daemon or the flow itself refused.
+enum class refusal {
+    None,
+    NoWorker, // No backend server can take it.
+    QueueFull,
+    DeadlineTooClose,
+    WorkerLeaving,
+    OtherLife, // The worker daemon that was addressed has been restarted.
+    Revoked,
+    EngineDown,
+    HomeUnreachable,
+    HomeCannotRuleOut,
+    KeyClosed,
+    KeyReused,
+    RetryBudgetSpent,
+    Lost, // It was sent, and what came of it cannot be learned.
+    AnswerGone, // It ran; the answer is no longer kept.
+    AnswerBroken, // Part of the answer was delivered; the rest cannot be.
+    CallerGone,
+};
+
+// Returns the name of `reason` for bodies, logs and metrics.
+constexpr const char* toString(refusal reason)
+{
+    switch (reason) {
+    case refusal::None:
+        return "none";
+    case refusal::NoWorker:
+        return "no_worker";
+    case refusal::QueueFull:
+        return "queue_full";
+    case refusal::DeadlineTooClose:
+        return "deadline_too_close";
+    case refusal::WorkerLeaving:
+        return "worker_leaving";
+    case refusal::OtherLife:
+        return "other_life";
+    case refusal::Revoked:
+        return "revoked";
+    case refusal::EngineDown:
+        return "engine_down";
+    case refusal::HomeUnreachable:
+        return "home_unreachable";
+    case refusal::HomeCannotRuleOut:
+        return "home_cannot_rule_out";
+    case refusal::KeyClosed:
+        return "key_closed";
+    case refusal::KeyReused:
+        return "key_reused";
+    case refusal::RetryBudgetSpent:
+        return "retry_budget_spent";
+    case refusal::Lost:
+        return "lost";
+    case refusal::AnswerGone:
+        return "answer_gone";
+    case refusal::AnswerBroken:
+        return "answer_broken";
+    case refusal::CallerGone:
+        return "caller_gone";
+    }
+    return "none";
+}
+
 } // namespace coltsfootbend
 
 template <> struct std::hash<coltsfootbend::attempt_id> {
--- a/coltsfootbend/request/attempt_table.cpp
+++ b/coltsfootbend/request/attempt_table.cpp
@@ -38,8 +38,20 @@
 
 void attempt_table::withdraw(const attempt_id& attempt)
 {
-    if (auto* answer = running(attempt))
+    if (auto* answer = running(attempt)) {
         answer->state = attempt_state::Revoked;
+        answer->reason = refusal::EngineDown;
+    }
+}
+
+void attempt_table::refuse(const attempt_id& attempt, refusal reason, std::chrono::milliseconds retryAfter)
+{
+    const auto found = m_answers.find(attempt);
+    if (found == m_answers.end() || found->second.state != attempt_state::Waiting)
+        return;
+    found->second.state = attempt_state::Revoked;
+    found->second.reason = reason;
+    found->second.retryAfter = retryAfter;
 }
 
 revoke_verdict attempt_table::revoke(const attempt_id& attempt)
--- a/coltsfootbend/request/attempt_table.h
+++ b/coltsfootbend/request/attempt_table.h
@@ -13,6 +13,7 @@
 
 #include "coltsfootbend/request/attempt.h"
 
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <string>
@@ -54,6 +55,9 @@
     // False once the body was dropped to make room.
     bool bodyKept = true;
     std::uint64_t totalBytes = 0;
+    // Of a revoked attempt: why, and when to come back.
+    refusal reason = refusal::Revoked;
+    std::chrono::milliseconds retryAfter {};
 };
 
 class attempt_table {
@@ -75,6 +79,9 @@
     // Takes back `start`. Precondition: nothing of the attempt was given to the engine.
     void withdraw(const attempt_id&);
 
+    // As `revoke`, and keeps why. Does nothing to an attempt that has started.
+    void refuse(const attempt_id&, refusal, std::chrono::milliseconds retryAfter);
+
     // Proves that `attempt` never starts, or says how far it is. Also records attempts that have not arrived yet.
     revoke_verdict revoke(const attempt_id&);
 
--- a/coltsfootbend/request/claim_ledger.cpp
+++ b/coltsfootbend/request/claim_ledger.cpp
@@ -29,10 +29,19 @@
     : m_keyLifetime(options.keyLifetime)
     , m_maxKeys(options.maxKeys)
     , m_completeFrom(options.completeFrom)
+    , m_life(options.life)
     , m_granting(!options.waitForRegistration)
 {
 }
 
+bool claim_ledger::knowsAllOf(time_point now, incarnation ticketLife) const
+{
+    if (ticketLife.isNone())
+        return isComplete(now);
+    // Only the life that a ticket names can have granted it, so time does not matter.
+    return ticketLife == m_life || ticketLife == m_inheritedFrom;
+}
+
 std::optional<claim_verdict> claim_ledger::objection(
     time_point now, const record* known, const claim_request& request) const
 {
@@ -42,7 +51,7 @@
         return claim_verdict::CannotRuleOut;
     if (!known) {
         // The caller's word that this is its first attempt rules out an earlier grant as well as memory does.
-        if (!isComplete(now) && request.attemptNumber != 1)
+        if (!knowsAllOf(now, request.ticketLife) && request.attemptNumber != 1)
             return claim_verdict::CannotRuleOut;
         if (m_records.size() >= m_maxKeys)
             return claim_verdict::LedgerFull;
@@ -84,14 +93,15 @@
     found->second.holder.reset();
 }
 
-claim_reply claim_ledger::close(time_point now, const customer_key& key, std::uint32_t attemptNumber)
+claim_reply claim_ledger::close(
+    time_point now, const customer_key& key, std::uint32_t attemptNumber, incarnation ticketLife)
 {
     forgetExpired(now);
     if (m_leaving)
         return { claim_verdict::Leaving, std::nullopt };
     const auto found = m_records.find(key);
     if (found == m_records.end()) {
-        if (!isComplete(now) || !m_granting)
+        if (!knowsAllOf(now, ticketLife) || !m_granting)
             return { claim_verdict::CannotRuleOut, std::nullopt };
         if (m_records.size() >= m_maxKeys)
             return { claim_verdict::LedgerFull, std::nullopt };
@@ -121,8 +131,9 @@
     return rows;
 }
 
-void claim_ledger::restore(time_point now, const std::vector<claim_snapshot_row>& rows)
+void claim_ledger::restore(time_point now, const std::vector<claim_snapshot_row>& rows, incarnation from)
 {
+    m_inheritedFrom = from;
     for (const auto& row : rows) {
         // A key that this life already granted is newer than the snapshot's word on it.
         if (m_records.contains(row.key))
--- a/coltsfootbend/request/claim_ledger.h
+++ b/coltsfootbend/request/claim_ledger.h
@@ -33,8 +33,10 @@
     std::uint32_t attemptNumber = 0;
     // Hash of the request, so that a key used again for another request is noticed.
     std::uint64_t bodyHash = 0;
+    // The life that a ticket names; none for a caller's own key.
+    incarnation ticketLife {};
     // An attempt that holds the key so far and is proven never to start.
-    std::optional<attempt_id> replaces;
+    std::optional<attempt_id> replaces {};
 };
 
 enum class claim_verdict {
@@ -77,6 +79,8 @@
         std::size_t maxKeys = 0;
         // From when on every key that a former life may have granted is past its lifetime.
         time_point completeFrom {};
+        // The life of the worker daemon that keeps this ledger.
+        incarnation life {};
         // Grant nothing until `allowGrants`: the platform must know of this life before it grants, or a later life
         // could take an older hand-over for the latest.
         bool waitForRegistration = false;
@@ -92,13 +96,14 @@
 
     // Closes the key for the caller's attempts up to `attemptNumber` (all of them when 0), so that the caller can be
     // told "not run". `Granted` means closed; other verdicts as for `claim`. O(1) on average.
-    claim_reply close(time_point now, const customer_key&, std::uint32_t attemptNumber);
+    claim_reply close(time_point now, const customer_key&, std::uint32_t attemptNumber, incarnation ticketLife = {});
 
     // Returns all keys and refuses every later claim, so that a successor that restores them knows everything.
     std::vector<claim_snapshot_row> handOver(time_point now);
 
-    // Takes over what the former life handed over; from now on the ledger is complete.
-    void restore(time_point now, const std::vector<claim_snapshot_row>&);
+    // Takes over what the life `from` handed over; from now on the ledger is complete, and grants the tickets that name
+    // `from` too.
+    void restore(time_point now, const std::vector<claim_snapshot_row>&, incarnation from = {});
 
     void allowGrants() { m_granting = true; }
 
@@ -119,6 +124,7 @@
         customer_key key;
     };
 
+    bool knowsAllOf(time_point now, incarnation ticketLife) const;
     std::optional<claim_verdict> objection(time_point now, const record*, const claim_request&) const;
     record& touch(time_point now, const customer_key&);
     void forgetExpired(time_point now);
@@ -126,6 +132,8 @@
     const duration m_keyLifetime;
     const std::size_t m_maxKeys;
     time_point m_completeFrom;
+    const incarnation m_life;
+    incarnation m_inheritedFrom;
     bool m_leaving = false;
     bool m_granting;
     std::unordered_map<customer_key, record> m_records;
--- a/coltsfootbend/request/request_flow.cpp
+++ b/coltsfootbend/request/request_flow.cpp
@@ -5,47 +5,6 @@
 
 namespace coltsfootbend {
 
-const char* toString(refusal reason)
-{
-    switch (reason) {
-    case refusal::None:
-        return "none";
-    case refusal::NoWorker:
-        return "no_worker";
-    case refusal::QueueFull:
-        return "queue_full";
-    case refusal::DeadlineTooClose:
-        return "deadline_too_close";
-    case refusal::WorkerLeaving:
-        return "worker_leaving";
-    case refusal::OtherLife:
-        return "other_life";
-    case refusal::Revoked:
-        return "revoked";
-    case refusal::EngineDown:
-        return "engine_down";
-    case refusal::HomeUnreachable:
-        return "home_unreachable";
-    case refusal::HomeCannotRuleOut:
-        return "home_cannot_rule_out";
-    case refusal::KeyClosed:
-        return "key_closed";
-    case refusal::KeyReused:
-        return "key_reused";
-    case refusal::RetryBudgetSpent:
-        return "retry_budget_spent";
-    case refusal::Lost:
-        return "lost";
-    case refusal::AnswerGone:
-        return "answer_gone";
-    case refusal::AnswerBroken:
-        return "answer_broken";
-    case refusal::CallerGone:
-        return "caller_gone";
-    }
-    return "none";
-}
-
 namespace {
 
 constexpr int maxClaimTries = 3;
@@ -112,6 +71,7 @@
             .place = m_place,
             .attemptNumber = m_request.attemptNumber,
             .bodyHash = m_request.bodyHash,
+            .ticketLife = m_request.ticketLife,
             .replaces = m_replaces } });
 }
 
@@ -138,9 +98,13 @@
         finish(outcome::Unknown, refusal::KeyReused);
         return;
     case claim_verdict::CannotRuleOut:
+        // Coming back later with the same key would only be safe before the key's lifetime is over, which the home's
+        // silence outlasts: no hint to do so.
+        finish(outcome::Unknown, refusal::HomeCannotRuleOut);
+        return;
     case claim_verdict::LedgerFull:
     case claim_verdict::Leaving:
-        refuse(now, refusal::HomeCannotRuleOut);
+        refuse(now, refusal::HomeUnreachable);
         return;
     }
 }
@@ -393,13 +357,14 @@
         finish(outcome::NotRun, reason, m_retryAfter, m_request.key.has_value());
         return;
     }
-    const bool homeAnswers = reason != refusal::HomeUnreachable && reason != refusal::HomeCannotRuleOut;
+    const bool homeAnswers = reason != refusal::HomeUnreachable;
     if (m_request.attemptNumber > 1 && homeAnswers) {
         m_state = state::Closing;
         m_timer = std::max(now, m_request.deadline - m_limits.settleMargin / 4);
         send(send_close { .home = m_home,
             .key = { m_request.customer, *m_request.key },
             .attemptNumber = m_request.attemptNumber,
+            .ticketLife = m_request.ticketLife,
             .releases = m_replaces });
         return;
     }
--- a/coltsfootbend/request/request_flow.h
+++ b/coltsfootbend/request/request_flow.h
@@ -25,7 +25,9 @@
 // What the flow needs to know of the caller's request.
 struct flow_request {
     customer_id customer;
-    std::optional<request_key> key;
+    std::optional<request_key> key {};
+    // The life that the key names when it is a ticket.
+    incarnation ticketLife {};
     std::uint32_t attemptNumber = 0;
     std::uint64_t bodyHash = 0;
     bool idempotent = false;
@@ -53,30 +55,6 @@
     virtual attempt_id nextAttempt() = 0;
 };
 
-// Why a worker daemon or the flow itself refused.
-enum class refusal {
-    None,
-    NoWorker, // No backend server can take it.
-    QueueFull,
-    DeadlineTooClose,
-    WorkerLeaving,
-    OtherLife, // The worker daemon that was addressed has been restarted.
-    Revoked,
-    EngineDown,
-    HomeUnreachable,
-    HomeCannotRuleOut,
-    KeyClosed,
-    KeyReused,
-    RetryBudgetSpent,
-    Lost, // It was sent, and what came of it cannot be learned.
-    AnswerGone, // It ran; the answer is no longer kept.
-    AnswerBroken, // Part of the answer was delivered; the rest cannot be.
-    CallerGone,
-};
-
-// Returns the name of `reason` for bodies, logs and metrics.
-const char* toString(refusal reason);
-
 // Actions. Each that expects a result carries the operation number that the result must name.
 struct send_claim {
     std::uint64_t operation = 0;
@@ -104,6 +82,7 @@
     vm_id home;
     customer_key key;
     std::uint32_t attemptNumber = 0;
+    incarnation ticketLife;
     std::optional<attempt_id> releases;
 };
 struct forward_head {
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -16,7 +16,8 @@
 static auto fieldsOf(claim_holder& value) { return std::tie(value.attempt, value.place); }
 static auto fieldsOf(claim_request& value)
 {
-    return std::tie(value.key, value.attempt, value.place, value.attemptNumber, value.bodyHash, value.replaces);
+    return std::tie(
+        value.key, value.attempt, value.place, value.attemptNumber, value.bodyHash, value.replaces, value.ticketLife);
 }
 static auto fieldsOf(claim_snapshot_row& value)
 {
@@ -42,7 +43,10 @@
 static auto fieldsOf(cancel& value) { return std::tie(value.attempt, value.workerLife); }
 static auto fieldsOf(claim& value) { return std::tie(value.request); }
 static auto fieldsOf(claim_reply& value) { return std::tie(value.verdict, value.holder); }
-static auto fieldsOf(close& value) { return std::tie(value.key, value.attemptNumber, value.releases); }
+static auto fieldsOf(close& value)
+{
+    return std::tie(value.key, value.attemptNumber, value.releases, value.ticketLife);
+}
 static auto fieldsOf(load& value)
 {
     return std::tie(value.pendingServiceUs, value.slots, value.groupSlowestPendingUs, value.ageUs);
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -82,6 +82,7 @@
     customer_key key;
     std::uint32_t attemptNumber = 0;
     std::vector<attempt_id> releases; // None or one.
+    incarnation ticketLife;
 };
 
 // What a worker daemon measures of its load.
--- a/coltsfootbend/worker/worker_service.cpp
+++ b/coltsfootbend/worker/worker_service.cpp
@@ -1,10 +1,11 @@
 #include "coltsfootbend/worker/worker_service.h"
 
 #include "coltsfootbend/base/log_event.h"
+#include "coltsfootbend/execution/ledger_registration.h"
 #include "coltsfootbend/membership/worker_directory.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
+#include <limits>
 #include <utility>
 
 namespace coltsfootbend {
@@ -28,6 +29,33 @@
         std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(value).count()));
 }
 
+wire::body toMessage(const answer_piece& piece)
+{
+    struct visitor {
+        wire::body operator()(const nothing_yet&) const { return wire::failed {}; }
+        wire::body operator()(const head_piece& head) const
+        {
+            return wire::head { static_cast<std::uint32_t>(head.status), head.contentType };
+        }
+        wire::body operator()(const bytes_piece& bytes) const { return wire::bytes { bytes.offset, bytes.bytes }; }
+        wire::body operator()(const end_piece& end) const { return wire::end { end.totalBytes }; }
+        wire::body operator()(const refused_piece& refused) const
+        {
+            return wire::refused { refused.reason, static_cast<std::uint64_t>(refused.retryAfter.count()) };
+        }
+        wire::body operator()(const failed_piece&) const { return wire::failed {}; }
+    };
+    return std::visit(visitor {}, piece);
+}
+
+wire::body toMessage(const claim_reply& reply)
+{
+    wire::claim_reply out { reply.verdict, {} };
+    if (reply.holder)
+        out.holder.push_back(*reply.holder);
+    return out;
+}
+
 std::string nameOf(const attempt_id& attempt)
 {
     return attempt.entry.text() + "-" + std::to_string(attempt.entryLife.number()) + "-"
@@ -42,12 +70,13 @@
     , m_worker(*settings.worker)
     , m_life(life)
     , m_backend(runtime)
-    , m_table({ .maxAttempts = maxAttempts, .maxAnswerBytes = settings.worker->maxAnswerBytes })
-    , m_queue({ .slots = settings.worker->slots, .maxWaiting = settings.worker->maxWaiting })
-    , m_ledger({ .keyLifetime = settings.keyLifetime,
-          .maxKeys = maxKeys,
-          .completeFrom = clock_type::now() + settings.keyLifetime,
-          .waitForRegistration = settings.platform.has_value() })
+    , m_executor({ .life = life,
+          .table = { .maxAttempts = maxAttempts, .maxAnswerBytes = settings.worker->maxAnswerBytes },
+          .queue = { .slots = settings.worker->slots, .maxWaiting = settings.worker->maxWaiting },
+          .ledger = { .keyLifetime = settings.keyLifetime,
+              .maxKeys = maxKeys,
+              .completeFrom = clock_type::now() + settings.keyLifetime,
+              .waitForRegistration = settings.platform.has_value() } })
 {
 }
 
@@ -86,54 +115,39 @@
 
 void worker_service::onDispatch(peer_stream& stream, const wire::dispatch& request)
 {
-    if (request.workerLife != m_life) {
-        (void)stream.send(wire::refused { refusal::OtherLife, 0 }, true);
-        return;
-    }
     const auto now = clock_type::now();
     const auto deadline = now + std::chrono::microseconds(request.deadlineLeftUs);
-    switch (m_table.admit(request.attempt)) {
-    case admit_verdict::Admitted:
-        break;
-    case admit_verdict::Revoked:
-        (void)stream.send(wire::refused { refusal::Revoked, 0 }, true);
-        return;
-    case admit_verdict::Duplicate:
-    case admit_verdict::Forgotten:
-        // An attempt is sent once; whatever this is, it proves nothing about the first copy.
-        (void)stream.send(wire::failed {}, true);
-        return;
-    }
-    auto admitted = std::make_shared<run>();
+    const admission_job job { .attempt = request.attempt,
+        .customer = request.customer,
+        .priority = request.priority,
+        .weight = request.weight,
+        .deadline = deadline,
+        .expectedService = std::chrono::microseconds(request.expectedServiceUs),
+        .preemptible = m_worker.kind == backend_kind::Engine };
+    const auto admitted = std::make_shared<run>();
     admitted->request = request;
     admitted->deadline = deadline;
-    m_runs[request.attempt] = admitted;
-    perform(m_queue.submit(now,
-        { .attempt = request.attempt,
-            .customer = request.customer,
-            .priority = request.priority,
-            .weight = request.weight,
-            .deadline = deadline,
-            .expectedService = std::chrono::microseconds(request.expectedServiceUs),
-            .preemptible = m_worker.kind == backend_kind::Engine }));
+    // Only a first copy may be entered: the run of an earlier one has its followers.
+    m_runs.try_emplace(request.attempt, admitted);
+    if (const auto refused = m_executor.dispatch(now, job, request.workerLife)) {
+        if (m_runs.at(request.attempt) == admitted)
+            m_runs.erase(request.attempt);
+        (void)stream.send(toMessage(*refused), true);
+        return;
+    }
+    performActions();
     streamAnswer(stream, request.attempt, admitted, 0, deadline);
+    forgetIfSettled(request.attempt);
 }
 
 void worker_service::onRevoke(peer_stream& stream, const wire::revoke& asked)
 {
-    if (asked.workerLife != m_life) {
+    const auto verdict = m_executor.revoke(clock_type::now(), asked.attempt, asked.workerLife);
+    performActions();
+    if (verdict)
+        (void)stream.send(wire::revoke_reply { *verdict }, true);
+    else
         (void)stream.send(wire::other_life {}, true);
-        return;
-    }
-    const auto verdict = m_table.revoke(asked.attempt);
-    if (verdict == revoke_verdict::Revoked) {
-        m_queue.cancelWaiting(asked.attempt);
-        if (const auto found = m_runs.find(asked.attempt); found != m_runs.end()) {
-            wake(found->second);
-            m_runs.erase(asked.attempt);
-        }
-    }
-    (void)stream.send(wire::revoke_reply { verdict }, true);
 }
 
 void worker_service::onJoin(peer_stream& stream, const wire::join& asked)
@@ -157,22 +171,14 @@
 
 void worker_service::onClaim(peer_stream& stream, const wire::claim& asked)
 {
-    const auto reply = m_ledger.claim(clock_type::now(), asked.request);
-    wire::claim_reply out { reply.verdict, {} };
-    if (reply.holder)
-        out.holder.push_back(*reply.holder);
-    (void)stream.send(out, true);
+    (void)stream.send(toMessage(m_executor.claim(clock_type::now(), asked.request)), true);
 }
 
 void worker_service::onClose(peer_stream& stream, const wire::close& asked)
 {
-    if (!asked.releases.empty())
-        m_ledger.release(asked.key, asked.releases.front());
-    const auto reply = m_ledger.close(clock_type::now(), asked.key, asked.attemptNumber);
-    wire::claim_reply out { reply.verdict, {} };
-    if (reply.holder)
-        out.holder.push_back(*reply.holder);
-    (void)stream.send(out, true);
+    const auto releases = asked.releases.empty() ? std::nullopt : std::optional(asked.releases.front());
+    const auto reply = m_executor.close(clock_type::now(), asked.key, asked.attemptNumber, asked.ticketLife, releases);
+    (void)stream.send(toMessage(reply), true);
 }
 
 // Sends what there is and then what comes, until the answer ends. Every joiner has its own stream and its own pace.
@@ -184,8 +190,8 @@
     fiber_signal changed(m_runtime);
     if (followed)
         followed->waiters.push_back(&changed);
-    bool headSent = false;
-    while (sendProgress(stream, attempt, followed, headSent, offset)) {
+    answer_position position { .headSent = false, .offset = offset };
+    while (sendPieces(stream, attempt, position)) {
         if (!followed || !changed.waitUntil(deadline + grace)) {
             stream.reset();
             break;
@@ -197,95 +203,58 @@
 }
 
 // Returns whether there is more to wait for.
-bool worker_service::sendProgress(
-    peer_stream& stream, const attempt_id& attempt, const run_ptr& followed, bool& headSent, std::uint64_t& offset)
+bool worker_service::sendPieces(peer_stream& stream, const attempt_id& attempt, answer_position& position)
 {
     while (true) {
-        // Looked up anew each time: sending blocks, and the table may change meanwhile.
-        const auto* answer = m_table.find(attempt);
-        if (!answer) {
-            (void)stream.send(wire::failed {}, true);
-            return false;
-        }
-        if (answer->state == attempt_state::Waiting)
+        const auto piece = m_executor.nextPiece(attempt, position);
+        if (std::holds_alternative<nothing_yet>(piece))
             return true;
-        if (answer->state == attempt_state::Revoked) {
-            const auto reason = followed ? followed->reason : refusal::Revoked;
-            const auto retryAfter = followed ? followed->retryAfter.count() : 0;
+        const bool isLast = !std::holds_alternative<head_piece>(piece) && !std::holds_alternative<bytes_piece>(piece);
+        if (isLast)
             (void)stream.send(currentLoad(), false);
-            (void)stream.send(wire::refused { reason, static_cast<std::uint64_t>(retryAfter) }, true);
-            return false;
-        }
-        if (!headSent && answer->status != 0) {
-            headSent = true;
-            if (!stream.send(wire::head { static_cast<std::uint32_t>(answer->status), answer->contentType }, false))
-                return false;
-            continue;
-        }
-        if (!answer->bodyKept || answer->state == attempt_state::Failed) {
-            (void)stream.send(wire::failed {}, true);
+        if (!stream.send(toMessage(piece), isLast) || isLast)
             return false;
-        }
-        if (offset < answer->body.size()) {
-            const auto size = std::min<std::size_t>(answer->body.size() - offset, bytesPerMessage);
-            wire::bytes piece { offset, answer->body.substr(offset, size) };
-            offset += size;
-            if (!stream.send(std::move(piece), false))
-                return false;
-            continue;
-        }
-        if (answer->state != attempt_state::Finished)
-            return true;
-        const wire::end end { answer->totalBytes };
-        (void)stream.send(currentLoad(), false);
-        (void)stream.send(end, true);
-        return false;
     }
 }
 
-void worker_service::wake(const run_ptr& changed)
+void worker_service::wake(const attempt_id& attempt)
 {
-    for (auto* waiter : changed->waiters)
+    const auto found = m_runs.find(attempt);
+    if (found == m_runs.end())
+        return;
+    for (auto* waiter : found->second->waiters)
         waiter->notify();
 }
 
-void worker_service::perform(const std::vector<admission_decision>& decisions)
+void worker_service::forgetIfSettled(const attempt_id& attempt)
 {
-    for (const auto& decision : decisions) {
-        const auto found = m_runs.find(decision.attempt);
-        if (found == m_runs.end())
-            continue;
-        const auto affected = found->second;
-        switch (decision.verb) {
-        case admission_verb::Start:
-            startOnBackend(affected);
-            break;
-        case admission_verb::Preempt:
-            orderBackend(decision.attempt, "pause");
-            break;
-        case admission_verb::Resume:
-            orderBackend(decision.attempt, "resume");
-            break;
-        case admission_verb::Refuse:
-            affected->reason = decision.reason;
-            affected->retryAfter = decision.retryAfter;
-            (void)m_table.revoke(decision.attempt);
-            m_runs.erase(decision.attempt);
-            wake(affected);
-            break;
-        }
-    }
+    answer_position past { .headSent = true, .offset = std::numeric_limits<std::uint64_t>::max() };
+    const auto found = m_runs.find(attempt);
+    if (found == m_runs.end() || found->second->onBackend)
+        return;
+    if (!std::holds_alternative<nothing_yet>(m_executor.nextPiece(attempt, past)))
+        m_runs.erase(found);
 }
 
-void worker_service::startOnBackend(const run_ptr& started)
+void worker_service::performActions()
 {
-    if (m_table.start(started->request.attempt))
-        m_runtime.spawn([this, started] { runOnBackend(started); });
-    else
-        perform(m_queue.complete(clock_type::now(), started->request.attempt));
+    struct visitor {
+        worker_service& self;
+        void operator()(const start_on_backend& action) const
+        {
+            const auto started = self.m_runs.at(action.attempt);
+            started->onBackend = true;
+            self.m_runtime.spawn([&worker = self, started] { worker.runOnBackend(started); });
+        }
+        void operator()(const pause_on_backend& action) const { self.orderBackend(action.attempt, "pause"); }
+        void operator()(const resume_on_backend& action) const { self.orderBackend(action.attempt, "resume"); }
+        void operator()(const answer_changed& action) const { self.wake(action.attempt); }
+    };
+    for (const auto& action : m_executor.takeActions())
+        std::visit(visitor { *this }, action);
 }
 
-http_request worker_service::toBackend(const wire::dispatch& request) const
+http_request worker_service::toBackend(const wire::dispatch& request)
 {
     http_request out { .method = request.method, .target = request.target, .headers = {}, .body = request.body };
     if (!request.contentType.empty())
@@ -301,29 +270,28 @@
     const auto done = m_backend.stream(m_worker.backend, toBackend(started->request), started->deadline,
         { .onHead =
                 [&](const http_head& head) {
-                    m_table.begin(attempt, head.status, findHeader(head.headers, "Content-Type").value_or(""));
-                    wake(started);
+                    m_executor.backendHead(attempt, head.status, findHeader(head.headers, "Content-Type").value_or(""));
+                    performActions();
                 },
             .onBytes =
                 [&](std::string_view bytes) {
-                    m_table.append(attempt, bytes);
-                    wake(started);
+                    m_executor.backendBytes(attempt, bytes);
+                    performActions();
                     return !started->cancelled;
                 } });
+    started->onBackend = false;
     if (done) {
-        m_table.finish(attempt);
-    } else if (done.error().kind == error_kind::Unavailable) {
-        // No connection, so nothing was given to it: that is proof.
-        started->reason = refusal::EngineDown;
-        m_table.withdraw(attempt);
-        logEvent(log_event::EngineFailed, toString(done.error()));
+        m_executor.backendEnd(clock_type::now(), attempt);
     } else {
-        m_table.fail(attempt);
         logEvent(log_event::EngineFailed, toString(done.error()));
+        // No connection, so nothing was given to it: that is proof.
+        if (done.error().kind == error_kind::Unavailable)
+            m_executor.backendUnreachable(clock_type::now(), attempt);
+        else
+            m_executor.backendFailed(clock_type::now(), attempt);
     }
-    m_runs.erase(attempt);
-    wake(started);
-    perform(m_queue.complete(clock_type::now(), attempt));
+    performActions();
+    forgetIfSettled(attempt);
 }
 
 void worker_service::orderBackend(const attempt_id& attempt, const char* verb)
@@ -336,7 +304,7 @@
 
 wire::load worker_service::currentLoad() const
 {
-    return { .pendingServiceUs = inMicroseconds(m_queue.pendingService(clock_type::now())),
+    return { .pendingServiceUs = inMicroseconds(m_executor.queue().pendingService(clock_type::now())),
         .slots = static_cast<std::uint32_t>(m_worker.slots),
         .groupSlowestPendingUs = 0,
         .ageUs = 0 };
@@ -387,8 +355,10 @@
 void worker_service::expireLoop()
 {
     while (!m_stopped) {
-        if (m_queue.waiting() > 0)
-            perform(m_queue.refuseLate(clock_type::now()));
+        if (m_executor.queue().waiting() > 0) {
+            m_executor.tick(clock_type::now());
+            performActions();
+        }
         m_runtime.sleepFor(expireInterval);
     }
 }
@@ -403,76 +373,41 @@
     }
 }
 
-// Tells the platform that this life grants keys from now on, and takes over what the former life handed over. The row
-// says who holds the claims of this VM and, after a planned stop, which object has them. See
-// docs/design/AT-MOST-ONCE.md.
 bool worker_service::tryRegisterLedger()
 {
     auto& platform = *m_configuration->platform();
-    const auto deadline = clock_type::now() + platformLimit;
-    const row_name name { "claims", m_settings.vm.text() };
-    const auto row = platform.read(name, deadline, 0);
-    if (!row)
+    const auto now = clock_type::now();
+    const auto registered = coltsfootbend::registerLedger(
+        { platform, platform }, { m_settings.vm, m_life }, m_executor.ledger(), now, now + platformLimit);
+    if (!registered)
         return false;
-    const auto former = nlohmann::json::parse(row->value, nullptr, false);
-    const bool isOwn = former.is_object() && former.value("life", std::uint64_t { 0 }) == m_life.number();
-    std::vector<claim_snapshot_row> rows;
-    const auto object = former.is_object() ? former.value("handed_over", std::string()) : std::string();
-    if (!object.empty()) {
-        const auto bytes = platform.get(object, deadline);
-        if (!bytes)
-            return false;
-        auto decoded = wire::decodeLedger(*bytes);
-        if (!decoded) {
-            logEvent(log_event::LedgerIncomplete, toString(decoded.error()));
-            return false;
-        }
-        rows = std::move(*decoded);
-    }
-    if (!isOwn) {
-        const nlohmann::json mine { { "life", m_life.number() }, { "handed_over", "" } };
-        // Lost answer: the next try finds our own life in the row, and then the hand-over cannot be told from none.
-        if (!platform.write(name, mine.dump(), row->revision, deadline))
-            return false;
-    }
-    const bool isComplete = !isOwn && (row->revision == 0 || !object.empty());
-    if (isComplete)
-        m_ledger.restore(clock_type::now(), rows);
-    m_ledger.allowGrants();
-    logEvent(
-        isComplete ? log_event::LedgerRestored : log_event::LedgerIncomplete, "keys=" + std::to_string(rows.size()));
+    logEvent(registered->isComplete ? log_event::LedgerRestored : log_event::LedgerIncomplete,
+        "keys=" + std::to_string(registered->keys));
     return true;
 }
 
 void worker_service::handOverLedger(time_point deadline)
 {
-    const auto rows = m_ledger.handOver(clock_type::now());
     if (!m_settings.platform)
         return;
     auto& platform = *m_configuration->platform();
-    const row_name name { "claims", m_settings.vm.text() };
-    const auto object = "claims/" + m_settings.vm.text() + "-" + std::to_string(m_life.number());
-    const auto limit = std::min(deadline, clock_type::now() + platformLimit);
-    const auto row = platform.read(name, limit, 0);
-    if (!row || !platform.put(object, wire::encodeLedger(rows), limit))
-        return;
-    const auto known = nlohmann::json::parse(row->value, nullptr, false);
-    if (!known.is_object() || known.value("life", std::uint64_t { 0 }) != m_life.number())
-        return; // Never registered, so nothing was granted.
-    const nlohmann::json handedOver { { "life", m_life.number() }, { "handed_over", object } };
-    if (platform.write(name, handedOver.dump(), row->revision, limit))
-        logEvent(log_event::LedgerHandedOver, "keys=" + std::to_string(rows.size()));
+    const auto now = clock_type::now();
+    const auto handedOver = coltsfootbend::handOverLedger({ platform, platform }, { m_settings.vm, m_life },
+        m_executor.ledger(), now, std::min(deadline, now + platformLimit));
+    if (handedOver)
+        logEvent(log_event::LedgerHandedOver, "keys=" + std::to_string(*handedOver));
 }
 
 void worker_service::leave(time_point deadline)
 {
     m_leaving = true;
     announceEverywhere();
-    perform(m_queue.leave());
+    m_executor.leave();
+    performActions();
     // Claims go first: the next life may start as soon as this one is gone.
     handOverLedger(deadline);
     constexpr std::chrono::milliseconds look { 20 };
-    while ((m_queue.running() + m_queue.paused() > 0 || m_openStreams > 0) && clock_type::now() < deadline)
+    while ((!m_executor.isIdle() || m_openStreams > 0) && clock_type::now() < deadline)
         m_runtime.sleepFor(look);
     // Entry VMs whose word is still on its way must hear "leaving" rather than silence.
     m_runtime.sleepFor(std::chrono::milliseconds(200));
--- a/coltsfootbend/worker/worker_service.h
+++ b/coltsfootbend/worker/worker_service.h
@@ -2,13 +2,11 @@
 
 // The worker daemon's part beside one backend server: admits attempts, gives them to the engine or plain service over
 // HTTP, keeps their answers for joins, keeps the claims of the keys whose home it is, and announces itself. The
-// decisions are `attempt_table`, `admission_queue` and `claim_ledger`; this drives them. Found by the name "worker".
+// decisions are `attempt_executor`'s; this drives it. Found by the name "worker".
 
 #include "coltsfootbend/config/config_service.h"
-#include "coltsfootbend/limits/admission_queue.h"
+#include "coltsfootbend/execution/attempt_executor.h"
 #include "coltsfootbend/net/http.h"
-#include "coltsfootbend/request/attempt_table.h"
-#include "coltsfootbend/request/claim_ledger.h"
 #include "coltsfootbend/settings/settings.h"
 #include "coltsfootbend/wire/peer.h"
 
@@ -32,10 +30,9 @@
     struct run {
         wire::dispatch request;
         time_point deadline {};
-        refusal reason = refusal::Revoked;
-        std::chrono::milliseconds retryAfter {};
         std::vector<fiber_signal*> waiters;
         bool cancelled = false;
+        bool onBackend = false;
     };
     using run_ptr = std::shared_ptr<run>;
 
@@ -48,13 +45,13 @@
     void onClose(peer_stream&, const wire::close&);
 
     void streamAnswer(peer_stream&, const attempt_id&, const run_ptr&, std::uint64_t offset, time_point deadline);
-    bool sendProgress(peer_stream&, const attempt_id&, const run_ptr&, bool& headSent, std::uint64_t& offset);
-    void perform(const std::vector<admission_decision>&);
-    void startOnBackend(const run_ptr&);
+    bool sendPieces(peer_stream&, const attempt_id&, answer_position&);
+    void performActions();
+    void forgetIfSettled(const attempt_id&);
     void runOnBackend(const run_ptr&);
     void orderBackend(const attempt_id&, const char* verb);
-    http_request toBackend(const wire::dispatch&) const;
-    static void wake(const run_ptr&);
+    static http_request toBackend(const wire::dispatch&);
+    void wake(const attempt_id&);
 
     wire::load currentLoad() const;
     void announceLoop();
@@ -73,9 +70,7 @@
     peer_service* m_peers = nullptr;
     config_service* m_configuration = nullptr;
     http_client m_backend;
-    attempt_table m_table;
-    admission_queue m_queue;
-    claim_ledger m_ledger;
+    attempt_executor m_executor;
     std::unordered_map<attempt_id, run_ptr> m_runs;
     std::size_t m_openStreams = 0;
     bool m_leaving = false;
