--- a/coltsfootbend/entry/caller_exchange.cpp
+++ b/coltsfootbend/entry/caller_exchange.cpp
@@ -309,11 +309,7 @@
                 return;
             }
             if (const auto* load = std::get_if<wire::load>(&message->content)) {
-                self.m_deployment.routes.observe(clock_type::now(), worker,
-                    { .pendingService = std::chrono::microseconds(load->pendingServiceUs),
-                        .slots = load->slots,
-                        .groupSlowestPending = std::chrono::microseconds(load->groupSlowestPendingUs),
-                        .age = std::chrono::microseconds(load->ageUs) });
+                self.m_deployment.routes.observe(clock_type::now(), worker, toReport(*load));
                 continue;
             }
             const bool isLast = !std::holds_alternative<wire::head>(message->content)
--- a/coltsfootbend/entry/caller_request.cpp
+++ b/coltsfootbend/entry/caller_request.cpp
@@ -191,6 +191,7 @@
     const auto& known = configuration.customers.at(*customer);
     parsed.priority = known.priority;
     parsed.weight = known.weight;
+    parsed.routing.priority = known.priority;
     const auto contentType = singleHeader(request, "Content-Type");
     if (!contentType)
         return tl::unexpected(contentType.error());
--- a/coltsfootbend/entry/entry_service.cpp
+++ b/coltsfootbend/entry/entry_service.cpp
@@ -42,6 +42,17 @@
 
 } // namespace
 
+load_report toReport(const wire::load& load)
+{
+    load_report report { .pendingService = {},
+        .slots = load.slots,
+        .groupSlowestPending = std::chrono::microseconds(load.groupSlowestPendingUs),
+        .age = std::chrono::microseconds(load.ageUs) };
+    for (const auto pending : load.pendingServiceUs)
+        report.pendingService.push_back(std::chrono::microseconds(pending));
+    return report;
+}
+
 entry_service::entry_service(
     fiber_runtime& runtime, const daemon_settings& settings, incarnation life, std::function<tls_context()> callerTls)
     : m_runtime(runtime)
@@ -183,12 +194,7 @@
     const auto now = clock_type::now();
     const bool changed = m_directory.observe(now, announcement);
     for (const auto& deployment : announcement.deployments) {
-        stateOf(deployment)
-            .routes.observe(now, announcement.worker,
-                { .pendingService = std::chrono::microseconds(announcement.current.pendingServiceUs),
-                    .slots = announcement.current.slots,
-                    .groupSlowestPending = std::chrono::microseconds(announcement.current.groupSlowestPendingUs),
-                    .age = std::chrono::microseconds(announcement.current.ageUs) });
+        stateOf(deployment).routes.observe(now, announcement.worker, toReport(announcement.current));
     }
     if (!changed)
         return;
--- a/coltsfootbend/entry/entry_service.h
+++ b/coltsfootbend/entry/entry_service.h
@@ -36,6 +36,9 @@
     std::uint64_t m_serial = 0;
 };
 
+// What a worker daemon's word on its load means to a router.
+load_report toReport(const wire::load&);
+
 class entry_service final : public service {
 public:
     struct deployment_state {
--- a/coltsfootbend/limits/admission_queue.cpp
+++ b/coltsfootbend/limits/admission_queue.cpp
@@ -23,7 +23,8 @@
 {
     if (m_leaving)
         return { refuseJob(now, job, refusal::WorkerLeaving) };
-    const bool late = now + expectedWait(now, job.priority) + job.expectedService > job.deadline;
+    const bool late
+        = now + expectedWait(now, job.priority, job.customer, job.weight) + job.expectedService > job.deadline;
     if (m_options.refuseLate && late)
         return { refuseJob(now, job, refusal::DeadlineTooClose) };
 
@@ -195,6 +196,11 @@
         customer.virtualTime = turn + inSeconds(job.expectedService) / job.weight;
         if (!customer.jobs.empty())
             queue.turns.emplace(customer.virtualTime, name);
+        if (m_options.refuseLate && now + job.expectedService > job.deadline) {
+            // Work that ends too late is work lost to somebody else.
+            decisions.push_back(refuseJob(now, job, refusal::DeadlineTooClose));
+            return true;
+        }
         run(now, job, admission_verb::Start, decisions);
         return true;
     }
@@ -229,44 +235,60 @@
 
 admission_decision admission_queue::refuseJob(time_point now, const admission_job& job, refusal reason) const
 {
-    const auto wait = remaining(now, now + expectedWait(now, job.priority));
+    const auto wait = remaining(now, now + expectedWait(now, job.priority, job.customer, job.weight));
     return { admission_verb::Refuse, job.attempt, reason, std::max(wait, shortestRetryAfter) };
 }
 
-duration admission_queue::expectedWait(time_point now, priority_class priority) const
+duration admission_queue::fairWait(const class_queue& queue, const customer_id& name, double weight) const
+{
+    const auto own = queue.customers.find(name);
+    const auto ownWaiting = own == queue.customers.end() ? duration::zero() : own->second.waitingService;
+    double weights = 0;
+    for (const auto& turn : queue.turns)
+        weights += queue.customers.at(turn.second).weight;
+    if (ownWaiting == duration::zero())
+        weights += weight;
+    const double share = weight / std::max(weights, weight);
+    const auto alone = fromMilliseconds(toMilliseconds(ownWaiting) / share);
+    // Shares that others do not use go round, so it never takes longer than everything that waits.
+    return std::min(alone, queue.waitingService);
+}
+
+duration admission_queue::expectedWait(
+    time_point now, priority_class priority, const customer_id& customer, double weight) const
 {
     if (m_running.size() < m_options.slots)
         return duration::zero();
     duration ahead {};
     for (const auto& [other, queue] : m_classes) {
-        if (other > priority)
-            break;
-        ahead += queue.waitingService;
+        if (other < priority)
+            ahead += queue.waitingService;
+        else if (other == priority)
+            ahead += fairWait(queue, customer, weight);
     }
-    duration runningLeft {};
-    duration shortest = duration::max();
+    duration soonest = duration::max();
     for (const auto& [attempt, running] : m_running) {
-        if (running.job.preemptible && running.job.priority > priority)
-            return ahead / static_cast<int>(m_options.slots);
-        const auto left = std::max(running.expectedEnd - now, duration::zero());
-        runningLeft += left;
-        shortest = std::min(shortest, left);
+        const bool givesWay = running.job.preemptible && running.job.priority > priority;
+        const auto left = givesWay ? duration::zero() : std::max(running.expectedEnd - now, duration::zero());
+        soonest = std::min(soonest, left);
     }
-    if (ahead == duration::zero())
-        return shortest;
-    return (ahead + runningLeft) / static_cast<int>(m_options.slots);
+    return soonest + ahead / static_cast<int>(m_options.slots);
 }
 
-duration admission_queue::pendingService(time_point now) const
+duration admission_queue::pendingService(time_point now, priority_class lowest) const
 {
     duration pending {};
     for (const auto& [priority, queue] : m_classes) {
+        if (priority > lowest)
+            break;
         pending += queue.waitingService;
         for (const auto& job : queue.paused)
             pending += job.expectedService;
     }
-    for (const auto& [attempt, running] : m_running)
-        pending += std::max(running.expectedEnd - now, duration::zero());
+    for (const auto& [attempt, running] : m_running) {
+        if (running.job.priority <= lowest)
+            pending += std::max(running.expectedEnd - now, duration::zero());
+    }
     return pending;
 }
 
--- a/coltsfootbend/limits/admission_queue.h
+++ b/coltsfootbend/limits/admission_queue.h
@@ -14,6 +14,7 @@
 #include "coltsfootbend/request/attempt.h"
 
 #include <cstddef>
+#include <limits>
 #include <map>
 #include <set>
 #include <tuple>
@@ -73,15 +74,18 @@
     // Refuses everything that waits and, from now on, every new job. What runs goes on.
     std::vector<admission_decision> leave();
 
+    // The lowest class that was ever seen here.
+    priority_class lowestPriority() const { return m_classes.empty() ? 0 : m_classes.rbegin()->first; }
     std::size_t waiting() const { return m_waitingCount; }
     std::size_t running() const { return m_running.size(); }
     std::size_t paused() const { return m_pausedCount; }
 
-    // Expected time until a job of `priority` submitted now would start.
-    duration expectedWait(time_point now, priority_class) const;
+    // Expected time until a job of `customer` submitted now would start: what runs, everything of higher classes, and
+    // of its own class what goes before it when every customer gets its share. O(running + customers).
+    duration expectedWait(time_point now, priority_class, const customer_id&, double weight) const;
 
-    // Sum of what all jobs here are still expected to need.
-    duration pendingService(time_point now) const;
+    // Sum of what the jobs here of `lowest` and all higher classes are still expected to need. O(running + classes).
+    duration pendingService(time_point now, priority_class lowest = std::numeric_limits<priority_class>::max()) const;
 
 private:
     struct running_job {
@@ -113,6 +117,7 @@
     void fillSlots(time_point now, std::vector<admission_decision>&);
     bool preemptFor(time_point now, priority_class, std::vector<admission_decision>&);
     void run(time_point now, const admission_job&, admission_verb, std::vector<admission_decision>&);
+    duration fairWait(const class_queue&, const customer_id&, double weight) const;
     admission_decision refuseJob(time_point now, const admission_job&, refusal) const;
 
     const options m_options;
--- a/coltsfootbend/measure/scenario.cpp
+++ b/coltsfootbend/measure/scenario.cpp
@@ -19,7 +19,7 @@
 {
     static const std::vector<scenario> all = [] {
         std::vector<scenario> collected;
-        for (const auto& part : { requestScenarios() })
+        for (const auto& part : { requestScenarios(), fleetScenarios() })
             collected.insert(collected.end(), part.begin(), part.end());
         return collected;
     }();
--- a/coltsfootbend/measure/scenario.h
+++ b/coltsfootbend/measure/scenario.h
@@ -42,5 +42,6 @@
 
 // The scenarios of each file.
 std::vector<scenario> requestScenarios();
+std::vector<scenario> fleetScenarios();
 
 } // namespace coltsfootbend
--- a/coltsfootbend/operators/operator_service.cpp
+++ b/coltsfootbend/operators/operator_service.cpp
@@ -48,7 +48,10 @@
         { "undo", json::parse(step.undoPatch, nullptr, false) } };
 }
 
-double milliseconds(std::uint64_t microseconds) { return static_cast<double>(microseconds) / 1000; }
+double pendingMs(const wire::load& load)
+{
+    return load.pendingServiceUs.empty() ? 0 : static_cast<double>(load.pendingServiceUs.back()) / 1000;
+}
 
 } // namespace
 
@@ -125,7 +128,7 @@
         workers.push_back({ { "vm", id.text() }, { "life", worker.last.life.number() }, { "state", state },
             { "data_centre", worker.last.dataCentre.text() }, { "address", worker.last.address },
             { "deployments", deployments }, { "slots", worker.last.current.slots },
-            { "pending_ms", milliseconds(worker.last.current.pendingServiceUs) } });
+            { "pending_ms", pendingMs(worker.last.current) } });
     }
     return answer({ { "vm", m_settings.vm.text() }, { "life", m_life.number() },
         { "data_centre", m_settings.dataCentre.text() }, { "state", m_entry->isLeaving() ? "leaving" : "serving" },
--- a/coltsfootbend/routing/router.cpp
+++ b/coltsfootbend/routing/router.cpp
@@ -59,14 +59,22 @@
     state.report = report;
     state.reportTakenAt = now - report.age;
     // Own work sent before the reading was taken is in it.
-    std::erase_if(state.unreportedAttempts, [&](const attempt_id& attempt) {
-        const auto own = state.inFlight.find(attempt);
+    while (!state.unreportedOrder.empty()) {
+        const auto own = state.inFlight.find(state.unreportedOrder.front());
         if (own != state.inFlight.end() && own->second.sentAt > state.reportTakenAt)
-            return false;
+            break;
         if (own != state.inFlight.end())
-            state.unreported -= own->second.expected;
-        return true;
-    });
+            markReported(state, own->second);
+        state.unreportedOrder.pop_front();
+    }
+}
+
+void router::markReported(worker_state& state, own_dispatch& own)
+{
+    if (own.isReported)
+        return;
+    own.isReported = true;
+    state.unreported[own.priority] -= own.expected;
 }
 
 void router::recordDispatch(
@@ -78,9 +86,11 @@
     auto& state = m_workers[found->second];
     const auto expected = request.serviceTime
         + fromMilliseconds(toMilliseconds(request.prefillTime) * (1 - coveredShare(state, request)));
-    state.inFlight[attempt] = { now, expected };
-    state.unreported += expected;
-    state.unreportedAttempts.push_back(attempt);
+    state.inFlight[attempt] = { .sentAt = now, .expected = expected, .priority = request.priority };
+    if (state.unreported.size() <= request.priority)
+        state.unreported.resize(request.priority + 1);
+    state.unreported[request.priority] += expected;
+    state.unreportedOrder.push_back(attempt);
     rememberPrefixes(state, request);
 }
 
@@ -100,8 +110,7 @@
         state.failures = 0;
         state.nextEjection = {};
     }
-    if (std::erase(state.unreportedAttempts, attempt) > 0)
-        state.unreported -= own->second.expected;
+    markReported(state, own->second);
     state.inFlight.erase(own);
 }
 
@@ -149,10 +158,11 @@
 {
     std::optional<std::size_t> best;
     double bestCost = std::numeric_limits<double>::infinity();
-    const auto consider = [&](std::size_t index) {
+    const auto consider = [&](std::size_t index, std::optional<double> covered = {}) {
         if (!isUsable(now, m_workers[index], tried, reach))
             return false;
-        const double cost = costMs(now, m_workers[index], request);
+        const double cost
+            = costMs(now, m_workers[index], request, covered.value_or(coveredShare(m_workers[index], request)));
         if (cost < bestCost) {
             bestCost = cost;
             best = index;
@@ -165,11 +175,17 @@
     if (!request.prefixes.empty()) {
         // The longest prefix that many requests share decides; the shortest one kept is the best guess of that.
         const auto key = std::to_string(request.prefixes.front());
-        const double bound = m_options.affinityLoadBound * (meanPendingMs(now) + toMilliseconds(request.serviceTime));
+        const double bound = m_options.affinityLoadBound
+            * (meanPendingMs(now, request.priority) + toMilliseconds(request.serviceTime + request.prefillTime));
+        bool isFirst = true;
         for (const auto& name : rendezvousRanking(key, m_names, m_options.affinityCandidates)) {
             const auto index = m_index.at(name);
-            if (pendingMs(now, m_workers[index]) <= bound)
-                consider(index);
+            // Every entry VM ranks alike, so the first has the prefix if anybody sent it anywhere; and if nobody did,
+            // the prefill is due wherever it goes.
+            const auto covered = isFirst ? std::optional<double>(1) : std::nullopt;
+            isFirst = false;
+            if (pendingMs(now, m_workers[index], request.priority) <= bound)
+                consider(index, covered);
         }
     }
     std::size_t considered = 0;
@@ -189,19 +205,24 @@
     return best;
 }
 
-double router::pendingMs(time_point now, const worker_state& state) const
+double router::pendingMs(time_point now, const worker_state& state, std::uint32_t priority) const
 {
     const double slots = std::max<std::uint32_t>(state.report.slots, 1);
-    const double drainedMs
-        = state.reportTakenAt == time_point {} ? 0 : toMilliseconds(now - state.reportTakenAt) * slots / state.slowdown;
-    const double reported = std::max(0.0, toMilliseconds(state.report.pendingService) - drainedMs);
-    return (reported + toMilliseconds(state.unreported)) * state.slowdown / slots;
+    double pending = 0;
+    if (!state.report.pendingService.empty()) {
+        const auto index = std::min<std::size_t>(priority, state.report.pendingService.size() - 1);
+        const double drained = toMilliseconds(now - state.reportTakenAt) * slots / state.slowdown;
+        pending = std::max(0.0, toMilliseconds(state.report.pendingService[index]) - drained);
+    }
+    for (std::size_t other = 0; other < state.unreported.size() && other <= priority; ++other)
+        pending += toMilliseconds(state.unreported[other]);
+    return pending * state.slowdown / slots;
 }
 
-double router::costMs(time_point now, const worker_state& state, const routing_request& request) const
+double router::costMs(time_point now, const worker_state& state, const routing_request& request, double covered) const
 {
-    const double wait = pendingMs(now, state);
-    const double prefill = toMilliseconds(request.prefillTime) * (1 - coveredShare(state, request)) * state.slowdown;
+    const double wait = pendingMs(now, state, request.priority);
+    const double prefill = toMilliseconds(request.prefillTime) * (1 - covered) * state.slowdown;
     const double service = toMilliseconds(request.serviceTime) * state.slowdown;
     double skew = 0;
     if (state.report.groupSlowestPending > duration::zero()) {
@@ -236,19 +257,20 @@
 }
 
 // The mean over a few workers drawn at random: enough to tell a crowded one, and of constant cost.
-double router::meanPendingMs(time_point now)
+double router::meanPendingMs(time_point now, std::uint32_t priority)
 {
     const auto samples = std::min(meanSamples, m_workers.size());
     double sum = 0;
     for (std::size_t i = 0; i < samples; ++i)
-        sum += pendingMs(now, m_workers[m_random() % m_workers.size()]);
+        sum += pendingMs(now, m_workers[m_random() % m_workers.size()], priority);
     return sum / static_cast<double>(std::max<std::size_t>(samples, 1));
 }
 
-duration router::expectedWait(time_point now, const vm_id& worker) const
+duration router::expectedWait(time_point now, const vm_id& worker, std::uint32_t priority) const
 {
     const auto found = m_index.find(worker);
-    return found == m_index.end() ? duration::zero() : fromMilliseconds(pendingMs(now, m_workers[found->second]));
+    return found == m_index.end() ? duration::zero()
+                                  : fromMilliseconds(pendingMs(now, m_workers[found->second], priority));
 }
 
 } // namespace coltsfootbend
--- a/coltsfootbend/routing/router.h
+++ b/coltsfootbend/routing/router.h
@@ -14,6 +14,7 @@
 #include "coltsfootbend/request/attempt.h"
 
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <optional>
 #include <random>
@@ -24,7 +25,8 @@
 
 // What a worker daemon says of its load. `age` is how old the reading was when it was sent.
 struct load_report {
-    duration pendingService {};
+    // Of each priority class together with all higher ones, from class 0 on; classes beyond the last are like the last.
+    std::vector<duration> pendingService;
     std::uint32_t slots = 1;
     // Load of the slowest rank of its group, as pending service; zero outside a group.
     duration groupSlowestPending {};
@@ -46,6 +48,8 @@
     // What a full prefill of the prompt takes on an idle engine.
     duration prefillTime {};
     duration serviceTime {};
+    // 0 is served first; what is pending in lower classes does not hold it up.
+    std::uint32_t priority = 0;
 };
 
 class router {
@@ -85,20 +89,24 @@
     std::optional<run_place> choose(time_point now, const routing_request&, const std::vector<vm_id>& tried);
 
     // Expected time until `worker` would start a request sent now, for tests and status.
-    duration expectedWait(time_point now, const vm_id&) const;
+    duration expectedWait(time_point now, const vm_id&, std::uint32_t priority = 0) const;
 
 private:
     struct own_dispatch {
         time_point sentAt {};
         duration expected {};
+        std::uint32_t priority = 0;
+        bool isReported = false;
     };
     struct worker_state {
         routing_worker worker;
         load_report report;
         time_point reportTakenAt {};
         std::unordered_map<attempt_id, own_dispatch> inFlight;
-        duration unreported {}; // Own work sent after the report was taken.
-        std::vector<attempt_id> unreportedAttempts;
+        // Own work sent after the report was taken: its sum for each priority, and its attempts in the order of
+        // sending.
+        std::vector<duration> unreported;
+        std::deque<attempt_id> unreportedOrder;
         double slowdown = 1; // Measured over expected service time.
         int failures = 0;
         time_point ejectedUntil {};
@@ -110,13 +118,14 @@
     // Ever wider circles, the next one only when the former has no worker to offer.
     enum class circle { Local, Anywhere, EvenSuspected };
 
+    static void markReported(worker_state&, own_dispatch&);
     bool isUsable(time_point, const worker_state&, const std::vector<vm_id>& tried, circle) const;
     std::optional<std::size_t> pick(time_point, const routing_request&, const std::vector<vm_id>& tried, circle);
-    double pendingMs(time_point, const worker_state&) const;
-    double costMs(time_point, const worker_state&, const routing_request&) const;
+    double pendingMs(time_point, const worker_state&, std::uint32_t priority) const;
+    double costMs(time_point, const worker_state&, const routing_request&, double covered) const;
     double coveredShare(const worker_state&, const routing_request&) const;
     void rememberPrefixes(worker_state&, const routing_request&);
-    double meanPendingMs(time_point);
+    double meanPendingMs(time_point, std::uint32_t priority);
 
     const options m_options;
     std::mt19937_64 m_random;
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -87,7 +87,7 @@
 
 // What a worker daemon measures of its load.
 struct load {
-    std::uint64_t pendingServiceUs = 0;
+    std::vector<std::uint64_t> pendingServiceUs; // See `load_report`.
     std::uint32_t slots = 1;
     std::uint64_t groupSlowestPendingUs = 0;
     std::uint64_t ageUs = 0;
--- a/coltsfootbend/worker/worker_service.cpp
+++ b/coltsfootbend/worker/worker_service.cpp
@@ -304,7 +304,12 @@
 
 wire::load worker_service::currentLoad() const
 {
-    return { .pendingServiceUs = inMicroseconds(m_executor.queue().pendingService(clock_type::now())),
+    const auto now = clock_type::now();
+    const auto& queue = m_executor.queue();
+    std::vector<std::uint64_t> pending;
+    for (priority_class priority = 0; priority <= queue.lowestPriority(); ++priority)
+        pending.push_back(inMicroseconds(queue.pendingService(now, priority)));
+    return { .pendingServiceUs = std::move(pending),
         .slots = static_cast<std::uint32_t>(m_worker.slots),
         .groupSlowestPendingUs = 0,
         .ageUs = 0 };
