--- a/coltsfootbend/config/config_store.cpp
+++ b/coltsfootbend/config/config_store.cpp
@@ -124,14 +124,16 @@
 
 result<void> config_store::refresh(config_state& state, time_point deadline)
 {
-    auto read = load(deadline, m_seenRevision);
+    auto read = load(deadline, state.version() == m_seenVersion ? m_seenRevision : 0);
     if (!read)
         return tl::unexpected(read.error());
     if (read->unchanged)
         return {};
     auto filled = fill(*read, state, deadline);
-    if (filled)
+    if (filled) {
         m_seenRevision = read->revision;
+        m_seenVersion = state.version();
+    }
     return filled;
 }
 
--- a/coltsfootbend/config/config_store.h
+++ b/coltsfootbend/config/config_store.h
@@ -55,8 +55,9 @@
     table_service& m_table;
     object_store& m_objects;
     const options m_options;
-    // What `refresh` last saw, so that an unchanged row costs few bytes.
+    // What `refresh` last saw and made of it, so that an unchanged row costs few bytes.
     std::uint64_t m_seenRevision = 0;
+    config_version m_seenVersion;
 };
 
 } // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/net/net_test.cpp
@@ -0,0 +1,215 @@
+// The transports against each other on loopback, and malformed input against the server.
+
+#include "coltsfootbend/net/h2.h"
+#include "coltsfootbend/net/http.h"
+
+#include <boost/fiber/operations.hpp>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+
+time_point soon() { return clock_type::now() + 5s; }
+
+// Runs `work` on a runtime of its own in a thread of its own: a thread has one fiber scheduler for good.
+void onRuntime(const std::function<void(fiber_runtime&)>& work)
+{
+    std::thread([&] {
+        fiber_runtime runtime;
+        runtime.spawn([&] {
+            work(runtime);
+            runtime.spawn([&] {
+                const auto limit = soon();
+                while (runtime.fibers() > 1 && clock_type::now() < limit)
+                    runtime.sleepFor(1ms);
+                runtime.stop();
+            });
+        });
+        runtime.run();
+    }).join();
+}
+
+std::shared_ptr<listener> serveEcho(fiber_runtime& runtime)
+{
+    auto opened
+        = listener::open(runtime, { .address = { "127.0.0.1", 0 }, .tls = {} }, [&](const byte_stream_ptr& stream) {
+              serveHttp(
+                  runtime, stream,
+                  { .maxHeaderBytes = 2000, .maxBodyBytes = 1000, .idleLimit = 500ms, .readLimit = 500ms },
+                  [&](const http_request& request, http_responder& responder) {
+                      if (request.target == "/stream") {
+                          (void)responder.begin({ 200, { { "Content-Type", "text/plain" } } });
+                          (void)responder.write("one ");
+                          (void)responder.write("two");
+                          (void)responder.end();
+                      } else if (request.target == "/broken") {
+                          (void)responder.begin({ 200, {} });
+                          (void)responder.write("part");
+                          responder.abort();
+                      } else {
+                          (void)responder.send({ { 200, {} }, request.method + " " + request.body });
+                      }
+                  },
+                  [] { return false; });
+          });
+    EXPECT_TRUE(opened);
+    return *opened;
+}
+
+TEST(Http, AnswersWholeStreamedAndBrokenOnes)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        const auto server = serveEcho(runtime);
+        const endpoint address { "127.0.0.1", server->port() };
+        http_client client(runtime);
+        const auto whole
+            = client.send(address, { .method = "POST", .target = "/", .headers = {}, .body = "hello" }, soon());
+        EXPECT_EQ(whole->body, "POST hello");
+        const auto streamed
+            = client.send(address, { .method = "GET", .target = "/stream", .headers = {}, .body = {} }, soon());
+        EXPECT_EQ(streamed->body, "one two");
+        const auto broken
+            = client.send(address, { .method = "GET", .target = "/broken", .headers = {}, .body = {} }, soon());
+        ASSERT_FALSE(broken) << "a body that is cut off must not look whole";
+        EXPECT_EQ(broken.error().kind, error_kind::Lost);
+        server->close();
+    });
+}
+
+TEST(Http, NothingSentIsToldApartFromLost)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        const auto server = serveEcho(runtime);
+        const endpoint address { "127.0.0.1", server->port() };
+        server->close();
+        http_client client(runtime);
+        const auto refused
+            = client.send(address, { .method = "GET", .target = "/", .headers = {}, .body = {} }, soon());
+        ASSERT_FALSE(refused);
+        EXPECT_EQ(refused.error().kind, error_kind::Unavailable);
+    });
+}
+
+std::string sendRaw(fiber_runtime& runtime, const endpoint& address, const std::string& bytes)
+{
+    const auto stream = *connectTcp(runtime, address, soon());
+    stream->setDeadline(soon());
+    (void)stream->writeAll(bytes);
+    std::string all;
+    std::string buffer(4096, '\0');
+    while (const auto got = stream->readSome(boost::asio::buffer(buffer)))
+        all.append(buffer, 0, *got);
+    stream->close();
+    return all;
+}
+
+TEST(Http, BadInputGetsATypedErrorAndTheServerGoesOn)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        const auto server = serveEcho(runtime);
+        const endpoint address { "127.0.0.1", server->port() };
+        EXPECT_NE(sendRaw(runtime, address, "nonsense\r\n\r\n").find("400"), std::string::npos);
+        EXPECT_NE(sendRaw(runtime, address, "GET / HTTP/1.1\r\nX: " + std::string(5000, 'x') + "\r\n\r\n").find("431"),
+            std::string::npos);
+        EXPECT_NE(sendRaw(runtime, address, "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n").find("413"),
+            std::string::npos);
+        EXPECT_NE(
+            sendRaw(runtime, address, "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n").find("400"),
+            std::string::npos);
+        EXPECT_EQ(sendRaw(runtime, address, "GET / HTTP/1.1\r\nHalf: "), "")
+            << "a request that stops half way is dropped";
+        http_client client(runtime);
+        EXPECT_TRUE(client.send(address, { .method = "GET", .target = "/", .headers = {}, .body = {} }, soon()));
+        server->close();
+    });
+}
+
+std::shared_ptr<listener> serveStreams(fiber_runtime& runtime)
+{
+    auto opened
+        = listener::open(runtime, { .address = { "127.0.0.1", 0 }, .tls = {} }, [&](const byte_stream_ptr& connection) {
+              h2_connection::serve(runtime, connection, [](const std::string& path, const h2_stream_ptr& stream) {
+                  if (path == "/silent")
+                      return;
+                  while (true) {
+                      const auto bytes = stream->receive(soon());
+                      if (!bytes || !*bytes)
+                          break;
+                      (void)stream->send(**bytes, false);
+                  }
+                  (void)stream->send("", true);
+              });
+          });
+    EXPECT_TRUE(opened);
+    return *opened;
+}
+
+TEST(H2, ManyStreamsShareOneConnectionAndLargeBodiesPass)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        const auto server = serveStreams(runtime);
+        const auto connection = *h2_connection::connect(runtime, { "127.0.0.1", server->port() }, {}, soon());
+        const std::string large(3'000'000, 'x');
+        int whole = 0;
+        int ended = 0;
+        for (int i = 0; i < 8; ++i) {
+            runtime.spawn([&, i] {
+                const auto stream = *connection->open("/echo");
+                runtime.spawn([stream, &large] { (void)stream->send(large, true); });
+                std::size_t got = 0;
+                while (true) {
+                    const auto bytes = stream->receive(soon());
+                    if (!bytes || !*bytes)
+                        break;
+                    got += (*bytes)->size();
+                }
+                whole += got == large.size() ? 1 : 0;
+                ++ended;
+            });
+        }
+        const auto limit = clock_type::now() + 20s;
+        while (ended < 8 && clock_type::now() < limit)
+            runtime.sleepFor(5ms);
+        EXPECT_EQ(whole, 8);
+        connection->close();
+        server->close();
+    });
+}
+
+TEST(H2, ABrokenConnectionEndsEveryStreamAsLost)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        const auto server = serveStreams(runtime);
+        const auto connection = *h2_connection::connect(runtime, { "127.0.0.1", server->port() }, {}, soon());
+        const auto stream = *connection->open("/silent");
+        EXPECT_EQ(stream->receive(clock_type::now() + 20ms).error().kind, error_kind::TimedOut);
+        runtime.spawn([&] {
+            runtime.sleepFor(10ms);
+            connection->close();
+        });
+        EXPECT_EQ(stream->receive(soon()).error().kind, error_kind::Lost);
+        EXPECT_EQ(connection->open("/echo").error().kind, error_kind::Unavailable);
+        server->close();
+    });
+}
+
+TEST(H2, BytesThatAreNoHttp2CloseTheConnectionOnly)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        const auto server = serveStreams(runtime);
+        const endpoint address { "127.0.0.1", server->port() };
+        (void)sendRaw(runtime, address, std::string(200, '\x7f'));
+        const auto connection = *h2_connection::connect(runtime, address, {}, soon());
+        const auto stream = *connection->open("/echo");
+        (void)stream->send("still here", true);
+        EXPECT_EQ(**stream->receive(soon()), "still here");
+        connection->close();
+        server->close();
+    });
+}
+
+} // namespace
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/request/claim_ledger_test.cpp
@@ -0,0 +1,127 @@
+#include "coltsfootbend/request/claim_ledger.h"
+
+#include <gtest/gtest.h>
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point start = time_point {} + 1h;
+const customer_key key { customer_id("c"), request_key("k") };
+
+attempt_id attempt(std::uint64_t serial) { return { vm_id("e"), incarnation(7), serial }; }
+
+claim_request claimOf(std::uint64_t serial, std::uint32_t number = 0)
+{
+    return { .key = key,
+        .attempt = attempt(serial),
+        .place = { vm_id("w"), incarnation(1) },
+        .attemptNumber = number,
+        .bodyHash = 5 };
+}
+
+claim_ledger::options complete()
+{
+    return { .keyLifetime = 10min, .maxKeys = 3, .completeFrom = start, .life = incarnation(1) };
+}
+claim_ledger::options young()
+{
+    return { .keyLifetime = 10min, .maxKeys = 3, .completeFrom = start + 10min, .life = incarnation(1) };
+}
+
+TEST(ClaimLedger, GrantsAKeyToOneAttemptOnly)
+{
+    claim_ledger ledger(complete());
+    EXPECT_EQ(ledger.claim(start, claimOf(1)).verdict, claim_verdict::Granted);
+    EXPECT_EQ(ledger.claim(start, claimOf(1)).verdict, claim_verdict::Granted) << "a claim sent again is granted again";
+    const auto second = ledger.claim(start, claimOf(2));
+    EXPECT_EQ(second.verdict, claim_verdict::AlreadyClaimed);
+    EXPECT_EQ(second.holder->attempt, attempt(1));
+}
+
+TEST(ClaimLedger, PassesAKeyOnOnlyWithTheHolderNamedAsNeverStarting)
+{
+    claim_ledger ledger(complete());
+    (void)ledger.claim(start, claimOf(1));
+    auto wrong = claimOf(3);
+    wrong.replaces = attempt(2);
+    EXPECT_EQ(ledger.claim(start, wrong).verdict, claim_verdict::AlreadyClaimed);
+    auto right = claimOf(3);
+    right.replaces = attempt(1);
+    EXPECT_EQ(ledger.claim(start, right).verdict, claim_verdict::Granted);
+    EXPECT_EQ(ledger.claim(start, claimOf(1)).verdict, claim_verdict::AlreadyClaimed) << "a late copy of the first";
+}
+
+TEST(ClaimLedger, RefusesAnotherBodyUnderTheSameKey)
+{
+    claim_ledger ledger(complete());
+    (void)ledger.claim(start, claimOf(1));
+    auto other = claimOf(2);
+    other.bodyHash = 6;
+    EXPECT_EQ(ledger.claim(start, other).verdict, claim_verdict::BodyMismatch);
+}
+
+TEST(ClaimLedger, AYoungLedgerRefusesWhatItCannotRuleOut)
+{
+    claim_ledger ledger(young());
+    EXPECT_EQ(ledger.claim(start, claimOf(1)).verdict, claim_verdict::CannotRuleOut);
+    EXPECT_EQ(ledger.claim(start, claimOf(1, 2)).verdict, claim_verdict::CannotRuleOut);
+    EXPECT_EQ(ledger.claim(start, claimOf(1, 1)).verdict, claim_verdict::Granted) << "the caller says it is the first";
+    EXPECT_EQ(ledger.close(start, { key.customer, request_key("other") }, 2).verdict, claim_verdict::CannotRuleOut);
+}
+
+TEST(ClaimLedger, AYoungLedgerGrantsTicketsThatNameItsOwnLifeOnly)
+{
+    claim_ledger ledger(young());
+    auto own = claimOf(1);
+    own.ticketLife = incarnation(1);
+    EXPECT_EQ(ledger.claim(start, own).verdict, claim_verdict::Granted);
+    auto former = claimOf(2);
+    former.key.key = request_key("former");
+    former.ticketLife = incarnation(9);
+    EXPECT_EQ(ledger.claim(start + 1h, former).verdict, claim_verdict::CannotRuleOut) << "at no time";
+    ledger.restore(start + 1h, {}, incarnation(9));
+    EXPECT_EQ(ledger.claim(start + 1h, former).verdict, claim_verdict::Granted) << "after its hand-over";
+}
+
+TEST(ClaimLedger, AClosedAttemptNumberNeverRunsAndALaterOneMay)
+{
+    claim_ledger ledger(complete());
+    EXPECT_EQ(ledger.close(start, key, 2).verdict, claim_verdict::Granted);
+    EXPECT_EQ(ledger.claim(start, claimOf(1, 1)).verdict, claim_verdict::Closed);
+    EXPECT_EQ(ledger.claim(start, claimOf(2, 2)).verdict, claim_verdict::Closed);
+    EXPECT_EQ(ledger.claim(start, claimOf(3, 3)).verdict, claim_verdict::Granted);
+    EXPECT_EQ(ledger.close(start, key, 3).verdict, claim_verdict::AlreadyClaimed) << "it may be running";
+    ledger.release(key, attempt(3));
+    EXPECT_EQ(ledger.close(start, key, 3).verdict, claim_verdict::Granted);
+}
+
+TEST(ClaimLedger, AFullLedgerRefusesRatherThanForgets)
+{
+    claim_ledger ledger(complete());
+    for (int i = 0; i < 3; ++i) {
+        auto request = claimOf(10);
+        request.key.key = request_key(std::to_string(i));
+        EXPECT_EQ(ledger.claim(start, request).verdict, claim_verdict::Granted);
+    }
+    EXPECT_EQ(ledger.claim(start, claimOf(1)).verdict, claim_verdict::LedgerFull);
+    EXPECT_EQ(ledger.claim(start + 11min, claimOf(1)).verdict, claim_verdict::Granted) << "their lifetime is over";
+}
+
+TEST(ClaimLedger, AHandOverCarriesEveryKeyAndEndsGranting)
+{
+    claim_ledger former(complete());
+    (void)former.claim(start, claimOf(1));
+    const auto rows = former.handOver(start);
+    EXPECT_EQ(former.claim(start, claimOf(1)).verdict, claim_verdict::Leaving);
+    claim_ledger next(young());
+    next.restore(start, rows);
+    EXPECT_EQ(next.claim(start, claimOf(2)).verdict, claim_verdict::AlreadyClaimed);
+    auto fresh = claimOf(3);
+    fresh.key.key = request_key("fresh");
+    EXPECT_EQ(next.claim(start, fresh).verdict, claim_verdict::Granted);
+}
+
+} // namespace
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/wire/codec_test.cpp
@@ -0,0 +1,108 @@
+#include "coltsfootbend/wire/codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace coltsfootbend {
+namespace {
+
+wire::message dispatchMessage()
+{
+    wire::dispatch dispatch;
+    dispatch.attempt = { vm_id("e"), incarnation(3), 9 };
+    dispatch.workerLife = incarnation(4);
+    dispatch.customer = customer_id("c");
+    dispatch.weight = 1.5;
+    dispatch.body = std::string("\0binary", 7);
+    return { .sender = vm_id("e"), .senderLife = incarnation(3), .version = config_version(12), .content = dispatch };
+}
+
+result<std::optional<wire::message>> decode(const std::string& bytes)
+{
+    wire::message_decoder decoder(1'000'000);
+    decoder.feed(bytes);
+    return decoder.next();
+}
+
+TEST(Codec, AMessageComesBackAsItWas)
+{
+    const auto back = decode(wire::encode(dispatchMessage()));
+    ASSERT_TRUE(back && *back);
+    EXPECT_EQ((*back)->version, config_version(12));
+    const auto& dispatch = std::get<wire::dispatch>((*back)->content);
+    EXPECT_EQ(dispatch.attempt, (attempt_id { vm_id("e"), incarnation(3), 9 }));
+    EXPECT_EQ(dispatch.body, std::string("\0binary", 7));
+    EXPECT_EQ(dispatch.weight, 1.5);
+}
+
+TEST(Codec, OptionalFieldsTravel)
+{
+    claim_request request;
+    request.replaces = attempt_id { vm_id("x"), incarnation(1), 2 };
+    request.ticketLife = incarnation(8);
+    const auto back
+        = decode(wire::encode({ .sender = {}, .senderLife = {}, .version = {}, .content = wire::claim { request } }));
+    ASSERT_TRUE(back && *back);
+    const auto& claim = std::get<wire::claim>((*back)->content).request;
+    EXPECT_EQ(claim.replaces, request.replaces);
+    EXPECT_EQ(claim.ticketLife, request.ticketLife);
+}
+
+// However the bytes are cut, the same messages come out.
+RC_GTEST_PROP(Codec, MessagesSurviveBeingCutAnywhere, ())
+{
+    const auto bytes = wire::encode(dispatchMessage()) + wire::encode(dispatchMessage());
+    wire::message_decoder decoder(1'000'000);
+    std::size_t at = 0;
+    int whole = 0;
+    while (at < bytes.size()) {
+        const auto size = std::min(bytes.size() - at, *rc::gen::inRange<std::size_t>(1, 40));
+        decoder.feed(std::string_view(bytes).substr(at, size));
+        at += size;
+        for (auto next = decoder.next(); next && *next; next = decoder.next())
+            ++whole;
+    }
+    RC_ASSERT(whole == 2);
+}
+
+RC_GTEST_PROP(Codec, AnyBytesAreReadOrRefused, (const std::string& bytes))
+{
+    (void)decode(bytes);
+    (void)wire::decodeLedger(bytes);
+}
+
+RC_GTEST_PROP(Codec, ADamagedMessageIsReadOrRefused, ())
+{
+    auto bytes = wire::encode(dispatchMessage());
+    const auto hits = *rc::gen::inRange(1, 4);
+    for (int i = 0; i < hits; ++i)
+        bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+    (void)decode(bytes);
+}
+
+TEST(Codec, AnEnumerationBeyondItsLastMemberIsRefused)
+{
+    auto bytes = wire::encode(
+        { .sender = {}, .senderLife = {}, .version = {}, .content = wire::revoke_reply { revoke_verdict::Forgotten } });
+    ASSERT_TRUE(decode(bytes));
+    bytes.back() = 99;
+    EXPECT_FALSE(decode(bytes));
+}
+
+TEST(Codec, ALedgerComesBackAsItWas)
+{
+    const std::vector<claim_snapshot_row> rows { { .key = { customer_id("c"), request_key("k") },
+        .holder = claim_holder { { vm_id("e"), incarnation(1), 2 }, { vm_id("w"), incarnation(3) } },
+        .closedThrough = 4,
+        .closed = true,
+        .bodyHash = 5 } };
+    const auto back = wire::decodeLedger(wire::encodeLedger(rows));
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->at(0).key, rows[0].key);
+    EXPECT_EQ(back->at(0).holder->place, rows[0].holder->place);
+    EXPECT_EQ(back->at(0).closedThrough, 4U);
+    EXPECT_TRUE(back->at(0).closed);
+}
+
+} // namespace
+} // namespace coltsfootbend
