--- a/coltsfootbend/base/hash_test.cpp
+++ b/coltsfootbend/base/hash_test.cpp
@@ -21,8 +21,8 @@
     auto fewer = all;
     const auto removed = fewer.back();
     fewer.pop_back();
-    const auto before = all[rendezvousIndex(key, all)];
-    const auto after = fewer[rendezvousIndex(key, fewer)];
+    const auto& before = all[rendezvousIndex(key, all)];
+    const auto& after = fewer[rendezvousIndex(key, fewer)];
     RC_ASSERT(before == removed || before == after);
 }
 
--- a/coltsfootbend/measure/request_scenarios.cpp
+++ b/coltsfootbend/measure/request_scenarios.cpp
@@ -79,12 +79,39 @@
     }
 }
 
+void measureDrain(figure_writer& out)
+{
+    const auto report = runRequestTrial(
+        { .seed = 7, .requests = 20'000, .faults = { fault_kind::WorkerLeaves }, .ticketShare = 0.4 });
+    out.write("drain.planned_stops", static_cast<double>(report.drains), "stops");
+    out.write("drain.cut", static_cast<double>(report.drainCut), "answers");
+    out.write("drain.late_work_ms", toMilliseconds(report.drainLateWork), "ms");
+    out.write("drain.answered_share", share(report.answered, report.tried), "share");
+}
+
+void measureStoreDown(figure_writer& out)
+{
+    const auto report
+        = runRequestTrial({ .seed = 8, .requests = 20'000, .faults = { fault_kind::StoreDown }, .ticketShare = 0.4 });
+    const auto table = runRequestTrial({ .seed = 8,
+        .requests = 20'000,
+        .faults = { fault_kind::StoreDown },
+        .way = claim_way::Table,
+        .keyedShare = 1 });
+    out.write("store_down.served_share", share(report.answered, report.tried), "share",
+        share(table.answered, table.tried), "claims in the table");
+    out.write("store_down.refused_share", share(report.refusedAttempts, report.callerAttempts), "share",
+        share(table.refusedAttempts, table.callerAttempts), "claims in the table");
+}
+
 } // namespace
 
 std::vector<scenario> requestScenarios()
 {
     return { { "requests", "promises to callers under every fault and every two", measurePromises },
-        { "ways", "the ways of keeping claims, fault by fault", measureWays } };
+        { "ways", "the ways of keeping claims, fault by fault", measureWays },
+        { "drain", "planned stops of worker daemons", measureDrain },
+        { "store_down", "outages of the platform", measureStoreDown } };
 }
 
 } // namespace coltsfootbend
--- a/coltsfootbend/measure/request_trial.cpp
+++ b/coltsfootbend/measure/request_trial.cpp
@@ -45,6 +45,9 @@
     falseNotRun += other.falseNotRun;
     tableWrites += other.tableWrites;
     answerTime += other.answerTime;
+    drains += other.drains;
+    drainCut += other.drainCut;
+    drainLateWork = std::max(drainLateWork, other.drainLateWork);
 }
 
 namespace {
@@ -57,6 +60,7 @@
 constexpr auto keyLifetime = 60s;
 constexpr auto requestSpacing = 4ms;
 constexpr auto faultSpacing = 1500ms;
+constexpr auto drainLimit = 10s;
 
 // One caller's request and all that is known of it from outside.
 struct trial_request {
@@ -82,6 +86,7 @@
     std::uint64_t life = 0;
     std::unique_ptr<attempt_executor> executor;
     time_point pausedUntil {};
+    time_point leftAt {};
     // Who follows an attempt's answer, and how far each has got.
     std::multimap<attempt_id, std::pair<std::function<bool(const answer_piece&)>, answer_position>> followers;
     std::map<attempt_id, std::size_t> requests;
@@ -240,11 +245,9 @@
             perform(worker);
             (void)handOverLedger({ m_platform, m_platform }, { worker.id, worker.executor->life() },
                 worker.executor->ledger(), m_time.now(), m_time.now());
+            worker.leftAt = m_time.now();
             announce();
-            m_time.after(300ms, [this, &worker, life = worker.life] {
-                if (worker.life == life)
-                    startLife(worker);
-            });
+            m_time.after(300ms, [this, &worker, life = worker.life] { endLife(worker, life); });
             return;
         case fault_kind::DataCentreCut:
             m_cutOff = static_cast<int>(pick(dataCentres));
@@ -262,6 +265,21 @@
         }
     }
 
+    // A planned stop ends when nothing runs any more, or at its limit.
+    void endLife(trial_worker& worker, std::uint64_t life)
+    {
+        if (worker.life != life)
+            return;
+        const bool isOver = worker.executor->isIdle() && worker.followers.empty();
+        if (!isOver && m_time.now() < worker.leftAt + drainLimit) {
+            m_time.after(20ms, [this, &worker, life] { endLife(worker, life); });
+            return;
+        }
+        m_report.drainCut += worker.followers.size();
+        ++m_report.drains;
+        startLife(worker);
+    }
+
     bool isCut(int from, int to) const { return from != to && (from == m_cutOff || to == m_cutOff); }
 
     // --- network: `sent` may arrive late or never; the sender may learn that it broke
@@ -470,6 +488,8 @@
                 .deadline = deadline,
                 .expectedService = 8ms,
                 .preemptible = true };
+            if (worker.executor->isLeaving() && action.place.life == worker.executor->life())
+                m_report.drainLateWork = std::max(m_report.drainLateWork, m_time.now() - worker.leftAt);
             if (action.place.life == worker.executor->life())
                 worker.requests[action.attempt] = exchange->request.index;
             const auto refused = worker.executor->dispatch(m_time.now(), job, action.place.life);
--- a/coltsfootbend/measure/request_trial.h
+++ b/coltsfootbend/measure/request_trial.h
@@ -43,7 +43,7 @@
 struct request_trial_options {
     std::uint64_t seed = 1;
     std::size_t requests = 1000;
-    std::vector<fault_kind> faults;
+    std::vector<fault_kind> faults {};
     claim_way way = claim_way::Home;
     // Share of requests that carry a key; of those, the share whose callers count their attempts.
     double keyedShare = 0.7;
@@ -66,6 +66,10 @@
     std::size_t tableWrites = 0;
     // Sum over answered requests of the time to the whole answer.
     duration answerTime {};
+    // Planned stops of worker daemons, answers that they cut off, and how long after "leaving" work still came.
+    std::size_t drains = 0;
+    std::size_t drainCut = 0;
+    duration drainLateWork {};
 
     void add(const request_trial_report&);
 };
--- a/coltsfootbend/measure/request_trial_test.cpp
+++ b/coltsfootbend/measure/request_trial_test.cpp
@@ -46,6 +46,15 @@
     EXPECT_EQ(report.refusedAttempts, 0U);
 }
 
+TEST(Promises, APlannedStopCutsOffNothingAndSoonGetsNoWork)
+{
+    const auto report = runRequestTrial({ .seed = 1, .requests = 3000, .faults = { fault_kind::WorkerLeaves } });
+    EXPECT_GE(report.drains, 5U);
+    EXPECT_EQ(report.drainCut, 0U);
+    EXPECT_LT(report.drainLateWork, std::chrono::seconds(2));
+    EXPECT_EQ(report.unknown, 0U);
+}
+
 TEST(Promises, ACutDataCentreServesItsTickets)
 {
     const auto report = runRequestTrial({ .seed = 1,
--- a/coltsfootbend/measure/scenario.h
+++ b/coltsfootbend/measure/scenario.h
@@ -43,5 +43,6 @@
 // The scenarios of each file.
 std::vector<scenario> requestScenarios();
 std::vector<scenario> fleetScenarios();
+std::vector<scenario> costScenarios();
 
 } // namespace coltsfootbend
--- a/coltsfootbend/membership/worker_directory_test.cpp
+++ b/coltsfootbend/membership/worker_directory_test.cpp
@@ -60,6 +60,7 @@
 TEST(AnnounceTargets, AreBoundedAndSpreadAtThePlannedSize)
 {
     std::vector<std::pair<vm_id, data_centre_id>> entries;
+    entries.reserve(320);
     for (int i = 0; i < 320; ++i)
         entries.emplace_back(vm_id("e" + std::to_string(i)), data_centre_id("dc" + std::to_string(i % 9)));
     std::map<vm_id, int> load;
--- a/coltsfootbend/routing/router_test.cpp
+++ b/coltsfootbend/routing/router_test.cpp
@@ -15,6 +15,7 @@
 std::vector<routing_worker> workers(int count)
 {
     std::vector<routing_worker> made;
+    made.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         made.push_back({ .place = { vm_id("w" + std::to_string(i)), incarnation(1) } });
     return made;
