--- /dev/null
+++ b/coltsfootbend/group/map_coordinator.cpp
@@ -0,0 +1,135 @@
+#include "coltsfootbend/group/map_coordinator.h"
+
+#include <algorithm>
+
+namespace coltsfootbend {
+
+map_coordinator::map_coordinator(const options& options)
+    : m_options(options)
+    , m_ranks(options.ranks)
+    , m_highestSeen(options.epoch)
+{
+}
+
+std::vector<coordinator_order> map_coordinator::tick(time_point now)
+{
+    const bool undecided = m_state == state::Preparing || m_state == state::Proposing;
+    if (undecided && now >= m_options.giveUpAt)
+        return giveUp();
+    if (now < m_askAgainAt)
+        return {};
+    return ask(now);
+}
+
+std::vector<coordinator_order> map_coordinator::handle(time_point now, rank_number rank, const rank_message& message)
+{
+    if (rank >= m_ranks.size())
+        return {};
+    const auto before = m_state;
+    std::visit([&](const auto& body) { on(rank, body); }, message);
+    return m_state == before ? std::vector<coordinator_order> {} : ask(now);
+}
+
+void map_coordinator::on(rank_number rank, const map_loaded& message)
+{
+    if (message.map != m_options.map)
+        return;
+    m_ranks[rank].loaded = true;
+    const bool all = std::all_of(m_ranks.begin(), m_ranks.end(), [](const rank_state& state) { return state.loaded; });
+    if (m_state == state::Preparing && all)
+        m_state = state::Proposing;
+}
+
+void map_coordinator::on(rank_number rank, const switch_promised& message)
+{
+    if (m_state != state::Proposing || message.epoch != m_options.epoch)
+        return;
+    m_ranks[rank].promise = message;
+    const bool all = std::all_of(
+        m_ranks.begin(), m_ranks.end(), [](const rank_state& state) { return state.promise.has_value(); });
+    if (!all)
+        return;
+    decide();
+    m_state = state::Deciding;
+}
+
+// Every rank has promised: no other epoch below this one can decide any more, and what one has decided is known to
+// whichever rank took it.
+void map_coordinator::decide()
+{
+    std::vector<map_segment> segments;
+    step_number highestLimit = 0;
+    decide_switch decision { .epoch = m_options.epoch, .schedule = {}, .lives = {} };
+    for (const auto& rank : m_ranks) {
+        const auto& promise = *rank.promise;
+        const auto& known = promise.schedule.segments;
+        segments.insert(segments.end(), known.begin(), known.end());
+        highestLimit = std::max(highestLimit, promise.limit);
+        decision.lives.push_back(promise.life);
+    }
+    // Decisions only ever append, so what the ranks know are pieces of one history.
+    std::sort(segments.begin(), segments.end());
+    segments.erase(std::unique(segments.begin(), segments.end()), segments.end());
+    // No rank has granted a step beyond the highest limit, and none will before it takes this decision: what an earlier
+    // one had planned for there need not happen any more.
+    m_switchAt = highestLimit + 1;
+    std::erase_if(segments, [this](const map_segment& segment) { return segment.from >= m_switchAt; });
+    segments.push_back({ m_switchAt, m_options.map });
+    decision.schedule = { m_options.epoch, std::move(segments) };
+    m_decision = decision;
+}
+
+void map_coordinator::on(rank_number rank, const switch_taken& message)
+{
+    if (m_state != state::Deciding || message.epoch != m_options.epoch)
+        return;
+    m_ranks[rank].taken = true;
+    if (std::all_of(m_ranks.begin(), m_ranks.end(), [](const rank_state& state) { return state.taken; }))
+        m_state = state::Done;
+}
+
+void map_coordinator::on(rank_number rank, const switch_refused& message)
+{
+    if (message.epoch != m_options.epoch)
+        return;
+    m_highestSeen = std::max(m_highestSeen, message.promised);
+    if (m_state == state::Done || m_state == state::GivenUp)
+        return;
+    const bool isNewLife = m_state == state::Deciding && message.promised < m_options.epoch;
+    if (message.promised > m_options.epoch || isNewLife) {
+        m_state = state::Overtaken;
+    } else if (m_state == state::Proposing) {
+        // It has not, or no longer, loaded the map: a restarted rank begins anew.
+        m_ranks[rank] = {};
+        m_state = state::Preparing;
+    }
+}
+
+std::vector<coordinator_order> map_coordinator::ask(time_point now)
+{
+    m_askAgainAt = now + m_options.askAgainAfter;
+    std::vector<coordinator_order> orders;
+    for (rank_number rank = 0; rank < m_ranks.size(); ++rank) {
+        const auto& state = m_ranks[rank];
+        if (m_state == state::Preparing && !state.loaded)
+            orders.push_back({ rank, prepare_map { m_options.epoch, m_options.map } });
+        else if (m_state == state::Proposing && !state.promise)
+            orders.push_back({ rank, propose_switch { m_options.epoch, m_options.map } });
+        else if (m_state == state::Deciding && !state.taken)
+            orders.push_back({ rank, *m_decision });
+    }
+    return orders;
+}
+
+// Nothing was decided, and nothing will be: this object sends no decision after it.
+std::vector<coordinator_order> map_coordinator::giveUp()
+{
+    const bool promised = m_state == state::Proposing;
+    m_state = state::GivenUp;
+    std::vector<coordinator_order> orders;
+    for (rank_number rank = 0; promised && rank < m_ranks.size(); ++rank)
+        orders.push_back({ rank, release_promise { m_options.epoch } });
+    return orders;
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/group/rank_agent.cpp
@@ -0,0 +1,127 @@
+#include "coltsfootbend/group/rank_agent.h"
+
+#include <algorithm>
+
+namespace coltsfootbend {
+
+namespace {
+
+// A rank keeps the maps that its schedule may still need, and one being loaded.
+constexpr std::size_t maxLoadedMaps = 4;
+
+} // namespace
+
+map_version map_schedule::mapAt(step_number step) const
+{
+    map_version found;
+    for (const auto& segment : segments) {
+        if (segment.from <= step)
+            found = segment.map;
+    }
+    return found;
+}
+
+rank_agent::rank_agent(const options& options)
+    : m_options(options)
+    , m_granted(options.engineAt)
+    , m_limit(options.engineAt)
+{
+}
+
+std::optional<map_version> rank_agent::grant(step_number step)
+{
+    if (!m_joined || step > m_limit)
+        return std::nullopt;
+    const auto map = m_schedule.mapAt(step);
+    if (map.isNone() || !m_loaded.contains(map))
+        return std::nullopt;
+    m_granted = std::max(m_granted, step);
+    return map;
+}
+
+std::optional<rank_message> rank_agent::handle(const coordinator_message& message)
+{
+    return std::visit([this](const auto& body) { return on(body); }, message);
+}
+
+std::optional<rank_message> rank_agent::on(const prepare_map& message)
+{
+    m_preparedFor = std::max(m_preparedFor, message.epoch);
+    if (message.epoch < m_preparedFor)
+        return switch_refused { message.epoch, m_preparedFor };
+    if (m_loaded.contains(message.map))
+        return map_loaded { message.epoch, message.map };
+    m_wanted = message.map;
+    return std::nullopt;
+}
+
+std::optional<rank_message> rank_agent::loaded(map_version map)
+{
+    m_loaded.insert(map);
+    while (m_loaded.size() > maxLoadedMaps) {
+        const auto unused = std::find_if(m_loaded.begin(), m_loaded.end(), [&](map_version other) {
+            return other != map
+                && std::none_of(m_schedule.segments.begin(), m_schedule.segments.end(),
+                    [&](const map_segment& segment) { return segment.map == other; });
+        });
+        if (unused == m_loaded.end())
+            break;
+        m_loaded.erase(unused);
+    }
+    if (m_wanted != map)
+        return std::nullopt;
+    m_wanted.reset();
+    wantNextMap();
+    return map_loaded { m_preparedFor, map };
+}
+
+// A fresh life may have to run steps under maps older than the one it was asked to prepare; those that its engine has
+// left behind are not among them.
+void rank_agent::wantNextMap()
+{
+    const auto& segments = m_schedule.segments;
+    for (std::size_t i = 0; i < segments.size() && !m_wanted; ++i) {
+        const bool isPast = i + 1 < segments.size() && segments[i + 1].from <= m_granted + 1;
+        if (!isPast && !m_loaded.contains(segments[i].map))
+            m_wanted = segments[i].map;
+    }
+}
+
+std::optional<rank_message> rank_agent::on(const propose_switch& message)
+{
+    if (message.epoch < m_promised || !m_loaded.contains(message.map))
+        return switch_refused { message.epoch, m_promised };
+    if (message.epoch > m_promised) {
+        m_promised = message.epoch;
+        // A limit that stands already is not moved: an earlier coordinator may have been told of it.
+        m_limit = std::min(m_limit, m_granted + (m_joined ? m_options.lead : 0));
+    }
+    return switch_promised { message.epoch, m_options.life, m_limit, m_schedule };
+}
+
+std::optional<rank_message> rank_agent::on(const decide_switch& message)
+{
+    // Only the epoch promised last may decide, and only for this very life: a former life's promise is not ours.
+    if (message.epoch != m_promised)
+        return switch_refused { message.epoch, m_promised };
+    if (m_options.rank >= message.lives.size() || message.lives[m_options.rank] != m_options.life)
+        return switch_refused { message.epoch, m_promised };
+    m_schedule = message.schedule;
+    // What every engine has left behind is not needed any more; a restarted rank may still be a little behind this one.
+    auto& segments = m_schedule.segments;
+    while (segments.size() > 1 && segments[1].from + maxGrantAhead <= m_granted)
+        segments.erase(segments.begin());
+    wantNextMap();
+    m_joined = true;
+    m_limit = unlimited;
+    return switch_taken { message.epoch, m_options.life };
+}
+
+std::optional<rank_message> rank_agent::on(const release_promise& message)
+{
+    if (message.epoch == m_promised && m_joined)
+        m_limit = unlimited;
+    return std::nullopt;
+}
+
+} // namespace coltsfootbend
--- a/coltsfootbend/measure/scenario.cpp
+++ b/coltsfootbend/measure/scenario.cpp
@@ -6,7 +6,7 @@
 {
     static const std::vector<scenario> all = [] {
         std::vector<scenario> collected;
-        for (const auto& part : { requestScenarios(), fleetScenarios(), costScenarios() })
+        for (const auto& part : { requestScenarios(), fleetScenarios(), groupScenarios(), costScenarios() })
             collected.insert(collected.end(), part.begin(), part.end());
         return collected;
     }();
--- a/coltsfootbend/measure/scenario.h
+++ b/coltsfootbend/measure/scenario.h
@@ -43,6 +43,7 @@
 // The scenarios of each file.
 std::vector<scenario> requestScenarios();
 std::vector<scenario> fleetScenarios();
+std::vector<scenario> groupScenarios();
 std::vector<scenario> costScenarios();
 
 } // namespace coltsfootbend
