--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -73,7 +73,7 @@
             if (!server || !client)
                 return tl::unexpected(server ? client.error() : server.error());
             peers.serverTls = (*server)->source();
-            peers.clientTls = (*client)->current();
+            peers.clientTls = (*client)->source();
         }
         if (m_settings.entry && m_settings.entry->callerTls) {
             auto store = tls_store::open(*m_settings.entry->callerTls, tls_role::Server);
--- a/coltsfootbend/wire/peer.cpp
+++ b/coltsfootbend/wire/peer.cpp
@@ -73,7 +73,7 @@
         m_bytesOfClosed += known->second->bytesMoved();
         m_connections.erase(known);
     }
-    auto opened = h2_connection::connect(m_runtime, address, m_tls, deadline);
+    auto opened = h2_connection::connect(m_runtime, address, m_tls ? m_tls() : tls_context {}, deadline);
     if (!opened)
         return opened;
     // Two fibers may have connected at once; one connection is enough for both.
--- a/coltsfootbend/wire/peer.h
+++ b/coltsfootbend/wire/peer.h
@@ -51,7 +51,8 @@
 public:
     peer_client(fiber_runtime&, const peer_identity&);
 
-    void setTls(tls_context tls) { m_tls = std::move(tls); }
+    // `tls` is asked for at each new connection; none for plain TCP.
+    void setTls(std::function<tls_context()> tls) { m_tls = std::move(tls); }
 
     // Opens a stream and sends its first message. Fails with `Unavailable` when nothing was sent.
     result<std::unique_ptr<peer_stream>> open(const endpoint&, wire::body first, bool last, time_point deadline);
@@ -67,7 +68,7 @@
 
     fiber_runtime& m_runtime;
     const peer_identity& m_identity;
-    tls_context m_tls;
+    std::function<tls_context()> m_tls;
     std::map<endpoint, std::shared_ptr<h2_connection>> m_connections;
     std::uint64_t m_bytesOfClosed = 0;
 };
@@ -77,7 +78,7 @@
     struct options {
         std::optional<endpoint> address;
         std::function<tls_context()> serverTls;
-        tls_context clientTls;
+        std::function<tls_context()> clientTls;
     };
 
     peer_service(fiber_runtime&, peer_identity, options);
