--- /dev/null
+++ b/coltsfootbend/group/placement.cpp
@@ -0,0 +1,223 @@
+#include "coltsfootbend/group/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <optional>
+
+namespace coltsfootbend {
+
+namespace {
+
+// How many of the least busy ranks are tried as the other side of a move.
+constexpr std::size_t candidateRanks = 24;
+// Moves made without a gain of their own, in the hope of a later one, before the planner stops.
+constexpr std::size_t patience = 12;
+
+} // namespace
+
+placement placement::initial(rank_number ranks, expert_number experts, std::uint32_t slots)
+{
+    placement made;
+    made.m_ranks = ranks;
+    made.m_slots = slots;
+    made.m_expert.resize(static_cast<std::size_t>(ranks) * slots);
+    made.m_replicas.resize(experts);
+    // Every round through the experts is shifted by one, so that copies of an expert lie on different ranks.
+    for (std::uint32_t slot = 0; slot < slots; ++slot) {
+        for (rank_number rank = 0; rank < ranks; ++rank) {
+            const auto index = static_cast<std::size_t>(slot) * ranks + rank;
+            const auto expert = static_cast<expert_number>((index + index / experts) % experts);
+            made.m_expert[rank * slots + slot] = expert;
+            ++made.m_replicas[expert];
+        }
+    }
+    return made;
+}
+
+bool placement::holds(rank_number rank, expert_number expert) const
+{
+    const auto begin = m_expert.begin() + static_cast<std::ptrdiff_t>(rank) * m_slots;
+    return std::find(begin, begin + m_slots, expert) != begin + m_slots;
+}
+
+void placement::replace(rank_number rank, std::uint32_t slot, expert_number expert)
+{
+    auto& held = m_expert[rank * m_slots + slot];
+    --m_replicas[held];
+    ++m_replicas[expert];
+    held = expert;
+}
+
+void placement::exchange(rank_number left, std::uint32_t leftSlot, rank_number right, std::uint32_t rightSlot)
+{
+    std::swap(m_expert[left * m_slots + leftSlot], m_expert[right * m_slots + rightSlot]);
+}
+
+std::vector<double> placement::rankLoads(const expert_load& load) const
+{
+    std::vector<double> loads(m_ranks);
+    for (std::size_t i = 0; i < m_expert.size(); ++i)
+        loads[i / m_slots] += load[m_expert[i]] / m_replicas[m_expert[i]];
+    return loads;
+}
+
+double placement::skew(const expert_load& load) const
+{
+    const auto loads = rankLoads(load);
+    const double sum = std::accumulate(loads.begin(), loads.end(), 0.0);
+    return sum > 0 ? *std::max_element(loads.begin(), loads.end()) * m_ranks / sum : 1;
+}
+
+std::size_t placement::movesTo(const placement& next) const
+{
+    std::size_t moves = 0;
+    for (rank_number rank = 0; rank < m_ranks; ++rank) {
+        for (std::uint32_t slot = 0; slot < m_slots; ++slot)
+            moves += holds(rank, next.at(rank, slot)) ? 0 : 1;
+    }
+    return moves;
+}
+
+namespace {
+
+// One way to relieve the busiest rank.
+struct candidate_move {
+    bool isExchange = false; // Two experts travel; otherwise one replica more.
+    rank_number from = 0;
+    std::uint32_t fromSlot = 0;
+    rank_number to = 0;
+    std::uint32_t toSlot = 0;
+    double score = 0; // The larger load of the two ranks afterwards.
+};
+
+class planner {
+public:
+    planner(const placement& current, const expert_load& load)
+        : m_placement(current)
+        , m_load(load)
+        , m_loads(current.rankLoads(load))
+    {
+    }
+
+    const placement& result() const { return m_placement; }
+    double skew() const { return m_placement.skew(m_load); }
+
+    // Makes the best move for the busiest rank. Returns how many experts travel; 0 when none helps.
+    std::size_t relieve()
+    {
+        const auto busiest
+            = static_cast<rank_number>(std::max_element(m_loads.begin(), m_loads.end()) - m_loads.begin());
+        std::optional<candidate_move> best;
+        for (const auto other : leastBusy(busiest)) {
+            for (std::uint32_t slot = 0; slot < m_placement.slots(); ++slot) {
+                for (std::uint32_t otherSlot = 0; otherSlot < m_placement.slots(); ++otherSlot) {
+                    consider(replicate(busiest, slot, other, otherSlot), best);
+                    consider(exchange(busiest, slot, other, otherSlot), best);
+                }
+            }
+        }
+        if (!best || best->score >= m_loads[busiest])
+            return 0;
+        if (best->isExchange)
+            m_placement.exchange(best->from, best->fromSlot, best->to, best->toSlot);
+        else
+            m_placement.replace(best->to, best->toSlot, m_placement.at(best->from, best->fromSlot));
+        m_loads = m_placement.rankLoads(m_load);
+        return best->isExchange ? 2 : 1;
+    }
+
+private:
+    std::vector<rank_number> leastBusy(rank_number except) const
+    {
+        std::vector<rank_number> order(m_loads.size());
+        std::iota(order.begin(), order.end(), 0U);
+        const auto kept = std::min(candidateRanks, order.size());
+        std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(kept), order.end(),
+            [this](rank_number left, rank_number right) { return m_loads[left] < m_loads[right]; });
+        order.resize(kept);
+        std::erase(order, except);
+        return order;
+    }
+
+    double each(expert_number expert) const { return m_load[expert] / m_placement.replicas(expert); }
+
+    static void consider(const std::optional<candidate_move>& move, std::optional<candidate_move>& best)
+    {
+        if (move && (!best || move->score < best->score))
+            best = move;
+    }
+
+    // One more replica of an expert of the busiest rank, in place of one that lies elsewhere too.
+    std::optional<candidate_move> replicate(
+        rank_number busiest, std::uint32_t slot, rank_number other, std::uint32_t otherSlot) const
+    {
+        const auto hot = m_placement.at(busiest, slot);
+        const auto dropped = m_placement.at(other, otherSlot);
+        if (hot == dropped || m_placement.replicas(dropped) < 2 || m_placement.holds(other, hot))
+            return std::nullopt;
+        const double after = m_load[hot] / (m_placement.replicas(hot) + 1);
+        const double left = m_loads[busiest] - each(hot) + after;
+        const double right = m_loads[other] - each(dropped) + after;
+        const double droppedAfter = m_load[dropped] / (m_placement.replicas(dropped) - 1);
+        const double rise = droppedAfter - each(dropped);
+        double score = std::max(left, right);
+        // Whoever else holds the dropped expert takes over its share.
+        for (rank_number rank = 0; rank < m_placement.ranks(); ++rank) {
+            if (rank != other && m_placement.holds(rank, dropped))
+                score = std::max(score, m_loads[rank] + rise);
+        }
+        return candidate_move { false, busiest, slot, other, otherSlot, score };
+    }
+
+    std::optional<candidate_move> exchange(
+        rank_number busiest, std::uint32_t slot, rank_number other, std::uint32_t otherSlot) const
+    {
+        const auto heavy = m_placement.at(busiest, slot);
+        const auto light = m_placement.at(other, otherSlot);
+        if (m_placement.holds(other, heavy) || m_placement.holds(busiest, light))
+            return std::nullopt;
+        const double change = each(heavy) - each(light);
+        const double score = std::max(m_loads[busiest] - change, m_loads[other] + change);
+        return candidate_move { true, busiest, slot, other, otherSlot, score };
+    }
+
+    placement m_placement;
+    const expert_load& m_load;
+    std::vector<double> m_loads;
+};
+
+} // namespace
+
+rebalance_plan planRebalance(const placement& current, const expert_load& load, const rebalance_options& options)
+{
+    planner planner(current, load);
+    rebalance_plan plan {
+        .next = current, .moves = 0, .skewBefore = current.skew(load), .skewAfter = current.skew(load)
+    };
+    std::size_t moves = 0;
+    std::size_t idle = 0;
+    double bestValue = 0;
+    // Several ranks may be equally busy, so one move alone often gains nothing: the plan is cut where it was worth
+    // most.
+    while (moves < options.maxMoves && idle < patience) {
+        const auto made = planner.relieve();
+        if (made == 0)
+            break;
+        moves += made;
+        const double skew = planner.skew();
+        const double value = plan.skewBefore - skew - options.gainPerMove * static_cast<double>(moves);
+        if (value > bestValue && moves <= options.maxMoves) {
+            bestValue = value;
+            plan.next = planner.result();
+            plan.moves = moves;
+            plan.skewAfter = skew;
+            idle = 0;
+        } else {
+            ++idle;
+        }
+    }
+    return plan;
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/group/rebalancer_test.cpp
@@ -0,0 +1,63 @@
+#include "coltsfootbend/group/rebalancer.h"
+
+#include <gtest/gtest.h>
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point start = time_point {} + 1h;
+
+expert_load hotExpert()
+{
+    expert_load load(16, 0.5 / 15);
+    load[3] = 0.5;
+    return load;
+}
+
+rebalancer layer(double protectedLimit = 100)
+{
+    return rebalancer(
+        placement::initial(8, 16, 4), { .gainPerMove = 0.01, .interval = 5min, .protectedLimit = protectedLimit });
+}
+
+TEST(Rebalancer, PlansWhenDueAndWorthIt)
+{
+    auto balanced = layer();
+    EXPECT_FALSE(balanced.decide(start)) << "nothing is known yet";
+    balanced.observe(hotExpert());
+    const auto plan = balanced.decide(start);
+    ASSERT_TRUE(plan);
+    EXPECT_FALSE(balanced.decide(start + 1min)) << "not due";
+    balanced.carriedOut(*plan);
+    EXPECT_FALSE(balanced.decide(start + 6min)) << "nothing is left to gain";
+}
+
+TEST(Rebalancer, KeepsOutOfProtectedHoursUnlessTheLossPassesTheLimit)
+{
+    const std::vector<protected_window> morning { { start, start + 4h } };
+    auto calm = layer();
+    calm.setProtected(morning);
+    calm.observe(hotExpert());
+    EXPECT_FALSE(calm.decide(start + 1h));
+    EXPECT_TRUE(calm.decide(start + 4h)) << "the window is over";
+    auto strict = layer(1.5);
+    strict.setProtected(morning);
+    strict.observe(hotExpert());
+    EXPECT_GT(strict.expectedSkew(), 1.5);
+    EXPECT_TRUE(strict.decide(start + 1h));
+}
+
+TEST(Rebalancer, OneOddReportMovesLittle)
+{
+    auto steady = layer();
+    for (int i = 0; i < 10; ++i)
+        steady.observe(expert_load(16, 1.0 / 16));
+    const double before = steady.expectedSkew();
+    steady.observe(hotExpert());
+    EXPECT_LT(steady.expectedSkew(), before + 0.4 * (steady.current().skew(hotExpert()) - before));
+}
+
+} // namespace
+} // namespace coltsfootbend
--- a/coltsfootbend/measure/scenario.cpp
+++ b/coltsfootbend/measure/scenario.cpp
@@ -6,7 +6,8 @@
 {
     static const std::vector<scenario> all = [] {
         std::vector<scenario> collected;
-        for (const auto& part : { requestScenarios(), fleetScenarios(), groupScenarios(), costScenarios() })
+        for (const auto& part :
+            { requestScenarios(), fleetScenarios(), groupScenarios(), rebalanceScenarios(), costScenarios() })
             collected.insert(collected.end(), part.begin(), part.end());
         return collected;
     }();
