Cancel what nobody reads; TLS for operators

Cause: worker daemons answered `cancel`, but no entry VM sent it, so a repeatable request whose caller had gone kept its slot to the end; and operators' traffic was in the clear although callers' was not. Conclusion: attempts that may not be repeated are left to end, for stopping them half way would help nobody.

--- a/coltsfootbend/ctl/main.cpp
+++ b/coltsfootbend/ctl/main.cpp
@@ -3,6 +3,7 @@
 #include "coltsfootbend/config/configuration.h"
 #include "coltsfootbend/net/http.h"
 
+#include <boost/asio/ssl.hpp>
 #include <csignal>
 #include <cxxopts.hpp>
 #include <fstream>
@@ -52,13 +53,14 @@
     std::optional<std::uint64_t> against;
     std::optional<std::uint64_t> from;
     std::string id;
+    tls_context tls;
 };
 
 class control_client {
 public:
     explicit control_client(const invocation& invocation)
         : m_invocation(invocation)
-        , m_client(m_runtime)
+        , m_client(m_runtime, { .tls = invocation.tls })
     {
     }
 
@@ -279,7 +281,8 @@
     options.add_options()(
         "e,entry", "operators' address of an entry VM", cxxopts::value<std::string>()->default_value("127.0.0.1:8081"))(
         "k,key", "operator's key; better in COLTSFOOTBEND_KEY", cxxopts::value<std::string>()->default_value(""))(
-        "json", "print JSON")("against", "the version that the patch is written against",
+        "json", "print JSON")("authority", "file of the authority that signed the entry VM's certificate; uses TLS",
+        cxxopts::value<std::string>())("against", "the version that the patch is written against",
         cxxopts::value<std::uint64_t>())("from", "first version to list", cxxopts::value<std::uint64_t>())("id",
         "the patch's own id; send it again to learn a lost outcome", cxxopts::value<std::string>()->default_value(""))(
         "h,help", "print this")("command", "", cxxopts::value<std::vector<std::string>>());
@@ -306,6 +309,11 @@
     if (arguments.count("from") > 0)
         invocation.from = arguments["from"].as<std::uint64_t>();
     invocation.id = arguments["id"].as<std::string>();
+    if (arguments.count("authority") > 0) {
+        invocation.tls = std::make_shared<boost::asio::ssl::context>(boost::asio::ssl::context::tls_client);
+        invocation.tls->load_verify_file(arguments["authority"].as<std::string>());
+        invocation.tls->set_verify_mode(boost::asio::ssl::verify_peer);
+    }
     return runCommand(invocation);
 }
 
--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -95,8 +95,9 @@
             m_kernel.add(std::make_unique<worker_service>(m_runtime, m_settings, m_life));
         if (!m_settings.entry)
             return {};
-        m_kernel.add(std::make_unique<entry_service>(m_runtime, m_settings, m_life, std::move(callerTls)));
-        m_kernel.add(std::make_unique<operator_service>(m_runtime, m_settings, m_life, [this] { leave(); }));
+        m_kernel.add(std::make_unique<entry_service>(m_runtime, m_settings, m_life, callerTls));
+        m_kernel.add(std::make_unique<operator_service>(
+            m_runtime, m_settings, m_life, std::move(callerTls), [this] { leave(); }));
         return {};
     }
 
--- a/coltsfootbend/entry/caller_exchange.cpp
+++ b/coltsfootbend/entry/caller_exchange.cpp
@@ -4,6 +4,7 @@
 #include "coltsfootbend/base/log_event.h"
 #include "coltsfootbend/request/ticket.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -169,6 +170,7 @@
         void operator()(const send_revoke& action) const { self.begin(action); }
         void operator()(const send_join& action) const { self.begin(action); }
         void operator()(const send_close& action) const { self.begin(action); }
+        void operator()(const send_cancel& action) const { self.begin(action); }
         void operator()(const forward_head& action) const
         {
             self.m_headSent = true;
@@ -246,6 +248,12 @@
     ask(action.operation, action.home, std::move(question), true);
 }
 
+void caller_exchange::begin(const send_cancel& action)
+{
+    constexpr std::uint64_t noOperation = std::numeric_limits<std::uint64_t>::max();
+    ask(noOperation, action.place.worker, wire::cancel { action.attempt, action.place.life });
+}
+
 void caller_exchange::begin(const send_revoke& action)
 {
     ask(action.operation, action.place.worker, wire::revoke { action.attempt, action.place.life });
--- a/coltsfootbend/entry/caller_exchange.h
+++ b/coltsfootbend/entry/caller_exchange.h
@@ -32,6 +32,7 @@
     void begin(const send_revoke&);
     void begin(const send_join&);
     void begin(const send_close&);
+    void begin(const send_cancel&);
     void conclude(const finish_request&, http_responder&);
 
     template <typename Work> void spawn(Work);
--- a/coltsfootbend/measure/request_trial.cpp
+++ b/coltsfootbend/measure/request_trial.cpp
@@ -519,6 +519,7 @@
             lose(exchange, action.operation, false);
     }
 
+    void perform(const exchange_ptr&, const send_cancel&) { } // The engine's affair.
     void perform(const exchange_ptr&, const forward_head&) { }
     void perform(const exchange_ptr& exchange, const forward_bytes& action) { exchange->forwarded += action.bytes; }
     void perform(const exchange_ptr& exchange, const finish_request& action)
--- a/coltsfootbend/operators/operator_service.cpp
+++ b/coltsfootbend/operators/operator_service.cpp
@@ -55,11 +55,12 @@
 
 } // namespace
 
-operator_service::operator_service(
-    fiber_runtime& runtime, const daemon_settings& settings, incarnation life, std::function<void()> onDrain)
+operator_service::operator_service(fiber_runtime& runtime, const daemon_settings& settings, incarnation life,
+    std::function<tls_context()> tls, std::function<void()> onDrain)
     : m_runtime(runtime)
     , m_settings(settings)
     , m_life(life)
+    , m_tls(std::move(tls))
     , m_onDrain(std::move(onDrain))
 {
 }
@@ -73,7 +74,7 @@
     if (!m_entry || !m_configuration || !m_metrics || !m_peers)
         return fail(error_kind::NotFound, "it needs 'entry' and its services", "Add a table [entry] to the settings");
     auto opened = listener::open(
-        m_runtime, { .address = m_settings.entry->operators, .tls = {} }, [this](const byte_stream_ptr& stream) {
+        m_runtime, { .address = m_settings.entry->operators, .tls = m_tls }, [this](const byte_stream_ptr& stream) {
             serveHttp(
                 m_runtime, stream, {},
                 [this](
--- a/coltsfootbend/operators/operator_service.h
+++ b/coltsfootbend/operators/operator_service.h
@@ -11,8 +11,9 @@
 
 class operator_service final : public service {
 public:
-    // `onDrain` makes this process leave.
-    operator_service(fiber_runtime&, const daemon_settings&, incarnation life, std::function<void()> onDrain);
+    // `onDrain` makes this process leave. `tls` is asked for at each connection; none for plain TCP.
+    operator_service(fiber_runtime&, const daemon_settings&, incarnation life, std::function<tls_context()> tls,
+        std::function<void()> onDrain);
 
     std::string_view name() const override { return "operators"; }
     result<void> start(kernel&) override;
@@ -29,6 +30,7 @@
     fiber_runtime& m_runtime;
     const daemon_settings& m_settings;
     const incarnation m_life;
+    const std::function<tls_context()> m_tls;
     const std::function<void()> m_onDrain;
     entry_service* m_entry = nullptr;
     config_service* m_configuration = nullptr;
--- a/coltsfootbend/request/request_flow.cpp
+++ b/coltsfootbend/request/request_flow.cpp
@@ -340,6 +340,8 @@
     // A keyed attempt goes on, for the caller may come back and join it; any other is revoked if it still waits.
     if (m_state == state::Dispatching && !m_request.key)
         send(send_revoke { .attempt = m_attempt, .place = m_place });
+    if (m_state == state::Streaming && !m_request.key && m_request.idempotent)
+        m_actions.emplace_back(send_cancel { m_attempt, m_place });
     finish(outcome::Unknown, refusal::CallerGone);
 }
 
--- a/coltsfootbend/request/request_flow.h
+++ b/coltsfootbend/request/request_flow.h
@@ -85,6 +85,11 @@
     incarnation ticketLife;
     std::optional<attempt_id> releases;
 };
+// Nobody waits for this attempt any more, and it may be run again: its backend server need not go on. No result comes.
+struct send_cancel {
+    attempt_id attempt;
+    run_place place;
+};
 struct forward_head {
     int status = 0;
     std::string contentType;
@@ -100,8 +105,8 @@
     // The caller may send the same key again: it will run at most once.
     bool sameKeyMayRetry = false;
 };
-using flow_action = std::variant<send_claim, send_dispatch, send_revoke, send_join, send_close, forward_head,
-    forward_bytes, finish_request>;
+using flow_action = std::variant<send_claim, send_dispatch, send_revoke, send_join, send_close, send_cancel,
+    forward_head, forward_bytes, finish_request>;
 
 // Events.
 struct caller_started { };
--- a/coltsfootbend/request/request_flow_test.cpp
+++ b/coltsfootbend/request/request_flow_test.cpp
@@ -66,6 +66,7 @@
     {
         m_trace << "        close#" << action.operation << " through attempt number " << action.attemptNumber << "\n";
     }
+    void write(const send_cancel& action) { writeTo("cancel", 0, action.attempt, action.place); }
     void write(const forward_head& action) { m_trace << "        caller gets status " << action.status << "\n"; }
     void write(const forward_bytes& action) { m_trace << "        caller gets '" << action.bytes << "'\n"; }
     void write(const finish_request& action)
@@ -208,6 +209,11 @@
                .say(0ms, "caller", 0, caller_started {})
                .say(5ms, "caller gone", 0, caller_gone {})
                .end();
+    all += session("an answer that nobody reads any more is cancelled if it may be repeated", repeatable())
+               .say(0ms, "caller", 0, caller_started {})
+               .say(2ms, "head", 1, answer_head { 200, "" })
+               .say(5ms, "caller gone", 0, caller_gone {})
+               .end();
     return all;
 }
 
