Process script: start one again only when its former life has ended

Cause: `scripts/faults.sh` started worker-1 while the leaving one still had its port (its hand-over waited for the paused platform); the new one could not listen and ended, and a third of the keys had no home for the rest of the run, which took over two minutes. Change: `processes.sh start NAME` waits for the former process, at most ten seconds. Ruled out: a drain that hangs; its log shows the hand-over of 295 keys and the end 1.5 s after it began. Conclusion: a fault of the script. On real VMs a replaced process has the same wait to make.

--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -67,6 +67,13 @@
 }
 
 start_one() {
+  # A leaving process keeps its port until it is done.
+  if [ -f "$dir/$1.pid" ]; then
+    for _ in $(seq 100); do
+      kill -0 "$(cat "$dir/$1.pid")" 2>/dev/null || break
+      sleep 0.1
+    done
+  fi
   "$bin/coltsfootbend" --settings "$dir/$1.toml" >>"$dir/$1.log" 2>&1 &
   echo $! >"$dir/$1.pid"
 }
