Membership measured; late work of drains counted to the end

Cause: detection had no figure, and `drain.late_work_ms` stopped counting when the leaving life ended. Change: scenario `membership` over the shipped directory; the drain figure counts whatever is still sent to a life that left.

--- a/coltsfootbend/measure/request_trial.cpp
+++ b/coltsfootbend/measure/request_trial.cpp
@@ -246,6 +246,7 @@
             (void)handOverLedger({ m_platform, m_platform }, { worker.id, worker.executor->life() },
                 worker.executor->ledger(), m_time.now(), m_time.now());
             worker.leftAt = m_time.now();
+            m_leftAt[worker.executor->life()] = m_time.now();
             announce();
             m_time.after(300ms, [this, &worker, life = worker.life] { endLife(worker, life); });
             return;
@@ -481,6 +482,9 @@
     void perform(const exchange_ptr& exchange, const send_dispatch& action)
     {
         auto& worker = workerOf(action.place.worker);
+        // Also counts what goes to a life that has ended meanwhile.
+        if (const auto left = m_leftAt.find(action.place.life); left != m_leftAt.end())
+            m_report.drainLateWork = std::max(m_report.drainLateWork, m_time.now() - left->second);
         const auto deadline = m_time.now() + requestTimeout;
         const bool sent = carry(exchange->entry->dataCentre, worker, [this, exchange, action, &worker, deadline] {
             const admission_job job { .attempt = action.attempt,
@@ -488,8 +492,6 @@
                 .deadline = deadline,
                 .expectedService = 8ms,
                 .preemptible = true };
-            if (worker.executor->isLeaving() && action.place.life == worker.executor->life())
-                m_report.drainLateWork = std::max(m_report.drainLateWork, m_time.now() - worker.leftAt);
             if (action.place.life == worker.executor->life())
                 worker.requests[action.attempt] = exchange->request.index;
             const auto refused = worker.executor->dispatch(m_time.now(), job, action.place.life);
@@ -729,6 +731,7 @@
     std::vector<std::shared_ptr<trial_entry>> m_entries;
     std::vector<std::unique_ptr<trial_request>> m_requests;
     std::uint64_t m_lives = 0;
+    std::map<incarnation, time_point> m_leftAt;
     int m_cutOff = -1;
     request_trial_report m_report;
 };
--- a/coltsfootbend/measure/scenario.cpp
+++ b/coltsfootbend/measure/scenario.cpp
@@ -6,8 +6,8 @@
 {
     static const std::vector<scenario> all = [] {
         std::vector<scenario> collected;
-        for (const auto& part :
-            { requestScenarios(), fleetScenarios(), groupScenarios(), rebalanceScenarios(), costScenarios() })
+        for (const auto& part : { requestScenarios(), fleetScenarios(), groupScenarios(), rebalanceScenarios(),
+                 membershipScenarios(), costScenarios() })
             collected.insert(collected.end(), part.begin(), part.end());
         return collected;
     }();
--- a/coltsfootbend/measure/scenario.h
+++ b/coltsfootbend/measure/scenario.h
@@ -44,6 +44,7 @@
 std::vector<scenario> requestScenarios();
 std::vector<scenario> fleetScenarios();
 std::vector<scenario> groupScenarios();
+std::vector<scenario> membershipScenarios();
 std::vector<scenario> rebalanceScenarios();
 std::vector<scenario> costScenarios();
 
