Refuse patches that move keys between homes

Cause: a changed `holders` list sends a key to a home that has never heard of it, which would grant it again: the one way left to run a request twice, and an operator could take it with a plain patch. Change: once set, the list stays; the refusal names the remedy (a replaced VM keeps its id, new workers need not be holders). Ruled out for now: a home that counts as young after such a change. An entry VM that is cut off with the old list could still have the old home grant, after the new one has become complete. Before: accepted. After: refused, with a test that also shows a replaced VM's new address being accepted. Conclusion: safe and inconvenient; a hand-over between homes is to lift it.

--- a/coltsfootbend/config/config_store.cpp
+++ b/coltsfootbend/config/config_store.cpp
@@ -167,8 +167,14 @@
             .mergePatch = patch.mergePatch,
             .undoPatch = {} };
         const auto before = state.document();
+        const auto holdersBefore = state.current()->holders;
         if (auto applied = state.apply(step); !applied)
             return tl::unexpected(applied.error());
+        // A key whose home moved would be granted anew by a home that has never heard of it.
+        if (!holdersBefore.empty() && holdersBefore != state.current()->holders) {
+            return fail(error_kind::BadInput, "/holders cannot be changed once it is set: keys could run twice",
+                "Keep the list; a replaced VM keeps its id, and new workers need not be holders");
+        }
         step.undoPatch = differenceBetween(state.document(), before);
         const auto value = encodeNext(*read, step, state, deadline);
         if (!value)
--- a/coltsfootbend/config/config_store_test.cpp
+++ b/coltsfootbend/config/config_store_test.cpp
@@ -60,6 +60,24 @@
     EXPECT_TRUE(state.version().isNone());
 }
 
+TEST(ConfigStore, RefusesToMoveKeysBetweenHomes)
+{
+    memory_platform platform;
+    config_store store(platform, platform);
+    auto first = patch("p1", 0, "a");
+    first.mergePatch = R"({"workers":{"w1":{"address":"10.0.0.1:1","data_centre":"d"},
+        "w2":{"address":"10.0.0.2:1","data_centre":"d"}},"holders":["w1"]})";
+    ASSERT_TRUE(store.accept(first, noDeadline));
+    auto moved = patch("p2", 1, "a");
+    moved.mergePatch = R"({"holders":["w1","w2"]})";
+    const auto refused = store.accept(moved, noDeadline);
+    ASSERT_FALSE(refused);
+    EXPECT_NE(refused.error().message.find("/holders"), std::string::npos);
+    auto replaced = patch("p3", 1, "a");
+    replaced.mergePatch = R"({"workers":{"w1":{"address":"10.0.0.9:1"}}})";
+    EXPECT_TRUE(store.accept(replaced, noDeadline)) << "the same holder at another address";
+}
+
 TEST(ConfigStore, KeepsTheWholeHistoryWithWhatWasBefore)
 {
     memory_platform platform;
--- a/coltsfootbend/config/configuration.h
+++ b/coltsfootbend/config/configuration.h
@@ -66,7 +66,8 @@
     std::map<customer_id, customer_config> customers;
     std::map<deployment_id, deployment_config> deployments;
     std::map<vm_id, worker_config> workers;
-    // Worker daemons that keep claims. Changing them moves keys, so it is done rarely; see docs/design/AT-MOST-ONCE.md.
+    // Worker daemons that keep claims. Once set it stays, for a change would move keys; see
+    // docs/design/AT-MOST-ONCE.md.
     std::vector<vm_id> holders;
     std::map<std::string, operator_config> operators;
     std::map<std::string, event_config> events;
