Limit the nesting of JSON that comes from outside

Cause: the JSON library writes values recursively, and a fiber's stack is 128 KiB: a caller's body of brackets ended the entry daemon. Seen with the new test before the change: the process died. Before: the test ends its process. Conclusion: found by asking what each decoder does with hostile input after it has parsed it.

--- a/coltsfootbend/config/configuration.cpp
+++ b/coltsfootbend/config/configuration.cpp
@@ -1,5 +1,6 @@
 #include "coltsfootbend/config/configuration.h"
 
+#include "coltsfootbend/base/json_input.h"
 #include "coltsfootbend/net/byte_stream.h"
 
 #include <algorithm>
@@ -260,9 +261,11 @@
 
 result<configuration> parseConfiguration(config_version version, std::string_view document)
 {
-    const auto parsed = json::parse(document, nullptr, false);
-    if (!parsed.is_object())
-        return fail(error_kind::BadInput, "the configuration is no JSON object", "Send a JSON object");
+    const auto input = parseJsonInput(document);
+    if (!input || !input->is_object())
+        return fail(
+            error_kind::BadInput, "the configuration is no JSON object", "Send a JSON object, not nested too deep");
+    const auto& parsed = *input;
     std::optional<error> problem;
     object_reader root(parsed, "", problem);
     configuration read;
@@ -282,12 +285,12 @@
 
 result<std::string> applyMergePatch(std::string_view document, std::string_view patch)
 {
-    auto target = json::parse(document, nullptr, false);
-    const auto change = json::parse(patch, nullptr, false);
-    if (!target.is_object() || !change.is_object())
+    auto target = parseJsonInput(document);
+    const auto change = parseJsonInput(patch);
+    if (!target || !change || !target->is_object() || !change->is_object())
         return fail(error_kind::BadInput, "the patch is no JSON object", "Send a JSON merge patch (RFC 7386)");
-    target.merge_patch(change);
-    return target.dump();
+    target->merge_patch(*change);
+    return target->dump();
 }
 
 std::string differenceBetween(std::string_view before, std::string_view after)
--- a/coltsfootbend/entry/caller_request.cpp
+++ b/coltsfootbend/entry/caller_request.cpp
@@ -1,6 +1,7 @@
 #include "coltsfootbend/entry/caller_request.h"
 
 #include "coltsfootbend/base/hash.h"
+#include "coltsfootbend/base/json_input.h"
 #include "coltsfootbend/request/ticket.h"
 
 #include <algorithm>
@@ -86,7 +87,10 @@
 
 result<void> readCompletion(const configuration& configuration, const http_request& request, caller_request& parsed)
 {
-    const auto body = json::parse(request.body, nullptr, false);
+    const auto input = parseJsonInput(request.body);
+    if (!input)
+        return tl::unexpected(input.error());
+    const auto& body = *input;
     if (!body.is_object() || !body.contains("messages") || !body["messages"].is_array())
         return fail(error_kind::BadInput, "the body is no chat completion request",
             "Send a JSON object with 'model' and a list 'messages'");
--- a/coltsfootbend/entry/caller_request_test.cpp
+++ b/coltsfootbend/entry/caller_request_test.cpp
@@ -106,6 +106,15 @@
     EXPECT_EQ(kindOf(keyTwice), error_kind::BadInput);
 }
 
+TEST(CallerRequest, ABodyOfBracketsIsRefusedAndDoesNotEndTheProcess)
+{
+    const std::string open(1'000'000, '[');
+    const std::string close(1'000'000, ']');
+    const auto parsed = parse(post("/v1/chat/completions", R"({"model":"map-1","messages":)" + open + close + "}"));
+    ASSERT_FALSE(parsed);
+    EXPECT_NE(parsed.error().message.find("too deep"), std::string::npos);
+}
+
 RC_GTEST_PROP(CallerRequest, AnyBodyIsReadOrRefused, (const std::string& body, const std::string& header))
 {
     auto request = post("/v1/chat/completions", body);
--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -380,7 +380,8 @@
 {
     const nlohmann::json body { { "error",
         { { "kind", toString(error.kind) }, { "message", error.message }, { "remedy", error.remedy } } } };
-    return { { status, { { "Content-Type", "application/json" } } }, body.dump() + "\n" };
+    return { { status, { { "Content-Type", "application/json" } } },
+        body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n" };
 }
 
 } // namespace coltsfootbend
--- a/coltsfootbend/operators/operator_service.cpp
+++ b/coltsfootbend/operators/operator_service.cpp
@@ -1,5 +1,6 @@
 #include "coltsfootbend/operators/operator_service.h"
 
+#include "coltsfootbend/base/json_input.h"
 #include "coltsfootbend/base/log_event.h"
 
 #include <algorithm>
@@ -146,7 +147,7 @@
 
 http_response operator_service::patchConfiguration(const http_request& request, const operator_identity& identity)
 {
-    const auto body = json::parse(request.body, nullptr, false);
+    const auto body = parseJsonInput(request.body).value_or(json());
     const bool isWhole = body.is_object() && body.contains("against") && body["against"].is_number_unsigned()
         && body.contains("id") && body["id"].is_string() && body.contains("patch") && body["patch"].is_object();
     if (!isWhole) {
@@ -194,7 +195,7 @@
 
 http_response operator_service::drain(const http_request& request, const operator_identity& identity)
 {
-    const auto body = json::parse(request.body, nullptr, false);
+    const auto body = parseJsonInput(request.body).value_or(json());
     if (!body.is_object() || !body.contains("vm") || !body["vm"].is_string())
         return failed({ error_kind::BadInput, "the body names no VM", "Send {\"vm\": \"ID\"}" });
     const vm_id vm(body["vm"].get<std::string>());
