Log suspicions; remove an event and a field that nothing used

Cause: the catalogue listed E301 (a worker daemon is silent) and E103, and nothing ever logged them; `isStream` was read by a test only. Change: the directory names whom it newly suspects, and the entry VM logs E301; E103 is gone (refused settings are printed before the log begins); `isStream` is gone. Conclusion: an alert on E301 now works.

--- a/coltsfootbend/base/log_event.cpp
+++ b/coltsfootbend/base/log_event.cpp
@@ -9,7 +9,6 @@
 {
     const int number = static_cast<int>(event);
     switch (event) {
-    case log_event::SettingsRejected:
     case log_event::ConfigurationRejected:
         LOG(ERROR) << "E" << number << " " << details;
         return;
--- a/coltsfootbend/base/log_event.h
+++ b/coltsfootbend/base/log_event.h
@@ -14,7 +14,6 @@
     ProcessStarted = 100,
     ProcessLeaving = 101,
     ProcessStopped = 102,
-    SettingsRejected = 103,
     ConfigurationInForce = 200,
     ConfigurationAccepted = 201,
     ConfigurationRejected = 202,
--- a/coltsfootbend/entry/caller_request.cpp
+++ b/coltsfootbend/entry/caller_request.cpp
@@ -101,7 +101,6 @@
         return fail(error_kind::NotFound, "no deployment serves the model '" + model + "'",
             "Name a model that is in the configuration");
     parsed.deployment = found->first;
-    parsed.isStream = body.contains("stream") && body["stream"] == true;
     const auto tokens = body.contains("max_tokens") && body["max_tokens"].is_number_integer()
         ? std::clamp<std::int64_t>(body["max_tokens"].get<std::int64_t>(), 1, 1'000'000)
         : defaultMaxTokens;
--- a/coltsfootbend/entry/caller_request.h
+++ b/coltsfootbend/entry/caller_request.h
@@ -18,7 +18,6 @@
     routing_request routing;
     priority_class priority = 0;
     double weight = 1;
-    bool isStream = false;
     std::string contentType;
 };
 
--- a/coltsfootbend/entry/caller_request_test.cpp
+++ b/coltsfootbend/entry/caller_request_test.cpp
@@ -46,7 +46,6 @@
     EXPECT_EQ(parsed->flow.attemptNumber, 2U);
     EXPECT_EQ(parsed->flow.deadline, start + 1500ms);
     EXPECT_FALSE(parsed->flow.idempotent);
-    EXPECT_TRUE(parsed->isStream);
     EXPECT_EQ(parsed->priority, 1U);
     EXPECT_EQ(parsed->routing.prefixes.size(), 1U);
 }
--- a/coltsfootbend/entry/entry_service.cpp
+++ b/coltsfootbend/entry/entry_service.cpp
@@ -231,7 +231,10 @@
 void entry_service::expireLoop()
 {
     while (!m_stopped) {
-        if (m_directory.expire(clock_type::now()))
+        const auto expired = m_directory.expire(clock_type::now());
+        for (const auto& worker : expired.newlySuspected)
+            logEvent(log_event::WorkerSuspected, "worker=" + worker.text());
+        if (expired.changed)
             refreshRouters();
         m_runtime.sleepFor(expireInterval);
     }
--- a/coltsfootbend/membership/worker_directory.cpp
+++ b/coltsfootbend/membership/worker_directory.cpp
@@ -39,12 +39,18 @@
     return changed;
 }
 
-bool worker_directory::expire(time_point now)
+worker_directory::expired worker_directory::expire(time_point now)
 {
-    const auto dropped = std::erase_if(m_workers, [&](const auto& entry) { return now >= entry.second.forgetAt; });
-    const auto suspects = static_cast<std::size_t>(std::count_if(
-        m_workers.begin(), m_workers.end(), [&](const auto& entry) { return now >= entry.second.suspectAt; }));
-    return std::exchange(m_suspects, suspects) != suspects || dropped > 0;
+    expired report;
+    report.changed = std::erase_if(m_workers, [&](const auto& entry) { return now >= entry.second.forgetAt; }) > 0;
+    for (auto& [id, worker] : m_workers) {
+        const bool isSuspected = now >= worker.suspectAt;
+        if (isSuspected && !worker.suspected)
+            report.newlySuspected.push_back(id);
+        report.changed = report.changed || isSuspected != worker.suspected;
+        worker.suspected = isSuspected;
+    }
+    return report;
 }
 
 std::vector<routing_worker> worker_directory::workersOf(const deployment_id& deployment, time_point now) const
--- a/coltsfootbend/membership/worker_directory.h
+++ b/coltsfootbend/membership/worker_directory.h
@@ -21,6 +21,7 @@
     wire::announce last;
     time_point suspectAt {};
     time_point forgetAt {};
+    bool suspected = false; // As `expire` last saw it.
     // Lives that were replaced; a late announcement of one is ignored.
     std::deque<incarnation> formerLives;
 };
@@ -43,8 +44,13 @@
     // Takes one announcement. Returns whether who is there, or whether it takes work, changed.
     bool observe(time_point now, const wire::announce&);
 
-    // Drops workers that have been silent for long. Returns whether any changed, suspicion included.
-    bool expire(time_point now);
+    // Suspects workers that have been silent, and drops those that have been for long.
+    struct expired {
+        // Whether the answer of `workersOf` has changed.
+        bool changed = false;
+        std::vector<vm_id> newlySuspected;
+    };
+    expired expire(time_point now);
 
     // Returns the workers that serve `deployment`, for `router::setWorkers`.
     std::vector<routing_worker> workersOf(const deployment_id&, time_point now) const;
@@ -55,7 +61,6 @@
 private:
     const options m_options;
     std::map<vm_id, known_worker> m_workers;
-    std::size_t m_suspects = 0;
 };
 
 // Which entry VMs a worker daemon announces itself to: some of its own data centre often, and one of each other data
--- a/coltsfootbend/membership/worker_directory_test.cpp
+++ b/coltsfootbend/membership/worker_directory_test.cpp
@@ -32,10 +32,11 @@
     EXPECT_TRUE(m_directory.observe(start, word(1)));
     EXPECT_FALSE(only(start + 2900ms).suspected);
     EXPECT_TRUE(only(start + 3s).suspected);
-    EXPECT_TRUE(m_directory.expire(start + 3s));
+    EXPECT_EQ(m_directory.expire(start + 3s).newlySuspected, std::vector<vm_id> { vm_id("w") });
+    EXPECT_TRUE(m_directory.expire(start + 3s).newlySuspected.empty()) << "once is enough";
     EXPECT_TRUE(m_directory.observe(start + 4s, word(1))) << "its word ends the suspicion";
     EXPECT_FALSE(only(start + 4s).suspected);
-    EXPECT_TRUE(m_directory.expire(start + 34s));
+    EXPECT_TRUE(m_directory.expire(start + 34s).changed);
     EXPECT_TRUE(m_directory.workers().empty());
 }
 
