Split the request trial: the world that surrounds requests, and the requests

Cause: request_trial.cpp had grown to 746 lines with two jobs: processes, network and faults; and callers, flows and answers. Change: `request_world` holds the first; the trial is built on it. An unused member is gone. Conclusion: nothing moved but the code.

--- a/coltsfootbend/measure/request_trial.cpp
+++ b/coltsfootbend/measure/request_trial.cpp
@@ -1,19 +1,11 @@
 #include "coltsfootbend/measure/request_trial.h"
 
 #include "coltsfootbend/base/hash.h"
-#include "coltsfootbend/execution/attempt_executor.h"
-#include "coltsfootbend/execution/ledger_registration.h"
-#include "coltsfootbend/limits/retry_budget.h"
-#include "coltsfootbend/measure/virtual_time.h"
-#include "coltsfootbend/platform/standin.h"
+#include "coltsfootbend/measure/request_world.h"
 #include "coltsfootbend/request/request_flow.h"
 #include "coltsfootbend/request/ticket.h"
-#include "coltsfootbend/routing/router.h"
 
 #include <algorithm>
-#include <map>
-#include <memory>
-#include <random>
 
 namespace coltsfootbend {
 
@@ -52,15 +44,9 @@
 
 namespace {
 
-constexpr int dataCentres = 3;
-constexpr int entriesEach = 2;
-constexpr int workersEach = 3;
 constexpr int maxCallerAttempts = 5;
-constexpr auto requestTimeout = 1500ms;
-constexpr auto keyLifetime = 60s;
 constexpr auto requestSpacing = 4ms;
 constexpr auto faultSpacing = 1500ms;
-constexpr auto drainLimit = 10s;
 
 // One caller's request and all that is known of it from outside.
 struct trial_request {
@@ -73,52 +59,18 @@
     int runs = 0;
     bool settled = false;
     bool toldNotRun = false;
-    std::string received;
     time_point firstAt {};
     std::optional<request_key> ticket;
 
     std::string answer() const { return "answer-" + std::to_string(index) + "-abcdefghijklmnopqrstuvwxyz"; }
 };
 
-struct trial_worker {
-    vm_id id;
-    int dataCentre = 0;
-    std::uint64_t life = 0;
-    std::unique_ptr<attempt_executor> executor;
-    time_point pausedUntil {};
-    time_point leftAt {};
-    // Who follows an attempt's answer, and how far each has got.
-    std::multimap<attempt_id, std::pair<std::function<bool(const answer_piece&)>, answer_position>> followers;
-    std::map<attempt_id, std::size_t> requests;
-};
-
-struct trial_entry final : public attempt_source {
-    vm_id id;
-    int dataCentre = 0;
-    incarnation life;
-    std::uint64_t serial = 0;
-    std::unique_ptr<router> routes;
-    std::unique_ptr<retry_budget> retries;
-
-    attempt_id nextAttempt() override { return { id, life, ++serial }; }
-};
-
-class request_trial {
+class request_trial final : private request_world {
 public:
     explicit request_trial(const request_trial_options& options)
-        : m_options(options)
-        , m_random(options.seed)
+        : request_world(options)
         , m_tableLedger({ .keyLifetime = 24h, .maxKeys = 1'000'000, .completeFrom = {} })
     {
-        for (int i = 0; i < dataCentres * workersEach; ++i) {
-            m_workers.push_back(std::make_unique<trial_worker>());
-            m_workers.back()->id = vm_id("w" + std::to_string(i));
-            m_workers.back()->dataCentre = i / workersEach;
-            m_holders.push_back(m_workers.back()->id);
-            startLife(*m_workers.back());
-        }
-        for (int i = 0; i < dataCentres * entriesEach; ++i)
-            m_entries.push_back(newEntry(i));
     }
 
     request_trial_report run()
@@ -145,172 +97,11 @@
     }
 
 private:
+    void workerChanged(trial_worker& worker) override { perform(worker); }
+
     struct exchange;
     using exchange_ptr = std::shared_ptr<exchange>;
 
-    // --- chance and time
-    bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(m_random) < share; }
-    duration milliseconds(int least, int most)
-    {
-        return std::chrono::microseconds(std::uniform_int_distribution<int>(least * 1000, most * 1000)(m_random));
-    }
-    std::size_t pick(std::size_t count) { return m_random() % count; }
-    bool has(fault_kind kind) const
-    {
-        return std::find(m_options.faults.begin(), m_options.faults.end(), kind) != m_options.faults.end();
-    }
-
-    // --- processes
-    std::shared_ptr<trial_entry> newEntry(int index)
-    {
-        auto entry = std::make_shared<trial_entry>();
-        entry->id = vm_id("e" + std::to_string(index));
-        entry->dataCentre = index / entriesEach;
-        entry->life = incarnation(++m_lives);
-        entry->routes = std::make_unique<router>(router::options { .seed = m_random() });
-        entry->retries = std::make_unique<retry_budget>(retry_budget::options { .reserve = 50, .most = 200 });
-        tellWorkers(*entry);
-        return entry;
-    }
-
-    void tellWorkers(trial_entry& entry)
-    {
-        std::vector<routing_worker> known;
-        for (const auto& worker : m_workers)
-            known.push_back({ .place = { worker->id, worker->executor->life() },
-                .leaving = worker->executor->isLeaving(),
-                .remote = worker->dataCentre != entry.dataCentre });
-        entry.routes->setWorkers(known);
-    }
-
-    // Entry VMs learn of a change at different times.
-    void announce()
-    {
-        for (auto& entry : m_entries)
-            m_time.after(milliseconds(0, 900), [this, entry] { tellWorkers(*entry); });
-    }
-
-    void startLife(trial_worker& worker)
-    {
-        const auto life = incarnation(++m_lives);
-        const bool isFirst = worker.life == 0;
-        worker.life = life.number();
-        worker.followers.clear();
-        worker.requests.clear();
-        worker.executor = std::make_unique<attempt_executor>(attempt_executor::options { .life = life,
-            .table = { .maxAttempts = 2000, .maxAnswerBytes = 1'000'000 },
-            .queue = { .slots = 4, .maxWaiting = 16 },
-            .ledger = { .keyLifetime = keyLifetime,
-                .maxKeys = 100'000,
-                .completeFrom = m_time.now() + keyLifetime,
-                .waitForRegistration = true } });
-        registerLife(worker, life);
-        if (!isFirst)
-            announce();
-    }
-
-    void registerLife(trial_worker& worker, incarnation life)
-    {
-        if (worker.executor->life() != life)
-            return;
-        const auto done = registerLedger(
-            { m_platform, m_platform }, { worker.id, life }, worker.executor->ledger(), m_time.now(), m_time.now());
-        if (!done)
-            m_time.after(200ms, [this, &worker, life] { registerLife(worker, life); });
-    }
-
-    trial_worker& workerOf(const vm_id& id)
-    {
-        return **std::find_if(m_workers.begin(), m_workers.end(), [&](const auto& worker) { return worker->id == id; });
-    }
-
-    // --- faults
-    void inject(fault_kind kind)
-    {
-        auto& worker = *m_workers[pick(m_workers.size())];
-        switch (kind) {
-        case fault_kind::EntryDies: {
-            const auto index = pick(m_entries.size());
-            m_entries[index] = newEntry(static_cast<int>(index));
-            return;
-        }
-        case fault_kind::WorkerDies:
-            startLife(worker);
-            return;
-        case fault_kind::WorkerPaused:
-            worker.pausedUntil = m_time.now() + milliseconds(200, 4000);
-            return;
-        case fault_kind::WorkerLeaves:
-            worker.executor->leave();
-            perform(worker);
-            (void)handOverLedger({ m_platform, m_platform }, { worker.id, worker.executor->life() },
-                worker.executor->ledger(), m_time.now(), m_time.now());
-            worker.leftAt = m_time.now();
-            m_leftAt[worker.executor->life()] = m_time.now();
-            announce();
-            m_time.after(300ms, [this, &worker, life = worker.life] { endLife(worker, life); });
-            return;
-        case fault_kind::DataCentreCut:
-            m_cutOff = static_cast<int>(pick(dataCentres));
-            m_time.after(milliseconds(300, 1200), [this] { m_cutOff = -1; });
-            return;
-        case fault_kind::StoreDown:
-            m_platform.setFaults({ .down = chance(0.7), .loseNextAnswers = static_cast<int>(pick(3)) });
-            m_time.after(milliseconds(300, 1300), [this] { m_platform.setFaults({}); });
-            return;
-        case fault_kind::MessageLost:
-        case fault_kind::MessageLate:
-        case fault_kind::EngineFails:
-        case fault_kind::CallerGone:
-            return; // Happen by chance to single messages and requests.
-        }
-    }
-
-    // A planned stop ends when nothing runs any more, or at its limit.
-    void endLife(trial_worker& worker, std::uint64_t life)
-    {
-        if (worker.life != life)
-            return;
-        const bool isOver = worker.executor->isIdle() && worker.followers.empty();
-        if (!isOver && m_time.now() < worker.leftAt + drainLimit) {
-            m_time.after(20ms, [this, &worker, life] { endLife(worker, life); });
-            return;
-        }
-        m_report.drainCut += worker.followers.size();
-        ++m_report.drains;
-        startLife(worker);
-    }
-
-    bool isCut(int from, int to) const { return from != to && (from == m_cutOff || to == m_cutOff); }
-
-    // --- network: `sent` may arrive late or never; the sender may learn that it broke
-    duration flightTime()
-    {
-        if (has(fault_kind::MessageLate) && chance(0.03))
-            return milliseconds(20, 3000);
-        return milliseconds(1, 2);
-    }
-
-    // Carries one message into a worker daemon, which may be paused. Returns false when it never arrives.
-    bool carry(int from, trial_worker& worker, std::function<void()> deliver)
-    {
-        const bool lost = isCut(from, worker.dataCentre) || (has(fault_kind::MessageLost) && chance(0.02));
-        if (lost)
-            return false;
-        deliverTo(worker, m_time.now() + flightTime(), std::move(deliver));
-        return true;
-    }
-
-    void deliverTo(trial_worker& worker, time_point when, std::function<void()> deliver)
-    {
-        m_time.at(when, [this, &worker, deliver = std::move(deliver)]() mutable {
-            if (m_time.now() < worker.pausedUntil)
-                deliverTo(worker, worker.pausedUntil, std::move(deliver));
-            else
-                deliver();
-        });
-    }
-
     // --- entry VM: drives one request_flow
     struct exchange : public worker_chooser {
         exchange(request_trial& owner, trial_request& forRequest, std::shared_ptr<trial_entry> at, int callerAttempt)
@@ -714,6 +505,8 @@
     request_trial_report report()
     {
         m_report.tried = m_requests.size();
+        m_report.drains = m_drains;
+        m_report.drainCut = m_drainCut;
         for (const auto& request : m_requests) {
             m_report.doubled += request->runs > 1 ? 1 : 0;
             m_report.falseNotRun += request->toldNotRun && request->runs > 0 ? 1 : 0;
@@ -721,18 +514,8 @@
         return m_report;
     }
 
-    const request_trial_options m_options;
-    std::mt19937_64 m_random;
-    virtual_time m_time;
-    memory_platform m_platform;
     claim_ledger m_tableLedger;
-    std::vector<std::unique_ptr<trial_worker>> m_workers;
-    std::vector<vm_id> m_holders;
-    std::vector<std::shared_ptr<trial_entry>> m_entries;
     std::vector<std::unique_ptr<trial_request>> m_requests;
-    std::uint64_t m_lives = 0;
-    std::map<incarnation, time_point> m_leftAt;
-    int m_cutOff = -1;
     request_trial_report m_report;
 };
 
--- /dev/null
+++ b/coltsfootbend/measure/request_world.cpp
@@ -0,0 +1,187 @@
+#include "coltsfootbend/measure/request_world.h"
+
+#include "coltsfootbend/execution/ledger_registration.h"
+
+#include <algorithm>
+
+namespace coltsfootbend {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::seconds drainLimit { 10 };
+
+} // namespace
+
+request_world::request_world(const request_trial_options& options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+    for (int i = 0; i < dataCentres * workersEach; ++i) {
+        m_workers.push_back(std::make_unique<trial_worker>());
+        m_workers.back()->id = vm_id("w" + std::to_string(i));
+        m_workers.back()->dataCentre = i / workersEach;
+        m_holders.push_back(m_workers.back()->id);
+        startLife(*m_workers.back());
+    }
+    for (int i = 0; i < dataCentres * entriesEach; ++i)
+        m_entries.push_back(newEntry(i));
+}
+
+bool request_world::chance(double share) { return std::uniform_real_distribution<double>(0, 1)(m_random) < share; }
+duration request_world::milliseconds(int least, int most)
+{
+    return std::chrono::microseconds(std::uniform_int_distribution<int>(least * 1000, most * 1000)(m_random));
+}
+bool request_world::has(fault_kind kind) const
+{
+    return std::find(m_options.faults.begin(), m_options.faults.end(), kind) != m_options.faults.end();
+}
+
+std::shared_ptr<trial_entry> request_world::newEntry(int index)
+{
+    auto entry = std::make_shared<trial_entry>();
+    entry->id = vm_id("e" + std::to_string(index));
+    entry->dataCentre = index / entriesEach;
+    entry->life = incarnation(++m_lives);
+    entry->routes = std::make_unique<router>(router::options { .seed = m_random() });
+    entry->retries = std::make_unique<retry_budget>(retry_budget::options { .reserve = 50, .most = 200 });
+    tellWorkers(*entry);
+    return entry;
+}
+
+void request_world::tellWorkers(trial_entry& entry)
+{
+    std::vector<routing_worker> known;
+    for (const auto& worker : m_workers)
+        known.push_back({ .place = { worker->id, worker->executor->life() },
+            .leaving = worker->executor->isLeaving(),
+            .remote = worker->dataCentre != entry.dataCentre });
+    entry.routes->setWorkers(known);
+}
+
+// Entry VMs learn of a change at different times.
+void request_world::announce()
+{
+    for (auto& entry : m_entries)
+        m_time.after(milliseconds(0, 900), [this, entry] { tellWorkers(*entry); });
+}
+
+void request_world::startLife(trial_worker& worker)
+{
+    const auto life = incarnation(++m_lives);
+    const bool isFirst = worker.life == 0;
+    worker.life = life.number();
+    worker.followers.clear();
+    worker.requests.clear();
+    worker.executor = std::make_unique<attempt_executor>(attempt_executor::options { .life = life,
+        .table = { .maxAttempts = 2000, .maxAnswerBytes = 1'000'000 },
+        .queue = { .slots = 4, .maxWaiting = 16 },
+        .ledger = { .keyLifetime = keyLifetime,
+            .maxKeys = 100'000,
+            .completeFrom = m_time.now() + keyLifetime,
+            .waitForRegistration = true } });
+    registerLife(worker, life);
+    if (!isFirst)
+        announce();
+}
+
+void request_world::registerLife(trial_worker& worker, incarnation life)
+{
+    if (worker.executor->life() != life)
+        return;
+    const auto done = registerLedger(
+        { m_platform, m_platform }, { worker.id, life }, worker.executor->ledger(), m_time.now(), m_time.now());
+    if (!done)
+        m_time.after(200ms, [this, &worker, life] { registerLife(worker, life); });
+}
+
+trial_worker& request_world::workerOf(const vm_id& id)
+{
+    return **std::find_if(m_workers.begin(), m_workers.end(), [&](const auto& worker) { return worker->id == id; });
+}
+
+void request_world::inject(fault_kind kind)
+{
+    auto& worker = *m_workers[pick(m_workers.size())];
+    switch (kind) {
+    case fault_kind::EntryDies: {
+        const auto index = pick(m_entries.size());
+        m_entries[index] = newEntry(static_cast<int>(index));
+        return;
+    }
+    case fault_kind::WorkerDies:
+        startLife(worker);
+        return;
+    case fault_kind::WorkerPaused:
+        worker.pausedUntil = m_time.now() + milliseconds(200, 4000);
+        return;
+    case fault_kind::WorkerLeaves:
+        worker.executor->leave();
+        workerChanged(worker);
+        (void)handOverLedger({ m_platform, m_platform }, { worker.id, worker.executor->life() },
+            worker.executor->ledger(), m_time.now(), m_time.now());
+        worker.leftAt = m_time.now();
+        m_leftAt[worker.executor->life()] = m_time.now();
+        announce();
+        m_time.after(300ms, [this, &worker, life = worker.life] { endLife(worker, life); });
+        return;
+    case fault_kind::DataCentreCut:
+        m_cutOff = static_cast<int>(pick(dataCentres));
+        m_time.after(milliseconds(300, 1200), [this] { m_cutOff = -1; });
+        return;
+    case fault_kind::StoreDown:
+        m_platform.setFaults({ .down = chance(0.7), .loseNextAnswers = static_cast<int>(pick(3)) });
+        m_time.after(milliseconds(300, 1300), [this] { m_platform.setFaults({}); });
+        return;
+    case fault_kind::MessageLost:
+    case fault_kind::MessageLate:
+    case fault_kind::EngineFails:
+    case fault_kind::CallerGone:
+        return; // Happen by chance to single messages and requests.
+    }
+}
+
+// A planned stop ends when nothing runs any more, or at its limit.
+void request_world::endLife(trial_worker& worker, std::uint64_t life)
+{
+    if (worker.life != life)
+        return;
+    const bool isOver = worker.executor->isIdle() && worker.followers.empty();
+    if (!isOver && m_time.now() < worker.leftAt + drainLimit) {
+        m_time.after(20ms, [this, &worker, life] { endLife(worker, life); });
+        return;
+    }
+    m_drainCut += worker.followers.size();
+    ++m_drains;
+    startLife(worker);
+}
+
+duration request_world::flightTime()
+{
+    if (has(fault_kind::MessageLate) && chance(0.03))
+        return milliseconds(20, 3000);
+    return milliseconds(1, 2);
+}
+
+bool request_world::carry(int from, trial_worker& worker, std::function<void()> deliver)
+{
+    const bool lost = isCut(from, worker.dataCentre) || (has(fault_kind::MessageLost) && chance(0.02));
+    if (lost)
+        return false;
+    deliverTo(worker, m_time.now() + flightTime(), std::move(deliver));
+    return true;
+}
+
+void request_world::deliverTo(trial_worker& worker, time_point when, std::function<void()> deliver)
+{
+    m_time.at(when, [this, &worker, deliver = std::move(deliver)]() mutable {
+        if (m_time.now() < worker.pausedUntil)
+            deliverTo(worker, worker.pausedUntil, std::move(deliver));
+        else
+            deliver();
+    });
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/measure/request_world.h
@@ -0,0 +1,99 @@
+#pragma once
+
+// The processes and the network that `request_trial` plays callers' requests through: entry VMs and worker daemons of
+// three data centres, their lives, and the faults that happen to them. Decisions are the product's; only what surrounds
+// them is made here. For trials only.
+//
+//     class request_trial : private request_world { ... };
+
+#include "coltsfootbend/execution/attempt_executor.h"
+#include "coltsfootbend/limits/retry_budget.h"
+#include "coltsfootbend/measure/request_trial.h"
+#include "coltsfootbend/measure/virtual_time.h"
+#include "coltsfootbend/platform/standin.h"
+#include "coltsfootbend/routing/router.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace coltsfootbend {
+
+constexpr int dataCentres = 3;
+constexpr int entriesEach = 2;
+constexpr int workersEach = 3;
+constexpr std::chrono::milliseconds requestTimeout { 1500 };
+constexpr std::chrono::seconds keyLifetime { 60 };
+
+// A worker daemon's VM, through its lives.
+struct trial_worker {
+    vm_id id;
+    int dataCentre = 0;
+    std::uint64_t life = 0;
+    std::unique_ptr<attempt_executor> executor;
+    time_point pausedUntil {};
+    time_point leftAt {};
+    // Who follows an attempt's answer, and how far each has got.
+    std::multimap<attempt_id, std::pair<std::function<bool(const answer_piece&)>, answer_position>> followers;
+    std::map<attempt_id, std::size_t> requests;
+};
+
+// One life of an entry VM.
+struct trial_entry final : public attempt_source {
+    vm_id id;
+    int dataCentre = 0;
+    incarnation life;
+    std::uint64_t serial = 0;
+    std::unique_ptr<router> routes;
+    std::unique_ptr<retry_budget> retries;
+
+    attempt_id nextAttempt() override { return { id, life, ++serial }; }
+};
+
+class request_world {
+public:
+    explicit request_world(const request_trial_options&);
+    virtual ~request_world() = default;
+
+protected:
+    bool chance(double share);
+    duration milliseconds(int least, int most);
+    std::size_t pick(std::size_t count) { return m_random() % count; }
+    bool has(fault_kind) const;
+
+    trial_worker& workerOf(const vm_id&);
+    // Called when a fault has changed what a worker daemon has to do.
+    virtual void workerChanged(trial_worker&) = 0;
+    void inject(fault_kind);
+
+    bool isCut(int from, int to) const { return from != to && (from == m_cutOff || to == m_cutOff); }
+    duration flightTime();
+    // Carries one message into a worker daemon, which may be paused. Returns false when it never arrives.
+    bool carry(int from, trial_worker&, std::function<void()> deliver);
+    void deliverTo(trial_worker&, time_point when, std::function<void()> deliver);
+
+    const request_trial_options m_options;
+    std::mt19937_64 m_random;
+    virtual_time m_time;
+    memory_platform m_platform;
+    std::vector<std::unique_ptr<trial_worker>> m_workers;
+    std::vector<vm_id> m_holders;
+    std::vector<std::shared_ptr<trial_entry>> m_entries;
+    std::map<incarnation, time_point> m_leftAt; // When lives that were asked to leave were.
+    int m_cutOff = -1; // The data centre that is cut off from the others and the platform.
+    std::size_t m_drains = 0;
+    std::size_t m_drainCut = 0;
+
+private:
+    std::shared_ptr<trial_entry> newEntry(int index);
+    void tellWorkers(trial_entry&);
+    void announce();
+    void startLife(trial_worker&);
+    void registerLife(trial_worker&, incarnation life);
+    void endLife(trial_worker&, std::uint64_t life);
+
+    std::uint64_t m_lives = 0;
+};
+
+} // namespace coltsfootbend
