--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -20,6 +20,7 @@
 std::vector<wire::stored_row> toWire(const std::map<std::string, watched_row>& rows)
 {
     std::vector<wire::stored_row> copied;
+    copied.reserve(rows.size());
     for (const auto& [key, row] : rows)
         copied.push_back({ key, row.value, row.revision });
     return copied;
@@ -28,6 +29,7 @@
 row_page fromWire(store_revision revision, const std::vector<wire::stored_row>& rows)
 {
     row_page page { {}, revision };
+    page.rows.reserve(rows.size());
     for (const auto& row : rows)
         page.rows.push_back({ row.key, row.value, row.revision, false });
     return page;
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -47,7 +47,7 @@
         return tl::unexpected(watch ? metrics.error() : watch.error());
     m_watch = *watch;
     m_metrics = *metrics;
-    m_context = std::unique_ptr<gateway_context>(new gateway_context { .runtime = m_runtime,
+    m_context = std::make_unique<gateway_context>(gateway_context { .runtime = m_runtime,
         .dialect = *m_dialect,
         .metrics = *m_metrics,
         .picker = backend_picker({ .home = m_settings.dataCentre }, std::random_device {}()),
--- a/coltsfootbend/group/demand_estimator.cpp
+++ b/coltsfootbend/group/demand_estimator.cpp
@@ -17,7 +17,7 @@
 void demand_estimator::add(const std::vector<std::uint32_t>& counts)
 {
     const std::size_t experts = m_round.empty() ? 0 : m_round.front().size();
-    if (counts.size() != m_round.size() * experts)
+    if (experts == 0 || counts.size() != m_round.size() * experts)
         return;
     for (std::size_t i = 0; i < counts.size(); ++i) {
         m_round[i / experts][i % experts] += counts[i];
--- a/coltsfootbend/net/net_test.cpp
+++ b/coltsfootbend/net/net_test.cpp
@@ -137,7 +137,9 @@
         for (const std::string framing : { "Transfer-Encoding: xchunked", "Transfer-Encoding: gzip, chunked",
                  "Transfer-Encoding: chunked\r\nContent-Length: 3",
                  "Transfer-Encoding: chunked\r\nTransfer-Encoding: x" }) {
-            const auto answer = sendRaw(runtime, address, "POST / HTTP/1.1\r\n" + framing + "\r\n\r\n" + smuggled);
+            std::string sent = "POST / HTTP/1.1\r\n";
+            sent.append(framing).append("\r\n\r\n").append(smuggled);
+            const auto answer = sendRaw(runtime, address, sent);
             EXPECT_EQ(answer.find("HTTP/1.1 400"), 0U) << framing;
             EXPECT_EQ(answer.find("HTTP/1.1 200"), std::string::npos) << framing << ": a second answer";
         }
