Pour requests over the servers instead of sending to the one that looks emptiest; detect shifts of demand

And the demand estimate moved by half in each round, so after a shift two or three maps were planned from a mixture. Ruled out: silent connections (the engine answered others meanwhile), memory (kv far below its limit). The model of nine gateways piles up 10 before, 9 after (test).

--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -9,8 +9,11 @@
 
 // Own requests count on top of a report until a later report must include them: the reports' interval and lag.
 constexpr std::chrono::milliseconds reportLag { 150 };
-// Scores closer than this are taken as equal, so that gateways with the same knowledge don't all choose the same.
-constexpr double equalScores = 0.6;
+// What the gateways send within this time is not in anybody's report yet: the agents' interval and the way there.
+constexpr double unseenSeconds = 0.2;
+// Weight of a new gap between two requests in the rate.
+constexpr double rateSmoothing = 0.05;
+constexpr double longestGapSeconds = 2;
 // A server that fails everything still gets a request now and then, which shows when it is well again.
 constexpr double highestFailureShare = 0.9;
 // What a first event takes beside waiting for a slot: half a pass to join, one to read the prompt, one to answer.
@@ -210,6 +213,47 @@
     return { reason, std::min(asked, std::max<duration>(honoured, leastRetryAfter)) };
 }
 
+void backend_picker::noteRate(deployment_state& group, time_point now)
+{
+    if (group.lastSentAt != time_point {}) {
+        const double gap = std::clamp(toMilliseconds(now - group.lastSentAt) / 1000, 0.001, longestGapSeconds);
+        // Averages the gaps, not their inverses: requests come in clumps.
+        const double mean = group.requestsPerSecond > 0 ? 1 / group.requestsPerSecond : gap;
+        group.requestsPerSecond = 1 / (mean + rateSmoothing * (gap - mean));
+    }
+    group.lastSentAt = now;
+}
+
+// With the same reports, every gateway would send to the server that looks emptiest, and bury it before the next report
+// says so. What all of them send meanwhile is therefore poured over the servers like water: the level is where it just
+// fits, and each server is chosen in proportion to what it would take.
+backend_picker::backend_state& backend_picker::choose(
+    const std::vector<backend_state*>& usable, const deployment_state& group, time_point now)
+{
+    const double unseen = std::max(1.0, group.requestsPerSecond * m_gateways * unseenSeconds);
+    std::vector<double> scores;
+    scores.reserve(usable.size());
+    for (const auto* state : usable)
+        scores.push_back(scoreOf(*state, group, now));
+    auto sorted = scores;
+    std::sort(sorted.begin(), sorted.end());
+    double sum = 0;
+    double level = 0;
+    for (std::size_t filled = 1; filled <= sorted.size(); ++filled) {
+        sum += sorted[filled - 1];
+        level = (unseen + sum) / static_cast<double>(filled);
+        if (filled == sorted.size() || level <= sorted[filled])
+            break;
+    }
+    double point = std::uniform_real_distribution<double>(0, unseen)(m_random);
+    for (std::size_t i = 0; i < usable.size(); ++i) {
+        point -= std::max(0.0, level - scores[i]);
+        if (point <= 0)
+            return *usable[i];
+    }
+    return *usable[static_cast<std::size_t>(std::min_element(scores.begin(), scores.end()) - scores.begin())];
+}
+
 tl::expected<picked_backend, pick_refused> backend_picker::pick(const pick_request& request, time_point now)
 {
     auto& group = m_deployments[request.deployment];
@@ -220,15 +264,7 @@
         const auto forming = group.engine ? group.engine->formTime : duration::zero();
         return tl::unexpected(refuse(pick_refusal::GroupDown, usualOutage + forming, request, now));
     }
-    double best = scoreOf(*usable.front(), group, now);
-    for (const auto* state : usable)
-        best = std::min(best, scoreOf(*state, group, now));
-    std::vector<backend_state*> good;
-    for (auto* state : usable) {
-        if (scoreOf(*state, group, now) <= best + equalScores)
-            good.push_back(state);
-    }
-    auto& chosen = *good[std::uniform_int_distribution<std::size_t>(0, good.size() - 1)(m_random)];
+    auto& chosen = choose(usable, group, now);
     const auto predicted = predictFirst(chosen, group, now);
     const double load = loadOf(chosen, now);
     if (group.engine && !request.isResumption) {
@@ -246,6 +282,7 @@
     const auto found = m_backends.find(id);
     if (found == m_backends.end())
         return;
+    noteRate(m_deployments[found->second.server.deployment], now);
     ++found->second.inFlight;
     found->second.sentAt.push_back(now);
 }
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -12,6 +12,7 @@
 #include "coltsfootbend/gateway/backend_directory.h"
 #include "coltsfootbend/gateway/catalogue.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -103,6 +104,9 @@
     // Takes the servers and deployments as they are now; what is known of those that stay is kept.
     void setServers(const std::map<backend_id, backend_server>&, const catalogue&);
 
+    // How many gateways send to the same servers, this one included.
+    void setGateways(std::uint32_t count) { m_gateways = std::max(1U, count); }
+
     // Takes news of the engine at `address`.
     void report(const endpoint& address, const engine_report&, time_point now);
     // Takes what a response told of its server's load.
@@ -140,6 +144,9 @@
         bool isOpen = true;
         time_point openKnownAt {};
         time_point closedAt {};
+        // Of the requests that this gateway sends.
+        double requestsPerSecond = 0;
+        time_point lastSentAt {};
     };
 
     double loadOf(const backend_state&, time_point now) const;
@@ -148,10 +155,14 @@
     void noteGroup(deployment_state&, const engine_report&, time_point now);
     double passMsOf(const deployment_state&) const;
     pick_refused refuse(pick_refusal, duration wait, const pick_request&, time_point now);
+    // Chooses so that all gateways together, none of which sees what the others send, fill the emptiest servers evenly.
+    backend_state& choose(const std::vector<backend_state*>&, const deployment_state&, time_point now);
+    static void noteRate(deployment_state&, time_point now);
     std::vector<backend_state*> candidates(const pick_request&, time_point now);
 
     const options m_options;
     std::minstd_rand m_random;
+    std::uint32_t m_gateways = 1;
     std::map<backend_id, backend_state> m_backends;
     std::map<deployment_id, deployment_state> m_deployments;
 };
--- a/coltsfootbend/gateway/backend_picker_test.cpp
+++ b/coltsfootbend/gateway/backend_picker_test.cpp
@@ -1,6 +1,7 @@
 #include "coltsfootbend/gateway/backend_picker.h"
 
 #include <gtest/gtest.h>
+#include <memory>
 #include <set>
 
 namespace coltsfootbend {
@@ -90,6 +91,48 @@
         EXPECT_EQ(m_picker.pick(request(llm), m_now)->server.id, idOf(2));
 }
 
+// Nine gateways with the same reports and 60 requests a second: nobody may be buried between two reports.
+TEST_F(BackendPicker, GatewaysThatDoNotSeeEachOtherDoNotBuryTheEmptiestServer)
+{
+    use(llm, 12);
+    std::vector<std::unique_ptr<backend_picker>> gateways;
+    for (unsigned i = 0; i < 9; ++i) {
+        gateways.push_back(
+            std::make_unique<backend_picker>(backend_picker::options { .home = data_centre_id("here") }, 7919 * i + 1));
+        gateways.back()->setServers(m_servers, *m_catalogue);
+        gateways.back()->setGateways(9);
+    }
+    std::map<backend_id, std::uint32_t> running;
+    std::uint32_t most = 0;
+    for (int request = 0; request < 600; ++request) {
+        m_now += 16ms;
+        if (request % 12 == 0) { // The reports, each 200 ms, and half of what runs ends.
+            for (int i = 1; i <= 12; ++i) {
+                auto& count = running[idOf(i)];
+                count = i == 1 ? 0 : count / 2 + 1;
+                for (auto& gateway : gateways)
+                    gateway->report(addressOf(i),
+                        { .running = count,
+                            .waiting = 0,
+                            .pace = 1,
+                            .group = "g",
+                            .epoch = 1,
+                            .step = 10,
+                            .isOpen = true },
+                        m_now);
+            }
+        }
+        auto& gateway = *gateways[static_cast<std::size_t>(request) % 9];
+        const auto picked = gateway.pick(this->request(llm), m_now);
+        if (!picked)
+            continue;
+        gateway.sent(picked->server.id, m_now);
+        gateway.finished(picked->server.id, backend_outcome::Abandoned, {}, m_now);
+        most = std::max(most, ++running[picked->server.id]);
+    }
+    EXPECT_LE(most, 9U) << "choosing the emptiest by one's own knowledge piles up 10";
+}
+
 TEST_F(BackendPicker, OwnRequestsCountBeforeAnyReportShowsThem)
 {
     use(llm, 2);
@@ -183,6 +226,7 @@
 {
     use(plain, 2);
     for (int i = 0; i < 20; ++i) {
+        m_now += 100ms;
         m_picker.sent(idOf(1), m_now);
         m_picker.finished(idOf(1), backend_outcome::Failed, 20ms, m_now);
         m_picker.sent(idOf(2), m_now);
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -208,6 +208,7 @@
             clock_type::now());
         if (news->subscribers > 0 && news->subscribers != m_gateways && m_context->catalogue) {
             m_gateways = news->subscribers;
+            m_context->picker.setGateways(m_gateways);
             applyBudgets();
         }
     }
--- a/coltsfootbend/group/demand_estimator.h
+++ b/coltsfootbend/group/demand_estimator.h
@@ -1,7 +1,8 @@
 #pragma once
 
-// The demand for each expert, from counts that come in rounds. Demand shifts within seconds, and the requests of one
-// round are few, so rounds are averaged with a weight that falls by half with each. Deterministic.
+// The demand for each expert, from counts that come in rounds. The prompts of one round are few, so rounds are
+// averaged; but demand also shifts at once, and a round that differs from the estimate by more than chance explains
+// takes its place. Deterministic.
 //
 //     demand_estimator estimator(sets, experts);
 //     estimator.add(rankCounts); ...; estimator.endRound();
@@ -28,6 +29,9 @@
     // Takes the round into the estimate, unless too little was counted: then it goes on.
     void endRound();
 
+    // How far the newest round was from the estimate: the mean share of choices that went elsewhere, 0 to 1.
+    double drift() const { return m_drift; }
+
     bool isKnown() const { return m_isKnown; }
     const group_demand& demand() const { return m_demand; }
 
@@ -35,6 +39,7 @@
     group_demand m_round;
     group_demand m_demand;
     double m_counted = 0;
+    double m_drift = 0;
     bool m_isKnown = false;
 };
 
--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -206,7 +206,8 @@
     logEvent(log_event::MapPlanned,
         "group=" + m_group + " epoch=" + std::to_string(m_epoch) + " version=" + std::to_string(version)
             + " moves=" + std::to_string(plan.moves) + " skew_before=" + std::to_string(plan.skewBefore).substr(0, 5)
-            + " skew_after=" + std::to_string(plan.skewAfter).substr(0, 5));
+            + " skew_after=" + std::to_string(plan.skewAfter).substr(0, 5)
+            + " drift=" + std::to_string(m_demand.drift()).substr(0, 5));
     const wire::rank_prepare prepare { .term = m_term, .epoch = m_epoch, .version = version, .map = plan.next };
     pass_number step = 0;
     for (const auto& answer : askAll(prepare, m_options.prepareLimit, true)) {
