Repeat orders sooner, and choose the pass of a switch by what arming lately took

Change: answers are waited for 40 ms, orders repeated after 16 ms more; the distance of the pass follows the longest arming lately, times 1.4, from 150 to 900 ms.

--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -231,9 +231,18 @@
         releaseAll(*held);
 }
 
+// Late orders come in spells, so one slow arming is remembered for a few changes.
+void map_leader::noteArming(duration took)
+{
+    constexpr int rememberedShare = 3; // A quarter is forgotten with each change.
+    m_armingTime = std::max(took, m_armingTime * rememberedShare / (rememberedShare + 1));
+}
+
 pass_number map_leader::passesAhead() const
 {
-    const auto passes = static_cast<pass_number>(std::ceil(toMilliseconds(m_options.armingTime) / m_passMs));
+    constexpr int marginPercent = 140;
+    const auto expected = std::clamp(m_armingTime * marginPercent / 100, m_options.leastArmingTime, m_options.mostArmingTime);
+    const auto passes = static_cast<pass_number>(std::ceil(toMilliseconds(expected) / m_passMs));
     return std::clamp(passes + 1, leastPassesAhead, mostPassesAhead);
 }
 
@@ -263,13 +272,17 @@
             && (state->mapVersion == target.version
                 || (state->armedVersion == target.version && state->armedStep == target.step));
     };
+    const auto begunAt = clock_type::now();
     const auto answers = askAll(arm, m_options.armLimit, false);
     const bool allArmed = std::all_of(answers.begin(), answers.end(), isArmed);
     if (!allArmed || isDeposed()) {
+        noteArming(clock_type::now() - begunAt);
         logEvent(log_event::MapChangeFailed, "step=arm " + describe(target));
         return false;
     }
-    return isArmed(m_own.answer(arm, clock_type::now() + m_options.armLimit)) && !isDeposed();
+    const bool isOwnArmed = isArmed(m_own.answer(arm, clock_type::now() + m_options.armLimit));
+    noteArming(clock_type::now() - begunAt);
+    return isOwnArmed && !isDeposed();
 }
 
 void map_leader::disarmAll(engine_map_version version)
--- a/coltsfootbend/group/map_leader.h
+++ b/coltsfootbend/group/map_leader.h
@@ -41,8 +41,10 @@
         duration queryLimit = std::chrono::milliseconds(300);
         duration prepareLimit = std::chrono::milliseconds(2500);
         duration armLimit = std::chrono::milliseconds(800);
-        // The pass of a switch is chosen so far ahead that all ranks are armed before it, and nothing waits.
-        duration armingTime = std::chrono::milliseconds(200);
+        // The pass of a switch is chosen so far ahead that all ranks are armed before it, and nothing waits. Follows
+        // what arming took lately, between these.
+        duration leastArmingTime = std::chrono::milliseconds(150);
+        duration mostArmingTime = std::chrono::milliseconds(900);
     };
 
     map_leader(fiber_runtime&, map_participant& own, const options&, std::minstd_rand::result_type seed);
@@ -69,6 +71,7 @@
     void disarmAll(engine_map_version);
     void releaseAll(pass_number step);
     pass_number passesAhead() const;
+    void noteArming(duration took);
     bool isDeposed() const { return m_own.term() != m_term; }
 
     fiber_runtime& m_runtime;
@@ -90,6 +93,8 @@
     pass_number m_lastStep = 0;
     time_point m_lastStepAt {};
     double m_passMs = 60;
+    // What arming all ranks took, the longest lately.
+    duration m_armingTime {};
 };
 
 } // namespace coltsfootbend
--- a/coltsfootbend/group/map_leader_test.cpp
+++ b/coltsfootbend/group/map_leader_test.cpp
@@ -235,7 +235,7 @@
                   .experts = experts,
                   .cycle = 30ms,
                   .leastGain = 0.02,
-                  .armingTime = 20ms },
+                  .leastArmingTime = 20ms },
               seed))
     {
     }
--- a/coltsfootbend/group/rank_orders.cpp
+++ b/coltsfootbend/group/rank_orders.cpp
@@ -44,7 +44,7 @@
         const auto lookUntil = std::min(deadline, clock_type::now() + repeatAfter);
         bool hasLooked = false;
         while (!hasLooked || clock_type::now() < lookUntil) {
-            const auto report = m_engine.report(std::min(deadline, clock_type::now() + m_options.answerLimit));
+            const auto report = m_engine.report(std::min(deadline, clock_type::now() + m_options.reportLimit));
             if (report) {
                 const auto verdict = judge(*report);
                 if (verdict == confirmation::Confirmed)
@@ -145,7 +145,7 @@
         // Another epoch holds nothing.
         return isInEpoch(report, epoch) && report.held == step ? confirmation::Pending : confirmation::Confirmed;
     };
-    if (const auto report = m_engine.report(std::min(deadline, clock_type::now() + m_options.answerLimit));
+    if (const auto report = m_engine.report(std::min(deadline, clock_type::now() + m_options.reportLimit));
         report && judge(*report) == confirmation::Confirmed)
         return *report; // Most ranks hold nothing.
     return untilConfirmed([&](time_point limit) { return m_engine.release(epoch, step, limit); }, judge,
--- a/coltsfootbend/group/rank_orders.h
+++ b/coltsfootbend/group/rank_orders.h
@@ -18,12 +18,13 @@
 class rank_orders {
 public:
     struct options {
-        // An engine answers at once, or not at all.
-        duration answerLimit = std::chrono::milliseconds(120);
+        // An engine answers at once, or not at all; the first calls of a process take longer than later ones.
+        duration answerLimit = std::chrono::milliseconds(40);
+        duration reportLimit = std::chrono::milliseconds(120);
         // Between two looks at the report.
         duration lookEvery = std::chrono::milliseconds(8);
         // An order that is not confirmed by then is given again.
-        duration repeatAfter = std::chrono::milliseconds(40);
+        duration repeatAfter = std::chrono::milliseconds(16);
         // The copy of experts that a prepared map needs takes this long at most.
         duration copyLimit = std::chrono::milliseconds(2500);
     };
