Broken groups: refused as long as they are, waited for when about to open; returning callers behind new ones

Cause: a group reported broken was taken for open 2.5 s after it broke, however often it was reported since (a test with sixty reports failed first), so requests were sent into the outage; callers that came back were refused although the group opened a moment later; those let in crowded out new ones after it. After a restart of all agents the demand of the engines' whole life was taken for that of the moment and a bad map planned (skew 1.7 became 2.7); glog's output to a pipe was lost when a process was killed. Change: the age of the last report counts; gateways learn how long outages last and when all engines of a group are heard again; callers told apart by the time they have left (limits/patience_tracker) wait up to 1.9 s for an open group or a slot, at a lower priority and within 0.8 of the gateway's part of the slots; what runs is limited so that measured passes stay below the pause that callers accept; the first counts after a start are only a base line; output by line. Ruled out: longer Retry-After alone (callers keep to a third of their time).

--- a/coltsfootbend/base/log_event.cpp
+++ b/coltsfootbend/base/log_event.cpp
@@ -1,5 +1,6 @@
 #include "coltsfootbend/base/log_event.h"
 
+#include <cstdio>
 #include <glog/logging.h>
 #include <string>
 
@@ -27,9 +28,11 @@
 
 void startLog(const char* program, std::string_view directory)
 {
-    if (directory.empty())
+    if (directory.empty()) {
         FLAGS_logtostdout = true;
-    else
+        // Whole lines at once: what a killed process had to say must not be lost.
+        std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
+    } else
         FLAGS_log_dir = std::string(directory);
     google::InitGoogleLogging(program);
 }
--- a/coltsfootbend/gateway/backend_connection.h
+++ b/coltsfootbend/gateway/backend_connection.h
@@ -75,7 +75,9 @@
         // Some servers drop idle connections early and silently. What must not run twice is sent on connections that
         // were used this recently, or on new ones.
         duration freshFor = std::chrono::milliseconds(1000);
-        duration connectLimit = std::chrono::milliseconds(1000);
+        // Several round trips between the farthest data centres; a lost opening packet is sent again only after
+        // seconds.
+        duration connectLimit = std::chrono::milliseconds(300);
         std::size_t keptPerServer = 32;
     };
 
--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -18,13 +18,19 @@
 constexpr double highestFailureShare = 0.9;
 // What a first event takes beside waiting for a slot: half a pass to join, one to read the prompt, one to answer.
 constexpr double passesToFirstEvent = 2.0;
-// A group that broke takes its own forming time and about this long for the lost rank to come back.
-constexpr std::chrono::milliseconds usualOutage { 2000 };
+// Without servers: about how long a new one takes to register.
+constexpr std::chrono::milliseconds registrationTime { 2000 };
+// Of a new outage in the usual one.
+constexpr double outageSmoothing = 0.5;
+// An outage that lasts longer than usual may end at any moment.
+constexpr std::chrono::milliseconds leastOutageLeft { 500 };
 // Returns are spread over this share of the stated time, so that they do not come as one wave.
 constexpr double retrySpread = 0.5;
 constexpr std::chrono::milliseconds leastRetryAfter { 250 };
-// A caller that was refused before is let in behind the others while no more than this share of the slots waits.
-constexpr double returningQueueShare = 0.5;
+// Callers that were refused before get no more of this gateway's part of the slots: the rest is for new ones.
+constexpr double returningShareOfSlots = 0.8;
+// Passes differ from each other, so that their mean has to stay below the pause that callers accept.
+constexpr double usedShareOfGap = 0.9;
 
 duration jittered(duration base, std::minstd_rand& random)
 {
@@ -99,11 +105,16 @@
     if (report.epoch < group.lastEpoch)
         return; // Sent before the group was formed again.
     if (report.isOpen) {
+        if (!group.isOpen) {
+            const auto lasted = now - group.closedAt;
+            group.usualOutage += fromMilliseconds(outageSmoothing * toMilliseconds(lasted - group.usualOutage));
+        }
         group.isOpen = true;
-        group.openKnownAt = now;
-    } else if (group.isOpen) {
+    } else {
+        if (group.isOpen)
+            group.closedAt = now;
         group.isOpen = false;
-        group.closedAt = now;
+        group.brokenKnownAt = now;
     }
     constexpr double leastSteps = 4; // Fewer give too coarse a measure.
     const auto steps = static_cast<double>(report.step) - static_cast<double>(group.lastStep);
@@ -144,6 +155,27 @@
     return load;
 }
 
+double backend_picker::runningLimit(const deployment_state& group, duration gapTarget) const
+{
+    const double slots = group.engine->slots;
+    if (gapTarget <= duration::zero() || group.passMs <= 0)
+        return slots;
+    return std::max(1.0, std::floor(slots * std::min(1.0, usedShareOfGap * toMilliseconds(gapTarget) / group.passMs)));
+}
+
+bool backend_picker::exceedsShare(const pick_request& request, const deployment_state& group) const
+{
+    double slots = 0;
+    double inFlight = 0;
+    for (const auto& [id, state] : m_backends) {
+        if (state.server.deployment != request.deployment || state.server.isLeaving)
+            continue;
+        slots += group.engine->slots;
+        inFlight += state.inFlight;
+    }
+    return inFlight >= returningShareOfSlots * slots / m_gateways;
+}
+
 double backend_picker::passMsOf(const deployment_state& group) const
 {
     if (!group.engine)
@@ -202,7 +234,30 @@
 bool backend_picker::isOpen(const deployment_id& deployment, time_point now) const
 {
     const auto found = m_deployments.find(deployment);
-    return found == m_deployments.end() || found->second.isOpen || now > found->second.closedAt + m_options.brokenLimit;
+    return found == m_deployments.end() || found->second.isOpen
+        || now > found->second.brokenKnownAt + m_options.brokenLimit;
+}
+
+bool backend_picker::isForming(const deployment_id& deployment, time_point now) const
+{
+    std::uint32_t ranks = 0;
+    std::uint32_t heard = 0;
+    for (const auto& [id, state] : m_backends) {
+        if (state.server.deployment != deployment || !state.report || now - state.reportedAt > m_options.heardLimit)
+            continue;
+        ranks = std::max(ranks, state.report->ranks);
+        ++heard;
+    }
+    return ranks > 0 && heard >= ranks;
+}
+
+// Once all engines are there the group forms in a time that the operator states; before that only experience tells.
+time_point backend_picker::expectOpen(const pick_request& request, const deployment_state& group, time_point now) const
+{
+    const auto forming = group.engine ? group.engine->formTime : duration::zero();
+    if (isForming(request.deployment, now))
+        return now + forming;
+    return std::max<time_point>(group.closedAt + group.usualOutage, now + leastOutageLeft);
 }
 
 pick_refused backend_picker::refuse(pick_refusal reason, duration wait, const pick_request& request, time_point now)
@@ -210,7 +265,7 @@
     // Callers keep to at most a third of the time that they have left.
     const auto honoured = std::max<duration>((request.deadline - now) / 3, duration::zero());
     const auto asked = std::max<duration>(jittered(wait, m_random), leastRetryAfter);
-    return { reason, std::min(asked, std::max<duration>(honoured, leastRetryAfter)) };
+    return { reason, std::min(asked, std::max<duration>(honoured, leastRetryAfter)), wait, {} };
 }
 
 void backend_picker::noteRate(deployment_state& group, time_point now)
@@ -259,19 +314,22 @@
     auto& group = m_deployments[request.deployment];
     const auto usable = candidates(request, now);
     if (usable.empty())
-        return tl::unexpected(refuse(pick_refusal::NoServers, usualOutage, request, now));
+        return tl::unexpected(refuse(pick_refusal::NoServers, registrationTime, request, now));
     if (!isOpen(request.deployment, now)) {
-        const auto forming = group.engine ? group.engine->formTime : duration::zero();
-        return tl::unexpected(refuse(pick_refusal::GroupDown, usualOutage + forming, request, now));
+        const auto open = expectOpen(request, group, now);
+        auto refused = refuse(pick_refusal::GroupDown, open - now, request, now);
+        refused.expectedOpenAt = open;
+        return tl::unexpected(refused);
     }
     auto& chosen = choose(usable, group, now);
     const auto predicted = predictFirst(chosen, group, now);
     const double load = loadOf(chosen, now);
     if (group.engine && !request.isResumption) {
-        const double waiting = load + 1 - group.engine->slots;
-        const auto limit = request.isReturning ? request.deadline - now : request.latencyTarget;
-        const double mostWaiting = request.isReturning ? returningQueueShare * group.engine->slots : HUGE_VAL;
-        if (waiting > 0 && (predicted > limit || waiting > mostWaiting))
+        const double waiting = load + 1 - runningLimit(group, request.gapTarget);
+        const bool isTooLate = predicted > (request.isReturning ? request.deadline - now : request.latencyTarget);
+        const bool isTooSlow = load + 1 <= group.engine->slots; // It would run, and slow all others down.
+        const bool isBehind = request.isReturning && exceedsShare(request, group);
+        if (isBehind || (waiting > 0 && (isTooLate || isTooSlow)))
             return tl::unexpected(refuse(pick_refusal::Overloaded, predicted, request, now));
     }
     return picked_backend { chosen.server, predicted, load, now - chosen.reportedAt };
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -31,6 +31,7 @@
     std::string group;
     std::uint64_t epoch = 0;
     std::uint64_t step = 0;
+    std::uint32_t ranks = 0; // Of the group; 0 without one.
     bool isOpen = true;
 };
 
@@ -57,6 +58,8 @@
 struct pick_request {
     deployment_id deployment;
     duration latencyTarget {};
+    // The longest pause between two events; 0 where none is stated.
+    duration gapTarget {};
     // When the caller gives up.
     time_point deadline {};
     // The caller was refused before, so it is late already and waits behind the others.
@@ -80,6 +83,10 @@
     pick_refusal reason = pick_refusal::NoServers;
     // After which another try makes sense; jittered.
     duration retryAfter {};
+    // For an overloaded one: until the request could be run.
+    duration expectedWait {};
+    // For a broken group: when it is expected to be open again.
+    time_point expectedOpenAt {};
 };
 
 class backend_picker {
@@ -88,11 +95,14 @@
         data_centre_id home;
         // Reports older than this are not believed.
         duration reportLimit = std::chrono::milliseconds(1500);
-        // A report that a group is broken holds until a newer one, but no longer than this.
+        // A report that a group is broken holds until a newer one, but no longer than this: agents speak ten times a
+        // second, and silence of all of them says nothing of the engines.
         duration brokenLimit = std::chrono::milliseconds(2500);
         // A server that broke an exchange is left alone for this long, doubled with each further time.
         duration ejection = std::chrono::milliseconds(400);
         duration longestEjection = std::chrono::seconds(4);
+        // All engines of a broken group that were heard within this time are there to form it again.
+        duration heardLimit = std::chrono::milliseconds(350);
         // What a server of another data centre must have less, in requests, to be chosen.
         double otherDataCentreHandicap = 0.25;
         // The share of a new sample in the averages of latency and of failures.
@@ -142,17 +152,26 @@
         std::uint64_t lastEpoch = 0;
         time_point lastStepAt {};
         bool isOpen = true;
-        time_point openKnownAt {};
         time_point closedAt {};
+        // When it was last reported to be broken.
+        time_point brokenKnownAt {};
+        // How long groups of this deployment were broken lately.
+        duration usualOutage = std::chrono::seconds(5);
         // Of the requests that this gateway sends.
         double requestsPerSecond = 0;
         time_point lastSentAt {};
     };
 
+    bool isForming(const deployment_id&, time_point now) const;
     double loadOf(const backend_state&, time_point now) const;
     double scoreOf(const backend_state&, const deployment_state&, time_point now) const;
     duration predictFirst(const backend_state&, const deployment_state&, time_point now) const;
+    time_point expectOpen(const pick_request&, const deployment_state&, time_point now) const;
     void noteGroup(deployment_state&, const engine_report&, time_point now);
+    // How many requests a server may run before its passes take longer than the pause that callers accept.
+    double runningLimit(const deployment_state&, duration gapTarget) const;
+    // True when this gateway has more under way than its part of all slots.
+    bool exceedsShare(const pick_request&, const deployment_state&) const;
     double passMsOf(const deployment_state&) const;
     pick_refused refuse(pick_refusal, duration wait, const pick_request&, time_point now);
     // Chooses so that all gateways together, none of which sees what the others send, fill the emptiest servers evenly.
--- a/coltsfootbend/gateway/backend_picker_test.cpp
+++ b/coltsfootbend/gateway/backend_picker_test.cpp
@@ -163,6 +163,40 @@
     EXPECT_TRUE(m_picker.pick(request(llm), m_now));
 }
 
+TEST_F(BackendPicker, PassesThatTakeLongerThanTheAcceptedPauseLimitWhatRuns)
+{
+    use(llm, 3);
+    for (int i = 0; i < 30; ++i) { // Five passes a second, each of 200 ms.
+        m_step += 5;
+        m_now += 1s;
+        reportAll(3, 0);
+    }
+    auto stream = request(llm);
+    EXPECT_TRUE(m_picker.pick(stream, m_now));
+    stream.gapTarget = 120ms;
+    const auto picked = m_picker.pick(stream, m_now);
+    ASSERT_FALSE(picked);
+    EXPECT_EQ(picked.error().reason, pick_refusal::Overloaded);
+}
+
+TEST_F(BackendPicker, ReturningCallersLeaveRoomForNewOnes)
+{
+    use(llm, 3);
+    reportAll(0, 0);
+    m_picker.setGateways(3);
+    auto returning = request(llm);
+    returning.isReturning = true;
+    int taken = 0;
+    for (; taken < 12; ++taken) {
+        const auto picked = m_picker.pick(returning, m_now);
+        if (!picked)
+            break;
+        m_picker.sent(picked->server.id, m_now);
+    }
+    EXPECT_EQ(taken, 4) << "of a third of twelve slots";
+    EXPECT_TRUE(m_picker.pick(request(llm), m_now));
+}
+
 TEST_F(BackendPicker, ACallerThatWasRefusedBeforeMayWaitLonger)
 {
     use(llm, 3);
@@ -187,6 +221,55 @@
     EXPECT_TRUE(m_picker.pick(request(llm), m_now));
 }
 
+TEST_F(BackendPicker, ABrokenGroupWhoseEnginesAreAllHeardIsAboutToOpen)
+{
+    use(llm, 3);
+    const auto tell = [&](int number) {
+        m_picker.report(addressOf(number),
+            { .running = 0,
+                .waiting = 0,
+                .pace = 1,
+                .group = "g",
+                .epoch = 1,
+                .step = 10,
+                .ranks = 3,
+                .isOpen = false },
+            m_now);
+    };
+    tell(1);
+    tell(2);
+    EXPECT_GT(m_picker.pick(request(llm), m_now).error().expectedOpenAt, m_now + 2s) << "one rank is missing";
+    tell(3);
+    EXPECT_LT(m_picker.pick(request(llm), m_now).error().expectedOpenAt, m_now + 1s);
+    m_now += 1s;
+    tell(1);
+    tell(2);
+    EXPECT_GT(m_picker.pick(request(llm), m_now).error().expectedOpenAt, m_now + 2s) << "the third is not heard";
+}
+
+TEST_F(BackendPicker, TheLengthOfOutagesIsLearnt)
+{
+    use(llm, 2);
+    for (int outage = 0; outage < 6; ++outage) {
+        reportAll(0, 0, false);
+        m_now += 1s;
+        reportAll(0, 0, true);
+        m_now += 10s;
+    }
+    reportAll(0, 0, false);
+    EXPECT_LT(m_picker.pick(request(llm), m_now).error().expectedOpenAt, m_now + 1500ms);
+}
+
+TEST_F(BackendPicker, AGroupThatIsReportedBrokenAgainAndAgainStaysRefused)
+{
+    use(llm, 3);
+    for (int i = 0; i < 60; ++i) {
+        reportAll(1, 0, false);
+        m_now += 100ms;
+    }
+    EXPECT_FALSE(m_picker.pick(request(llm), m_now));
+}
+
 TEST_F(BackendPicker, AnOldReportOfABrokenGroupIsNotBelievedForever)
 {
     use(llm, 3);
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -28,10 +28,12 @@
 constexpr std::chrono::milliseconds silentStreamLimit { 900 };
 constexpr std::chrono::milliseconds callerGapLimit { 1900 };
 constexpr std::chrono::milliseconds groupLookEvery { 30 };
+// No longer than it would take a caller to come back.
+constexpr std::chrono::milliseconds shortWait { 800 };
+// A caller that was refused before is late already, so it stands behind those that can still be served in time.
+constexpr std::uint32_t returningPenalty = 3;
 constexpr std::uint32_t maxUnreachable = 3;
 constexpr std::size_t maxWholeBody = std::size_t { 16 } * 1024 * 1024;
-// A caller whose patience is below this share of the usual has waited elsewhere before.
-constexpr double returningShare = 0.95;
 constexpr std::chrono::milliseconds unreadyRetryAfter { 1000 };
 
 bool isSuccess(int status) { return status >= 200 && status < 300; }
@@ -92,19 +94,17 @@
     }
     const auto timeout = m_route->timeout > duration::zero() ? m_route->timeout : duration(longestWait);
     m_deadline = m_arrivedAt + std::min(timeout, m_facts.timeLeft.value_or(timeout));
-    m_returning = isReturning();
+    m_returning
+        = m_facts.timeLeft && m_context.patience.isReturning(m_route->name, *m_facts.timeLeft, m_route->timeout);
     m_deployment = chooseDeployment();
     m_context.metrics.count("requests_total", { { "route", m_route->name } });
     return true;
 }
 
-bool exchange::isReturning() const
+std::uint32_t exchange::priority() const
 {
-    if (!m_facts.timeLeft)
-        return false;
-    auto& usual = m_context.patience[m_route->name];
-    usual = std::max(usual, *m_facts.timeLeft);
-    return toMilliseconds(*m_facts.timeLeft) < returningShare * toMilliseconds(usual);
+    const auto base = m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
+    return m_returning && !m_begun ? base + returningPenalty : base;
 }
 
 deployment_id exchange::chooseDeployment() const
@@ -147,6 +147,7 @@
 {
     return { .deployment = m_deployment,
         .latencyTarget = m_route->latencyTarget,
+        .gapTarget = m_route->gapTarget,
         .deadline = m_deadline,
         .isReturning = m_returning,
         .isResumption = m_begun,
@@ -161,6 +162,8 @@
         finishWithoutServer();
         return next_step::Finished;
     }
+    if (isWorthWaiting(refused) && awaitOpenGroup())
+        return next_step::TryAgain;
     // The servers that were left out may be asked again rather than nobody.
     if (refused.reason == pick_refusal::NoServers && !m_excluded.empty() && m_route->mayRepeat()
         && m_sent < m_route->maxAttempts) {
@@ -168,6 +171,7 @@
         return next_step::TryAgain;
     }
     if (m_mayHaveRun || m_serverFailure) {
+        m_retryAfter = refused.retryAfter;
         finishWithoutServer();
         return next_step::Finished;
     }
@@ -179,10 +183,20 @@
     return next_step::Finished;
 }
 
-// Waits while the group of a begun stream is formed again. Returns false when that takes longer than the caller waits.
+// A group that is open within a moment, or a slot that is free, is waited for by callers who were refused before: they
+// may have no further try. Others are told when to come back.
+bool exchange::isWorthWaiting(const pick_refused& refused) const
+{
+    const auto limit = std::min(m_deadline, m_arrivedAt + (m_returning ? callerGapLimit : shortWait));
+    if (refused.reason == pick_refusal::Overloaded)
+        return m_returning && clock_type::now() + refused.expectedWait < limit;
+    return refused.reason == pick_refusal::GroupDown && refused.expectedOpenAt < limit;
+}
+
+// Waits while the group is formed again. Returns false when that takes longer than the caller of a stream waits.
 bool exchange::awaitOpenGroup()
 {
-    const auto limit = std::min(m_deadline, m_lastEventAt + callerGapLimit);
+    const auto limit = std::min(m_deadline, (m_begun ? m_lastEventAt : m_arrivedAt) + callerGapLimit);
     while (!m_caller->gone && clock_type::now() + groupLookEvery < limit) {
         m_context.runtime.sleepFor(groupLookEvery);
         if (m_context.picker.isOpen(m_deployment, clock_type::now()))
@@ -226,7 +240,7 @@
     const backend_call call { .server = server.id,
         .customer = m_customer ? m_customer->id : customer_id(),
         .timeLeft = m_deadline - now,
-        .priority = m_customer && m_customer->priority ? *m_customer->priority : m_route->priority,
+        .priority = priority(),
         .resumeAfter = m_events.lastId() };
     ++m_sent;
     m_excluded.push_back(server.id);
@@ -405,7 +419,8 @@
     }
     if (m_mayHaveRun) {
         answer(statusBadGateway,
-            { error_kind::Lost, "the server's answer was lost", "It may have run; look before repeating it" });
+            { error_kind::Lost, "the server's answer was lost", "It may have run; look before repeating it" },
+            m_retryAfter);
         return;
     }
     m_context.metrics.count("refused_total", { { "reason", "servers_refused" } });
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -11,6 +11,7 @@
 #include "coltsfootbend/gateway/catalogue.h"
 #include "coltsfootbend/gateway/event_stream.h"
 #include "coltsfootbend/gateway/request_dialect.h"
+#include "coltsfootbend/limits/patience_tracker.h"
 #include "coltsfootbend/limits/retry_budget.h"
 #include "coltsfootbend/metrics/metrics.h"
 
@@ -30,8 +31,7 @@
     backend_connections connections;
     // One for each deployment: what may be sent again.
     std::map<deployment_id, retry_budget> budgets;
-    // The longest that callers of each route have lately said they would wait; one who says less was here before.
-    std::map<std::string, duration> patience;
+    patience_tracker patience;
     catalogue_ptr catalogue;
 };
 
@@ -58,6 +58,7 @@
     // The server broke the exchange, or was silent for too long.
     next_step broke(const picked_backend&, const error&);
     bool mayTryAgain();
+    bool isWorthWaiting(const pick_refused&) const;
     bool awaitOpenGroup();
     void finishWithoutServer();
     void answer(int status, const error&, std::optional<duration> retryAfter = std::nullopt);
@@ -66,7 +67,7 @@
     deployment_id chooseDeployment() const;
     pick_request pickRequest() const;
     time_point headDeadline(const picked_backend&, time_point now) const;
-    bool isReturning() const;
+    std::uint32_t priority() const;
     retry_budget& budget();
     std::string label() const;
 
@@ -93,6 +94,7 @@
     std::uint32_t m_unreachable = 0; // Servers that could not even be connected to.
     std::vector<backend_id> m_excluded;
     bool m_mayHaveRun = false;
+    std::optional<duration> m_retryAfter; // Of the last refusal by the picker.
     std::optional<http_response> m_serverFailure; // A server's own error, passed on when nobody else can do better.
     event_splitter m_events;
     bool m_begun = false; // The caller has the head of a stream.
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -204,6 +204,7 @@
                 .group = news->group,
                 .epoch = news->epoch,
                 .step = news->step,
+                .ranks = news->ranks,
                 .isOpen = news->isOpen },
             clock_type::now());
         if (news->subscribers > 0 && news->subscribers != m_gateways && m_context->catalogue) {
--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -241,7 +241,8 @@
 pass_number map_leader::passesAhead() const
 {
     constexpr int marginPercent = 140;
-    const auto expected = std::clamp(m_armingTime * marginPercent / 100, m_options.leastArmingTime, m_options.mostArmingTime);
+    const auto expected
+        = std::clamp(m_armingTime * marginPercent / 100, m_options.leastArmingTime, m_options.mostArmingTime);
     const auto passes = static_cast<pass_number>(std::ceil(toMilliseconds(expected) / m_passMs));
     return std::clamp(passes + 1, leastPassesAhead, mostPassesAhead);
 }
--- a/coltsfootbend/group/map_participant.cpp
+++ b/coltsfootbend/group/map_participant.cpp
@@ -78,8 +78,14 @@
         return; // The leader goes by the other ranks; the next answer includes what is missing here.
     const auto& counts = demand->counts;
     constexpr std::uint64_t most = std::numeric_limits<std::uint32_t>::max();
+    // Without former counts nothing says when these were made: an agent that was just started would report the demand
+    // of the engine's whole life as that of this moment.
+    if (counts.size() != m_lastCounts.size()) {
+        m_lastCounts = counts;
+        return;
+    }
     // Counts that fall show that the engine was started anew.
-    bool isContinued = counts.size() == m_lastCounts.size();
+    bool isContinued = true;
     for (std::size_t i = 0; isContinued && i < counts.size(); ++i)
         isContinued = counts[i] >= m_lastCounts[i];
     state.demand.resize(counts.size());
--- /dev/null
+++ b/coltsfootbend/group/map_participant_test.cpp
@@ -0,0 +1,110 @@
+#include "coltsfootbend/group/map_participant.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+
+// An engine that tells what it is set to, and takes every order.
+class told_engine final : public rank_engine {
+public:
+    result<rank_report> report(time_point) override { return told; }
+    result<rank_demand> demand(time_point) override { return rank_demand { 1, counts }; }
+    result<rank_maps> maps(time_point) override { return rank_maps {}; }
+    result<void> prepare(group_epoch, engine_map_version, const group_map&, time_point) override
+    {
+        ++orders;
+        return {};
+    }
+    result<void> arm(group_epoch, const armed_switch&, time_point) override
+    {
+        ++orders;
+        return {};
+    }
+    result<void> disarm(group_epoch, engine_map_version, time_point) override { return {}; }
+    result<void> hold(group_epoch, pass_number, time_point) override { return {}; }
+    result<void> release(group_epoch, pass_number, time_point) override { return {}; }
+
+    rank_report told;
+    std::vector<std::uint64_t> counts { 0, 0 };
+    int orders = 0;
+};
+
+void withParticipant(const std::function<void(map_participant&, told_engine&)>& work)
+{
+    std::thread([&] {
+        fiber_runtime runtime;
+        runtime.spawn([&] {
+            told_engine engine;
+            engine.told.group = group_membership { "g", 1, 2, 4, true };
+            map_participant participant(runtime, engine);
+            work(participant, engine);
+            runtime.stop();
+        });
+        runtime.run();
+    }).join();
+}
+
+std::vector<std::uint32_t> askDemand(map_participant& participant, leader_term term)
+{
+    const wire::rank_query query { .term = term, .epoch = 1, .wantsDemand = true };
+    return participant.answer(query, clock_type::now() + 1s)->demand;
+}
+
+TEST(MapParticipant, TheDemandOfTheEnginesFormerLifeIsNotToldAsNew)
+{
+    withParticipant([](map_participant& participant, told_engine& engine) {
+        engine.counts = { 1000, 5 };
+        EXPECT_TRUE(askDemand(participant, 1).empty()) << "nothing says when these were counted";
+        engine.counts = { 1010, 25 };
+        EXPECT_EQ(askDemand(participant, 1), (std::vector<std::uint32_t> { 10, 20 }));
+    });
+}
+
+TEST(MapParticipant, CountsThatFallAreThoseOfANewEngine)
+{
+    withParticipant([](map_participant& participant, told_engine& engine) {
+        engine.counts = { 1000, 5 };
+        (void)askDemand(participant, 1);
+        engine.counts = { 3, 4 };
+        EXPECT_EQ(askDemand(participant, 1), (std::vector<std::uint32_t> { 3, 4 }));
+    });
+}
+
+TEST(MapParticipant, AnOlderLeaderGetsNothingDone)
+{
+    withParticipant([](map_participant& participant, told_engine& engine) {
+        const auto newer = termAfter(0, 3);
+        (void)askDemand(participant, newer);
+        const wire::rank_arm arm { .term = newer - 1, .epoch = 1, .version = 7, .step = 100 };
+        const auto state = participant.answer(arm, clock_type::now() + 1s);
+        ASSERT_TRUE(state);
+        EXPECT_EQ(state->term, newer);
+        EXPECT_EQ(engine.orders, 0);
+    });
+}
+
+TEST(MapParticipant, ASwitchThatIsNotConfirmedIsToldAsUncertain)
+{
+    withParticipant([](map_participant& participant, told_engine&) {
+        const wire::rank_arm arm { .term = 1, .epoch = 1, .version = 7, .step = 100 };
+        (void)participant.answer(arm, clock_type::now() + 60ms);
+        const auto state = participant.answer(wire::rank_query { .term = 1, .epoch = 1 }, clock_type::now() + 1s);
+        ASSERT_TRUE(state);
+        EXPECT_EQ(state->armedVersion, 7U);
+        EXPECT_TRUE(state->isArmUncertain);
+    });
+}
+
+TEST(MapParticipant, TermsOrderLeadersAndNameThem)
+{
+    EXPECT_GT(termAfter(termAfter(0, 5), 1), termAfter(0, 5));
+    EXPECT_EQ(leaderOf(termAfter(123, 7)), 7U);
+    EXPECT_NE(termAfter(0, 1), termAfter(0, 2));
+}
+
+} // namespace
+} // namespace coltsfootbend
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -21,6 +21,8 @@
 // A leader speaks several times a second. The ranks wait for each other in turn, so that one of them takes over.
 constexpr std::chrono::milliseconds leaderSilence { 1200 };
 constexpr std::chrono::milliseconds silencePerRank { 250 };
+// An agent that has just started hears a leader within a round, if there is one.
+constexpr std::chrono::milliseconds silenceAfterStart { 500 };
 // With a switch ordered the group may stand still until somebody finishes it.
 constexpr std::chrono::milliseconds armedSilence { 400 };
 constexpr std::chrono::milliseconds armedSilencePerRank { 60 };
@@ -192,6 +194,7 @@
         news.group = report.group->name;
         news.epoch = report.group->epoch;
         news.isOpen = report.group->isOpen;
+        news.ranks = report.group->ranks;
     }
     const auto bytes = wire::encode({ .sender = m_settings.vm, .senderLife = {}, .version = {}, .content = news });
     for (const auto& [subscriber, until] : m_subscribers)
@@ -228,7 +231,9 @@
 duration rank_service::silenceLimit() const
 {
     const auto turn = std::min(m_group->rank, ranksInTurn);
-    return m_participant.isArmed() ? armedSilence + turn * armedSilencePerRank : leaderSilence + turn * silencePerRank;
+    if (m_participant.isArmed())
+        return armedSilence + turn * armedSilencePerRank;
+    return (m_participant.term() == 0 ? silenceAfterStart : leaderSilence) + turn * silencePerRank;
 }
 
 const engine_model* rank_service::engineModel() const
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -86,7 +86,7 @@
 static auto fieldsOf(load_news& value)
 {
     return std::tie(value.engine, value.running, value.waiting, value.usedTokens, value.totalTokens, value.pace,
-        value.group, value.epoch, value.step, value.isOpen, value.subscribers);
+        value.group, value.epoch, value.step, value.isOpen, value.subscribers, value.ranks);
 }
 static auto fieldsOf(problem& value) { return std::tie(value.kind, value.message, value.remedy); }
 
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -219,6 +219,7 @@
     std::uint64_t epoch = 0;
     std::uint64_t step = 0;
     bool isOpen = true;
+    std::uint32_t ranks = 0; // Of the group.
     std::uint32_t subscribers = 0; // Gateways that this agent knows.
 };
 
