Copies of experts are dearer while the group has time to spare

Change: the gain that a copy must bring, and the least gain of a change, grow up to fivefold as the group gets emptier than three quarters of its slots.

--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -190,13 +190,26 @@
     std::vector<double> paces;
     for (const auto& state : states)
         paces.push_back(std::max(1.0, state->pace));
-    const auto plan = m_planner.plan(*m_map, m_demand.demand(), paces);
-    if (plan.gain() < m_options.leastGain)
+    const double factor = idleFactor(states);
+    const auto plan = m_planner.plan(*m_map, m_demand.demand(), paces, m_options.planner.gainPerMove * factor);
+    if (plan.gain() < m_options.leastGain * factor)
         return m_options.cycle;
     change(states, plan);
     return std::min<duration>(m_options.cycle, waitCycle);
 }
 
+double map_leader::idleFactor(const states_by_rank& states) const
+{
+    // From this share of the slots on, every pass that takes longer lets requests wait.
+    constexpr double busyShare = 0.75;
+    constexpr double mostFactor = 5;
+    double requests = 0;
+    for (const auto& state : states)
+        requests += state->requests;
+    const double share = requests / (static_cast<double>(states.size()) * m_options.slots);
+    return 1 + (mostFactor - 1) * std::max(0.0, busyShare - share) / busyShare;
+}
+
 void map_leader::change(const states_by_rank& states, const map_plan& plan)
 {
     engine_map_version highest = 0;
--- a/coltsfootbend/group/map_leader.h
+++ b/coltsfootbend/group/map_leader.h
@@ -34,6 +34,8 @@
         map_planner::options planner;
         std::uint32_t sets = 0;
         std::uint32_t experts = 0;
+        // Requests that one rank runs at once.
+        std::uint32_t slots = 1;
         // Between two rounds of counts.
         duration cycle = std::chrono::milliseconds(300);
         // A change has to lower the mean skew by this much.
@@ -65,6 +67,8 @@
     void learn(const states_by_rank&);
     bool isMapKnown(const wire::rank_state& own) const;
     duration planAndChange(const states_by_rank&);
+    // By how much dearer a copy is than in a busy group: skew costs only where ranks are short of time.
+    double idleFactor(const states_by_rank&) const;
     void change(const states_by_rank&, const map_plan&);
     std::optional<pass_number> holdAhead(pass_number step);
     bool armAll(const armed_switch&);
--- a/coltsfootbend/group/map_participant.cpp
+++ b/coltsfootbend/group/map_participant.cpp
@@ -58,6 +58,7 @@
     state.heldStep = report.held.value_or(0);
     state.highestVersion = std::max({ report.mapVersion, state.preparedVersion, m_orders.highestOrdered(group.epoch) });
     state.pace = report.pace;
+    state.requests = report.running + report.waiting;
     return state;
 }
 
--- a/coltsfootbend/group/map_planner.cpp
+++ b/coltsfootbend/group/map_planner.cpp
@@ -217,7 +217,8 @@
 
 } // namespace
 
-map_plan map_planner::plan(const group_map& current, const group_demand& demand, const std::vector<double>& paces) const
+map_plan map_planner::plan(
+    const group_map& current, const group_demand& demand, const std::vector<double>& paces, double gainPerMove) const
 {
     map_plan plan { .next = current, .moves = 0, .skewBefore = 0, .skewAfter = 0 };
     for (std::size_t set = 0; set < current.size(); ++set) {
@@ -229,7 +230,7 @@
         while (idle < patience && working.relieve() > 0) {
             const double skew = working.skew();
             const auto moved = copies(current[set], working.experts());
-            const double value = before - skew - m_options.gainPerMove * moved;
+            const double value = before - skew - gainPerMove * moved;
             if (value > bestValue) {
                 bestValue = value;
                 after = skew;
--- a/coltsfootbend/group/map_planner.h
+++ b/coltsfootbend/group/map_planner.h
@@ -46,9 +46,16 @@
     {
     }
 
+    // As below, with another gain that each move must bring.
+    map_plan plan(const group_map& current, const group_demand& demand, const std::vector<double>& paces,
+        double gainPerMove) const;
+
     // `paces`: by rank, above 1 for a slow one, which gets that much less. Precondition: every expert lies on a rank of
     // `current`. O(sets x moves x candidates x places^2).
-    map_plan plan(const group_map& current, const group_demand& demand, const std::vector<double>& paces) const;
+    map_plan plan(const group_map& current, const group_demand& demand, const std::vector<double>& paces) const
+    {
+        return plan(current, demand, paces, m_options.gainPerMove);
+    }
 
     // Returns the mean skew of `map` under `demand`; see `map_plan`.
     static double skewOf(const group_map& map, const group_demand& demand, const std::vector<double>& paces);
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -262,7 +262,8 @@
                                   .newPerChange = engine->newPerChange,
                                   .gainPerMove = m_settings.rankAgent->gainPerMove },
             .sets = engine->expertSets,
-            .experts = engine->experts },
+            .experts = engine->experts,
+            .slots = engine->slots },
         std::random_device {}());
     return m_leader.get();
 }
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -76,7 +76,7 @@
 {
     return std::tie(value.term, value.group, value.epoch, value.rank, value.ranks, value.isOpen, value.step,
         value.mapVersion, value.preparedVersion, value.armedVersion, value.armedStep, value.isArmUncertain,
-        value.heldStep, value.highestVersion, value.pace, value.demand, value.map);
+        value.heldStep, value.highestVersion, value.pace, value.requests, value.demand, value.map);
 }
 static auto fieldsOf(rank_prepare& value) { return std::tie(value.term, value.epoch, value.version, value.map); }
 static auto fieldsOf(rank_arm& value) { return std::tie(value.term, value.epoch, value.version, value.step); }
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -175,6 +175,7 @@
     std::uint64_t heldStep = 0;
     std::uint64_t highestVersion = 0; // Ever offered to this rank in this epoch, as far as the agent knows.
     double pace = 1; // Above 1 the engine is slow.
+    std::uint32_t requests = 0; // Running and waiting.
     std::vector<std::uint32_t> demand; // By set and expert; empty unless asked for.
     std::vector<std::vector<std::uint32_t>> map; // Experts of this rank in use, by set; empty unless asked for.
 };
