--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -83,6 +83,7 @@
             // A peer may have told a newer state meanwhile, on which these changes do not build.
             if (table(name).revision == after)
                 takeChanges(name, *page);
+            m_runtime.sleepFor(m_options.settle);
             continue;
         }
         isCurrent = page.error().kind != error_kind::Stale;
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -34,6 +34,9 @@
     struct options {
         // A long poll; the store allows up to 30 s. Connections that went silent are noticed by TCP's own probes.
         duration pollLength = std::chrono::seconds(20);
+        // After a change the next poll waits this long, so that a series of changes costs few calls. Well below what a
+        // change may take until it is in force.
+        duration settle = std::chrono::milliseconds(300);
         duration readLimit = std::chrono::milliseconds(1500);
         // Between two tries when the store does not answer.
         duration retryPause = std::chrono::milliseconds(150);
--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -74,8 +74,14 @@
         current->answers.back() = m_own.answer(asked, deadline);
         --current->open;
     }
-    while (current->open > 0 && clock_type::now() < deadline)
-        (void)current->done.waitUntil(deadline);
+    auto beatAt = clock_type::now() + m_options.beatEvery;
+    while (current->open > 0 && clock_type::now() < deadline) {
+        (void)current->done.waitUntil(std::min(deadline, beatAt));
+        if (clock_type::now() >= beatAt) {
+            beat();
+            beatAt = clock_type::now() + m_options.beatEvery;
+        }
+    }
     auto answers = current->answers;
     for (const auto& answer : answers) {
         if (answer)
@@ -84,9 +90,21 @@
     return answers;
 }
 
+void map_leader::beat()
+{
+    const wire::rank_query query { .term = m_term, .epoch = m_epoch };
+    const auto deadline = clock_type::now() + m_options.queryLimit;
+    for (const auto& channel : m_others) {
+        // Answers are of no interest here: a newer leader's term comes with the answers to the step itself.
+        m_runtime.spawn([channel, query, deadline] { (void)channel->ask(query, deadline); });
+    }
+}
+
 map_leader::states_by_rank map_leader::gather()
 {
-    const wire::rank_query query { .term = m_term, .epoch = m_epoch, .wantsDemand = true, .wantsMap = m_wantsMap };
+    const wire::rank_query query {
+        .term = m_term, .epoch = m_epoch, .demandSources = m_options.demandSources, .wantsMap = m_wantsMap
+    };
     // A leader whose own engine does not answer lets somebody else lead.
     const auto own = m_own.answer(query, clock_type::now() + m_options.queryLimit);
     if (!own)
--- a/coltsfootbend/group/map_leader.h
+++ b/coltsfootbend/group/map_leader.h
@@ -34,12 +34,15 @@
         map_planner::options planner;
         std::uint32_t sets = 0;
         std::uint32_t experts = 0;
+        // Ranks that are asked for their counts: enough to tell what is in demand, few enough for the leader's link.
+        std::uint32_t demandSources = 16;
         // Requests that one rank runs at once.
         std::uint32_t slots = 1;
         // Between two rounds of counts.
         duration cycle = std::chrono::milliseconds(300);
         // A change has to lower the mean skew by this much.
         double leastGain = 0.06;
+        duration beatEvery = std::chrono::milliseconds(400);
         duration queryLimit = std::chrono::milliseconds(300);
         duration prepareLimit = std::chrono::milliseconds(2500);
         duration armLimit = std::chrono::milliseconds(800);
@@ -61,6 +64,8 @@
     using states_by_rank = std::vector<std::optional<wire::rank_state>>;
 
     states_by_rank gather();
+    // Speaks to all ranks while a long step is under way, so that nobody takes the leader for dead.
+    void beat();
     // Asks all ranks, the own one as well if `includingOwn`, at the same time.
     std::vector<result<wire::rank_state>> askAll(const wire::body&, duration limit, bool includingOwn);
     void noteTerm(const wire::rank_state&);
--- a/coltsfootbend/group/map_participant.cpp
+++ b/coltsfootbend/group/map_participant.cpp
@@ -9,6 +9,15 @@
 
 constexpr unsigned rankBits = 16;
 
+// Always the same ranks, so that each one's counts are those of one round.
+bool isDemandSource(const wire::rank_state& state, std::uint32_t sources)
+{
+    if (sources == 0 || state.ranks == 0)
+        return false;
+    const auto every = std::max(1U, state.ranks / sources);
+    return state.rank % every == 0;
+}
+
 } // namespace
 
 leader_term termAfter(leader_term seen, rank_number rank) { return ((seen >> rankBits) + 1) << rankBits | rank; }
@@ -126,7 +135,7 @@
     auto state = look(deadline);
     if (!state || !isMine)
         return state;
-    if (asked.wantsDemand)
+    if (isDemandSource(*state, asked.demandSources))
         addDemand(*state, deadline);
     if (asked.wantsMap) {
         if (auto added = addMap(*state, deadline); !added)
--- a/coltsfootbend/group/map_participant_test.cpp
+++ b/coltsfootbend/group/map_participant_test.cpp
@@ -50,7 +50,7 @@
 
 std::vector<std::uint32_t> askDemand(map_participant& participant, leader_term term)
 {
-    const wire::rank_query query { .term = term, .epoch = 1, .wantsDemand = true };
+    const wire::rank_query query { .term = term, .epoch = 1, .demandSources = 4 };
     return participant.answer(query, clock_type::now() + 1s)->demand;
 }
 
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -26,7 +26,7 @@
 // With a switch ordered the group may stand still until somebody finishes it.
 constexpr std::chrono::milliseconds armedSilence { 400 };
 constexpr std::chrono::milliseconds armedSilencePerRank { 60 };
-constexpr rank_number ranksInTurn = 12;
+constexpr rank_number ranksInTurn = 32;
 constexpr std::chrono::milliseconds followCycle { 50 };
 // An agent that did not answer is left alone for this long, and its engine is asked from here.
 constexpr std::chrono::milliseconds agentPause { 1000 };
@@ -72,7 +72,7 @@
         if (const auto* query = std::get_if<wire::rank_query>(&asked)) {
             // Counts read from afar slow the group down; the other ranks' counts are enough.
             auto reduced = *query;
-            reduced.wantsDemand = false;
+            reduced.demandSources = 0;
             return m_direct.answer(reduced, deadline);
         }
         return m_direct.answer(asked, deadline);
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -71,7 +71,10 @@
 {
     return std::tie(value.configurationRevision, value.configuration, value.serversRevision, value.servers);
 }
-static auto fieldsOf(rank_query& value) { return std::tie(value.term, value.epoch, value.wantsDemand, value.wantsMap); }
+static auto fieldsOf(rank_query& value)
+{
+    return std::tie(value.term, value.epoch, value.demandSources, value.wantsMap);
+}
 static auto fieldsOf(rank_state& value)
 {
     return std::tie(value.term, value.group, value.epoch, value.rank, value.ranks, value.isOpen, value.step,
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -156,7 +156,7 @@
 struct rank_query {
     std::uint64_t term = 0; // A higher one is another leader; agents obey the highest that they have seen.
     std::uint64_t epoch = 0;
-    bool wantsDemand = false;
+    std::uint32_t demandSources = 0; // Of how many ranks, evenly spread, the counts are wanted; 0 for none.
     bool wantsMap = false;
 };
 struct rank_state {
