--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -26,9 +26,9 @@
 
 constexpr int exitSettings = 2;
 constexpr int exitStart = 3;
-// A gateway must not send to a server that has left; an agent only has to find the other ranks.
-constexpr std::chrono::milliseconds gatewaySettle { 300 };
-constexpr std::chrono::milliseconds agentSettle { 1000 };
+// An agent only has to know its engine's model and to find the other ranks; gateways keep the defaults.
+constexpr std::chrono::seconds agentConfigurationSettle { 15 };
+constexpr std::chrono::seconds agentServersSettle { 3 };
 
 incarnation newLife()
 {
@@ -124,11 +124,14 @@
         std::vector<endpoint> peers;
         for (const auto& hint : m_settings.peerHints)
             peers.push_back({ hint.ip, m_settings.peers.port });
+        deployment_watch::options options { .peers = std::move(peers) };
+        if (m_settings.rankAgent) {
+            options.configurationSettle = agentConfigurationSettle;
+            options.serversSettle = agentServersSettle;
+        }
         m_kernel.add(std::make_unique<deployment_watch>(m_runtime,
             std::make_unique<platform::store_client>(m_runtime, *m_settings.deploymentStore),
-            std::make_unique<platform::table_decoder>(),
-            deployment_watch::options {
-                .settle = m_settings.gateway ? gatewaySettle : agentSettle, .peers = std::move(peers) }));
+            std::make_unique<platform::table_decoder>(), std::move(options)));
         if (m_settings.gateway) {
             auto gateway = std::make_unique<gateway_service>(
                 m_runtime, m_settings, std::make_unique<platform::request_headers>());
--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -67,11 +67,12 @@
 void deployment_watch::follow(watched_table name)
 {
     bool isCurrent = false;
+    duration pause = m_options.retryPause;
     while (!m_stopped) {
         if (!isCurrent) {
             if (auto done = refresh(name); !done) {
                 storeFailed(name, done.error());
-                m_runtime.sleepFor(m_options.retryPause);
+                pauseAfterFailure(pause);
                 continue;
             }
             isCurrent = true;
@@ -80,21 +81,31 @@
         const auto page = m_store->changes(name, after, clock_type::now() + m_options.pollLength);
         if (page) {
             storeAnswered();
+            pause = m_options.retryPause;
             // A peer may have told a newer state meanwhile, on which these changes do not build.
             if (table(name).revision == after)
                 takeChanges(name, *page);
-            m_runtime.sleepFor(m_options.settle);
+            m_runtime.sleepFor(
+                name == watched_table::Configuration ? m_options.configurationSettle : m_options.serversSettle);
             continue;
         }
         isCurrent = page.error().kind != error_kind::Stale;
         // A poll that was cut may have missed nothing; it goes on from the same revision.
         if (isCurrent) {
             storeFailed(name, page.error());
-            m_runtime.sleepFor(m_options.retryPause);
+            pauseAfterFailure(pause);
         }
     }
 }
 
+// All processes lose the store at once: their tries are spread, so that its return is not met by all of them together.
+void deployment_watch::pauseAfterFailure(duration& pause)
+{
+    const double spread = std::uniform_real_distribution<double>(0.75, 1.25)(m_random);
+    m_runtime.sleepFor(fromMilliseconds(spread * toMilliseconds(pause)));
+    pause = std::min(2 * pause, m_options.longestRetryPause);
+}
+
 result<void> deployment_watch::refresh(watched_table name)
 {
     auto page = m_store->readAll(name, clock_type::now() + m_options.readLimit);
@@ -230,13 +241,12 @@
 
 void deployment_watch::askPeersLoop()
 {
-    std::minstd_rand random(std::random_device {}());
     while (!m_stopped) {
         m_runtime.sleepFor(m_options.askPeersEvery);
         if (!m_storeFailingSince || clock_type::now() < *m_storeFailingSince + m_options.askPeersAfter)
             continue;
         std::vector<endpoint> asked;
-        std::sample(m_peers.begin(), m_peers.end(), std::back_inserter(asked), peersAsked, random);
+        std::sample(m_peers.begin(), m_peers.end(), std::back_inserter(asked), peersAsked, m_random);
         for (const auto& peer : asked)
             m_runtime.spawn([this, peer] { askPeer(peer); });
     }
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -16,6 +16,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <random>
 #include <set>
 #include <vector>
 
@@ -36,10 +37,13 @@
         duration pollLength = std::chrono::seconds(20);
         // After a change the next poll waits this long, so that a series of changes costs few calls. Well below what a
         // change may take until it is in force.
-        duration settle = std::chrono::milliseconds(300);
+        duration configurationSettle = std::chrono::milliseconds(300);
+        duration serversSettle = std::chrono::milliseconds(300);
         duration readLimit = std::chrono::milliseconds(1500);
-        // Between two tries when the store does not answer.
+        // Between two tries when the store does not answer; doubled with each up to the longest. What a peer tells
+        // comes sooner.
         duration retryPause = std::chrono::milliseconds(150);
+        duration longestRetryPause = std::chrono::milliseconds(1000);
         // A store that fails for longer is made up for by asking peers, this often.
         duration askPeersAfter = std::chrono::milliseconds(300);
         duration askPeersEvery = std::chrono::milliseconds(400);
@@ -80,6 +84,7 @@
     const table_copy& table(watched_table name) const { return m_tables[indexOf(name)]; }
 
     void follow(watched_table);
+    void pauseAfterFailure(duration& pause);
     result<void> refresh(watched_table);
     // Takes a whole table, or changes to it. Older ones than what is known are dropped.
     void takeWhole(watched_table, row_page, const char* source);
@@ -105,6 +110,7 @@
     std::optional<time_point> m_storeFailingSince;
     std::vector<std::function<void(const catalogue_ptr&)>> m_onCatalogue;
     std::vector<std::function<void()>> m_onServers;
+    std::minstd_rand m_random { std::random_device {}() };
     bool m_stopped = false;
 };
 
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -424,9 +424,13 @@
         return;
     }
     m_context.metrics.count("refused_total", { { "reason", "servers_refused" } });
+    // What the picker would say of another try now is the best guess at when one makes sense.
+    const auto now = clock_type::now();
+    const auto again = m_context.picker.pick(pickRequest(), now);
+    const auto wait = again ? duration(unreadyRetryAfter) : again.error().retryAfter;
     answer(statusUnavailable,
         { error_kind::Unavailable, "not run: no server took it", "Come back after the time in Retry-After" },
-        std::min<duration>(unreadyRetryAfter, (m_deadline - clock_type::now()) / 3));
+        std::min<duration>(wait, (m_deadline - now) / 3));
 }
 
 void exchange::answer(int status, const error& why, std::optional<duration> retryAfter)
