--- a/coltsfootbend/gateway/backend_directory_test.cpp
+++ b/coltsfootbend/gateway/backend_directory_test.cpp
@@ -12,20 +12,20 @@
     return { backend_id(id), deployment_id("d"), { "10.0.0.1", 80 }, {}, 4, false };
 }
 
-class BackendDirectory : public testing::Test {
+class backend_directory_test : public testing::Test {
 protected:
     backend_directory m_directory;
     time_point m_now = time_point {} + 1h;
 };
 
-TEST_F(BackendDirectory, AServerWithoutRegistrationIsGoneAtOnce)
+TEST_F(backend_directory_test, AServerWithoutRegistrationIsGoneAtOnce)
 {
     m_directory.put(server("a"));
     m_directory.remove(backend_id("a"), m_now);
     EXPECT_FALSE(m_directory.find(backend_id("a")));
 }
 
-TEST_F(BackendDirectory, WhatLapsedWhileTheStoreWasAwayMayComeBack)
+TEST_F(backend_directory_test, WhatLapsedWhileTheStoreWasAwayMayComeBack)
 {
     m_directory.put(server("a"));
     m_directory.put(server("b"));
@@ -42,7 +42,7 @@
     EXPECT_FALSE(m_directory.find(backend_id("b")));
 }
 
-TEST_F(BackendDirectory, NobodyIsGivenUpWhileTheStoreIsAway)
+TEST_F(backend_directory_test, NobodyIsGivenUpWhileTheStoreIsAway)
 {
     m_directory.put(server("a"));
     m_directory.storeFailed(m_now);
@@ -51,7 +51,7 @@
     EXPECT_TRUE(m_directory.find(backend_id("a")));
 }
 
-TEST_F(BackendDirectory, AShortFailureLetsNothingLapse)
+TEST_F(backend_directory_test, AShortFailureLetsNothingLapse)
 {
     m_directory.put(server("a"));
     m_directory.storeFailed(m_now);
--- a/coltsfootbend/gateway/backend_picker_test.cpp
+++ b/coltsfootbend/gateway/backend_picker_test.cpp
@@ -15,9 +15,9 @@
 endpoint addressOf(int number) { return { "10.0.0." + std::to_string(number), 80 }; }
 backend_id idOf(int number) { return backend_id("b" + std::to_string(number)); }
 
-class BackendPicker : public testing::Test {
+class backend_picker_test : public testing::Test {
 protected:
-    BackendPicker()
+    backend_picker_test()
     {
         catalogue::contents contents;
         engine_model engine;
@@ -64,7 +64,7 @@
     std::uint64_t m_step = 10;
 };
 
-TEST_F(BackendPicker, WithoutServersTheRequestIsRefused)
+TEST_F(backend_picker_test, WithoutServersTheRequestIsRefused)
 {
     const auto picked = m_picker.pick(request(llm), m_now);
     ASSERT_FALSE(picked);
@@ -72,7 +72,7 @@
     EXPECT_GT(picked.error().retryAfter, duration::zero());
 }
 
-TEST_F(BackendPicker, ALeavingServerGetsNothing)
+TEST_F(backend_picker_test, ALeavingServerGetsNothing)
 {
     use(llm, 2);
     m_servers[idOf(1)].isLeaving = true;
@@ -81,7 +81,7 @@
         EXPECT_EQ(m_picker.pick(request(llm), m_now)->server.id, idOf(2));
 }
 
-TEST_F(BackendPicker, TheEmptierServerIsChosen)
+TEST_F(backend_picker_test, TheEmptierServerIsChosen)
 {
     use(llm, 2);
     reportAll(1, 0);
@@ -92,7 +92,7 @@
 }
 
 // Nine gateways with the same reports and 60 requests a second: nobody may be buried between two reports.
-TEST_F(BackendPicker, GatewaysThatDoNotSeeEachOtherDoNotBuryTheEmptiestServer)
+TEST_F(backend_picker_test, GatewaysThatDoNotSeeEachOtherDoNotBuryTheEmptiestServer)
 {
     use(llm, 12);
     std::vector<std::unique_ptr<backend_picker>> gateways;
@@ -133,7 +133,7 @@
     EXPECT_LE(most, 9U) << "choosing the emptiest by one's own knowledge piles up 10";
 }
 
-TEST_F(BackendPicker, OwnRequestsCountBeforeAnyReportShowsThem)
+TEST_F(backend_picker_test, OwnRequestsCountBeforeAnyReportShowsThem)
 {
     use(llm, 2);
     reportAll(0, 0);
@@ -146,7 +146,7 @@
     EXPECT_EQ(chosen.size(), 2U);
 }
 
-TEST_F(BackendPicker, WhenAllSlotsAreTakenAndTheWaitIsTooLongItRefusesAtOnce)
+TEST_F(backend_picker_test, WhenAllSlotsAreTakenAndTheWaitIsTooLongItRefusesAtOnce)
 {
     use(llm, 3);
     reportAll(4, 6);
@@ -156,14 +156,14 @@
     EXPECT_LE(picked.error().retryAfter, duration(8s) / 3);
 }
 
-TEST_F(BackendPicker, AShortWaitIsAccepted)
+TEST_F(backend_picker_test, AShortWaitIsAccepted)
 {
     use(llm, 3);
     reportAll(4, 0);
     EXPECT_TRUE(m_picker.pick(request(llm), m_now));
 }
 
-TEST_F(BackendPicker, PassesThatTakeLongerThanTheAcceptedPauseLimitWhatRuns)
+TEST_F(backend_picker_test, PassesThatTakeLongerThanTheAcceptedPauseLimitWhatRuns)
 {
     use(llm, 3);
     for (int i = 0; i < 30; ++i) { // Five passes a second, each of 200 ms.
@@ -179,7 +179,7 @@
     EXPECT_EQ(picked.error().reason, pick_refusal::Overloaded);
 }
 
-TEST_F(BackendPicker, ReturningCallersLeaveRoomForNewOnes)
+TEST_F(backend_picker_test, ReturningCallersLeaveRoomForNewOnes)
 {
     use(llm, 3);
     reportAll(0, 0);
@@ -197,7 +197,7 @@
     EXPECT_TRUE(m_picker.pick(request(llm), m_now));
 }
 
-TEST_F(BackendPicker, ACallerThatWasRefusedBeforeMayWaitLonger)
+TEST_F(backend_picker_test, ACallerThatWasRefusedBeforeMayWaitLonger)
 {
     use(llm, 3);
     reportAll(4, 1);
@@ -207,7 +207,7 @@
     EXPECT_TRUE(m_picker.pick(returning, m_now));
 }
 
-TEST_F(BackendPicker, ABrokenGroupIsRefusedUntilItIsOpenAgain)
+TEST_F(backend_picker_test, ABrokenGroupIsRefusedUntilItIsOpenAgain)
 {
     use(llm, 3);
     reportAll(1, 0);
@@ -221,7 +221,7 @@
     EXPECT_TRUE(m_picker.pick(request(llm), m_now));
 }
 
-TEST_F(BackendPicker, ABrokenGroupWhoseEnginesAreAllHeardIsAboutToOpen)
+TEST_F(backend_picker_test, ABrokenGroupWhoseEnginesAreAllHeardIsAboutToOpen)
 {
     use(llm, 3);
     const auto tell = [&](int number) {
@@ -247,7 +247,7 @@
     EXPECT_GT(m_picker.pick(request(llm), m_now).error().expectedOpenAt, m_now + 2s) << "the third is not heard";
 }
 
-TEST_F(BackendPicker, TheLengthOfOutagesIsLearnt)
+TEST_F(backend_picker_test, TheLengthOfOutagesIsLearnt)
 {
     use(llm, 2);
     for (int outage = 0; outage < 6; ++outage) {
@@ -260,7 +260,7 @@
     EXPECT_LT(m_picker.pick(request(llm), m_now).error().expectedOpenAt, m_now + 1500ms);
 }
 
-TEST_F(BackendPicker, AGroupThatIsReportedBrokenAgainAndAgainStaysRefused)
+TEST_F(backend_picker_test, AGroupThatIsReportedBrokenAgainAndAgainStaysRefused)
 {
     use(llm, 3);
     for (int i = 0; i < 60; ++i) {
@@ -270,7 +270,7 @@
     EXPECT_FALSE(m_picker.pick(request(llm), m_now));
 }
 
-TEST_F(BackendPicker, AnOldReportOfABrokenGroupIsNotBelievedForever)
+TEST_F(backend_picker_test, AnOldReportOfABrokenGroupIsNotBelievedForever)
 {
     use(llm, 3);
     reportAll(1, 0, false);
@@ -278,7 +278,7 @@
     EXPECT_TRUE(m_picker.pick(request(llm), m_now + 5s));
 }
 
-TEST_F(BackendPicker, AServerThatBreaksExchangesIsLeftAloneAndTriedAgain)
+TEST_F(backend_picker_test, AServerThatBreaksExchangesIsLeftAloneAndTriedAgain)
 {
     use(plain, 2);
     m_picker.sent(idOf(1), m_now);
@@ -295,7 +295,7 @@
     EXPECT_EQ(chosen.size(), 2U);
 }
 
-TEST_F(BackendPicker, WithEveryServerSuspectedOneIsStillChosen)
+TEST_F(backend_picker_test, WithEveryServerSuspectedOneIsStillChosen)
 {
     use(plain, 2);
     for (int i = 1; i <= 2; ++i) {
@@ -305,7 +305,7 @@
     EXPECT_TRUE(m_picker.pick(request(plain), m_now));
 }
 
-TEST_F(BackendPicker, AServerThatFailsOftenGetsLess)
+TEST_F(backend_picker_test, AServerThatFailsOftenGetsLess)
 {
     use(plain, 2);
     for (int i = 0; i < 20; ++i) {
--- a/coltsfootbend/group/map_leader_test.cpp
+++ b/coltsfootbend/group/map_leader_test.cpp
@@ -78,7 +78,7 @@
         ++epoch;
         members.assign(ranks, model_rank {});
         for (rank_number rank = 0; rank < ranks; ++rank) {
-            members[rank].counts.assign(sets * experts, 0);
+            members[rank].counts.assign(std::size_t { sets } * experts, 0);
             members[rank].experts.assign(sets, {});
             for (auto& set : members[rank].experts) {
                 for (std::uint32_t expert = rank; expert < experts; expert += ranks)
@@ -111,7 +111,7 @@
             : 0;
         // Demand moves to other experts every hundred passes.
         std::minstd_rand demand(demandSeed + static_cast<unsigned>(step / 100));
-        for (std::size_t i = 0; i < sets * experts; ++i)
+        for (std::size_t i = 0; i < std::size_t { sets } * experts; ++i)
             members[step % ranks].counts[i] += 1 + (demand() % 7 == 0 ? 200 : 0);
     }
 
--- a/coltsfootbend/settings/settings.h
+++ b/coltsfootbend/settings/settings.h
@@ -74,8 +74,8 @@
 struct rank_agent_settings {
     endpoint engine;
     // By how much the load of the busiest rank over the mean, summed over the sets, has to fall for each gigabyte of
-    // experts that is copied, times the root of the number of ranks. Users who mind the cost of rebalancing raise it, those who mind the slowest
-    // rank lower it.
+    // experts that is copied, times the root of the number of ranks. Users who mind the cost of rebalancing raise it,
+    // those who mind the slowest rank lower it.
     double gainPerGigabyte = 0;
 };
 
