A gateway that the store does not reach hears of configurations in time

Agents, which are most of its peers, had been made to settle for 15 s after a configuration, and its own call to the store waited for an opening packet that is sent again only after seconds. Ruled out: the backoff at the store alone (peers are asked each 0.4 s and would have told).

--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -26,9 +26,6 @@
 
 constexpr int exitSettings = 2;
 constexpr int exitStart = 3;
-// An agent only has to know its engine's model and to find the other ranks; gateways keep the defaults.
-constexpr std::chrono::seconds agentConfigurationSettle { 15 };
-constexpr std::chrono::seconds agentServersSettle { 3 };
 
 incarnation newLife()
 {
@@ -124,11 +121,8 @@
         std::vector<endpoint> peers;
         for (const auto& hint : m_settings.peerHints)
             peers.push_back({ hint.ip, m_settings.peers.port });
-        deployment_watch::options options { .peers = std::move(peers) };
-        if (m_settings.rankAgent) {
-            options.configurationSettle = agentConfigurationSettle;
-            options.serversSettle = agentServersSettle;
-        }
+        auto options = m_settings.rankAgent ? deployment_watch::options::forAgents() : deployment_watch::options {};
+        options.peers = std::move(peers);
         m_kernel.add(std::make_unique<deployment_watch>(m_runtime,
             std::make_unique<platform::store_client>(m_runtime, *m_settings.deploymentStore),
             std::make_unique<platform::table_decoder>(), std::move(options)));
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -49,6 +49,16 @@
         duration askPeersEvery = std::chrono::milliseconds(400);
         // Peers that are known from the start; those met later are added.
         std::vector<endpoint> peers;
+
+        // For processes that need little of the deployment themselves, but tell it to gateways that the store refuses:
+        // what they know must be younger than the time within which a configuration has to be in force.
+        static options forAgents()
+        {
+            options chosen;
+            chosen.configurationSettle = std::chrono::seconds(1);
+            chosen.serversSettle = std::chrono::seconds(1);
+            return chosen;
+        }
     };
 
     deployment_watch(fiber_runtime&, std::unique_ptr<watched_store>, std::unique_ptr<deployment_decoder>, options);
--- /dev/null
+++ b/coltsfootbend/gateway/deployment_watch_test.cpp
@@ -0,0 +1,159 @@
+#include "coltsfootbend/gateway/deployment_watch.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A store with one configuration whose version can be raised; it may refuse a VM.
+struct model_store {
+    std::uint64_t version = 1;
+    bool isRefusing = false;
+};
+
+class model_client final : public watched_store {
+public:
+    model_client(fiber_runtime& runtime, model_store& store)
+        : m_runtime(runtime)
+        , m_store(store)
+    {
+    }
+
+    result<row_page> readAll(watched_table table, time_point) override
+    {
+        if (m_store.isRefusing)
+            return fail(error_kind::Unavailable, "refused");
+        row_page page { {}, m_store.version };
+        if (table == watched_table::Configuration)
+            page.rows.push_back({ "config", std::to_string(m_store.version), m_store.version, false });
+        return page;
+    }
+
+    result<row_page> changes(watched_table table, store_revision after, time_point waitUntil) override
+    {
+        while (!m_store.isRefusing && m_store.version == after && clock_type::now() < waitUntil)
+            m_runtime.sleepFor(2ms);
+        if (m_store.isRefusing)
+            return fail(error_kind::Unavailable, "refused");
+        return m_store.version == after ? row_page { {}, after } : *readAll(table, waitUntil);
+    }
+
+private:
+    fiber_runtime& m_runtime;
+    model_store& m_store;
+};
+
+class number_decoder final : public deployment_decoder {
+public:
+    result<catalogue_ptr> configuration(const watched_row& row) const override
+    {
+        catalogue::contents contents;
+        contents.version = config_version(std::stoull(row.value));
+        return std::make_shared<const catalogue>(std::move(contents));
+    }
+    result<backend_server> backend(const watched_row&) const override { return fail(error_kind::BadInput, "none"); }
+};
+
+// One process: its peers' service and its watch.
+struct model_process {
+    model_process(fiber_runtime& runtime, const endpoint& address, deployment_watch::options options)
+    {
+        core.add(std::make_unique<peer_service>(runtime,
+            peer_identity { .vm = vm_id(toString(address)), .life = incarnation(1) },
+            peer_service::options { .address = address, .serverTls = {}, .clientTls = {} }));
+        auto made = std::make_unique<deployment_watch>(runtime, std::make_unique<model_client>(runtime, store),
+            std::make_unique<number_decoder>(), std::move(options));
+        watch = made.get();
+        core.add(std::move(made));
+        EXPECT_TRUE(core.start());
+    }
+
+    std::uint64_t version() const { return watch->catalogue() ? watch->catalogue()->version().number() : 0; }
+
+    model_store store;
+    kernel core;
+    deployment_watch* watch = nullptr;
+};
+
+// The processes end with the runtime, when no fiber of theirs runs any more.
+using model_processes = std::vector<std::unique_ptr<model_process>>;
+
+// Lets every fiber of the processes end.
+void finish(fiber_runtime& runtime, const model_processes& processes)
+{
+    for (const auto& process : processes) {
+        process->store.isRefusing = true;
+        process->core.stop();
+    }
+    runtime.sleepFor(1500ms);
+    for (const auto& process : processes) {
+        for (const auto& peer : process->watch->peers())
+            process->core.find<peer_service>("peers")->client().drop(peer);
+    }
+    const auto limit = clock_type::now() + 5s;
+    while (runtime.fibers() > 1 && clock_type::now() < limit)
+        runtime.sleepFor(5ms);
+    EXPECT_EQ(runtime.fibers(), 1U);
+}
+
+void onRuntime(const std::function<void(fiber_runtime&, model_processes&)>& work)
+{
+    std::thread([&] {
+        fiber_runtime runtime;
+        model_processes processes;
+        runtime.spawn([&] {
+            work(runtime, processes);
+            finish(runtime, processes);
+            runtime.stop();
+        });
+        runtime.run();
+    }).join();
+}
+
+model_process& start(
+    fiber_runtime& runtime, model_processes& processes, const endpoint& address, deployment_watch::options options)
+{
+    processes.push_back(std::make_unique<model_process>(runtime, address, std::move(options)));
+    return *processes.back();
+}
+
+// The store refuses the gateway; all that it hears is an agent, which has just seen another change.
+TEST(DeploymentWatch, AGatewayThatTheStoreRefusesLearnsFromAnAgentInTime)
+{
+    onRuntime([](fiber_runtime& runtime, model_processes& processes) {
+        const endpoint agentAddress { "127.0.0.1", 27341 };
+        auto& agent = start(runtime, processes, agentAddress, deployment_watch::options::forAgents());
+        deployment_watch::options options;
+        options.peers = { agentAddress };
+        auto& gateway = start(runtime, processes, { "127.0.0.1", 27340 }, options);
+        runtime.sleepFor(100ms);
+        EXPECT_EQ(gateway.version(), 1U);
+        gateway.store.isRefusing = true;
+        agent.store.version = 2;
+        runtime.sleepFor(300ms);
+        agent.store.version = 3;
+        const auto changedAt = clock_type::now();
+        while (gateway.version() < 3 && clock_type::now() < changedAt + 10s)
+            runtime.sleepFor(5ms);
+        EXPECT_LT(clock_type::now() - changedAt, 2s) << "a configuration has to be in force within two seconds";
+    });
+}
+
+TEST(DeploymentWatch, WhatIsKnownNeverGoesBack)
+{
+    onRuntime([](fiber_runtime& runtime, model_processes& processes) {
+        auto& process = start(runtime, processes, { "127.0.0.1", 27342 }, {});
+        process.store.version = 5;
+        runtime.sleepFor(800ms);
+        EXPECT_EQ(process.version(), 5U);
+        process.store.version = 3;
+        runtime.sleepFor(800ms);
+        EXPECT_EQ(process.version(), 5U);
+    });
+}
+
+} // namespace
+} // namespace coltsfootbend
--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -337,7 +337,8 @@
     auto& idle = m_idle[address];
     reused = !idle.empty();
     if (!reused)
-        return connectTcp(m_runtime, address, deadline, m_options.tls);
+        return connectTcp(
+            m_runtime, address, std::min(deadline, clock_type::now() + m_options.connectLimit), m_options.tls);
     auto stream = std::move(idle.back());
     idle.pop_back();
     return stream;
--- a/coltsfootbend/net/http.h
+++ b/coltsfootbend/net/http.h
@@ -111,6 +111,9 @@
     struct options {
         std::size_t maxBodyBytes = std::size_t { 64 } * 1024 * 1024;
         std::size_t keptPerEndpoint = 64;
+        // An opening packet that was lost is sent again only after seconds, so a call with a late deadline would still
+        // wait for it long after the other side can be reached again.
+        duration connectLimit = std::chrono::milliseconds(500);
         tls_context tls;
     };
 
--- a/coltsfootbend/net/net_test.cpp
+++ b/coltsfootbend/net/net_test.cpp
@@ -127,6 +127,28 @@
     });
 }
 
+// A listener whose queue is full drops opening packets, as a partition does.
+TEST(Http, AServerThatDropsOpeningPacketsIsGivenUpLongBeforeTheDeadline)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        boost::asio::ip::tcp::acceptor silent(runtime.io(), { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        silent.listen(0);
+        const endpoint address { "127.0.0.1", silent.local_endpoint().port() };
+        std::vector<byte_stream_ptr> filling;
+        for (int i = 0; i < 3; ++i) {
+            if (auto stream = connectTcp(runtime, address, clock_type::now() + 200ms))
+                filling.push_back(*stream);
+        }
+        http_client client(runtime);
+        const auto begun = clock_type::now();
+        const auto answer = client.send(
+            address, { .method = "GET", .target = "/", .headers = {}, .body = {} }, clock_type::now() + 20s);
+        ASSERT_FALSE(answer);
+        EXPECT_EQ(answer.error().kind, error_kind::Unavailable);
+        EXPECT_LT(clock_type::now() - begun, 2s);
+    });
+}
+
 // What follows a body of unknown length would be answered as a second request.
 TEST(Http, ABodyOfUnknownFramingIsRefusedAndClosesTheConnection)
 {
