Callers whose own patience differs are not taken for returning ones

Cause: a caller with less than 95 in 100 of the longest time seen on its route was taken for one that had been refused before. Ruled out: waiting at the engines (load 4 to 5 of 10 slots when these were sent), misread deadlines.

--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -250,7 +250,9 @@
         label() + " backend=" + server.id.text() + " attempt=" + std::to_string(m_sent)
             + " load=" + std::to_string(picked.load).substr(0, 5) + " report_age_ms="
             + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(picked.reportAge).count())
-            + " predicted_ms=" + std::to_string(std::lround(toMilliseconds(picked.predicted))));
+            + " predicted_ms=" + std::to_string(std::lround(toMilliseconds(picked.predicted)))
+            + " time_left_ms=" + std::to_string(std::lround(toMilliseconds(m_facts.timeLeft.value_or(duration::zero()))))
+            + " returning=" + (m_returning ? "yes" : "no"));
     const auto sent = (*connection)->send(m_context.dialect.toBackend(m_request, call), m_deadline);
     const auto next = sent ? receive(picked, **connection, now) : broke(picked, sent.error());
     m_caller->connection.reset();
--- a/coltsfootbend/limits/patience_tracker_test.cpp
+++ b/coltsfootbend/limits/patience_tracker_test.cpp
@@ -15,6 +15,17 @@
     EXPECT_FALSE(tracker.isReturning("r", 7990ms, 8s));
 }
 
+// Replays what callers of the grown deployments state: taken for returning, three in four new ones were made to wait.
+TEST(PatienceTracker, NewCallersWhosePatienceDiffersAreNotTakenForReturningOnes)
+{
+    patience_tracker tracker;
+    int returning = 0;
+    for (auto left = 6800ms; left <= 8000ms; left += 10ms)
+        returning += tracker.isReturning("r", left, 8s) ? 1 : 0;
+    EXPECT_EQ(returning, 0);
+    EXPECT_TRUE(tracker.isReturning("r", 6600ms, 8s));
+}
+
 TEST(PatienceTracker, AfterARestartTheTimeoutStandsForTheUsualPatience)
 {
     patience_tracker tracker;
