New requests wait for a slot while they can still be in time; a model of a group for tests and the soak

Cause: a new request that found the slots of its best server taken was refused at once, although passes end every 60 to 100 ms and free some. It came back late for certain, or was lost at its second refusal. Ruled out: holding everybody for as long as callers wait (what is late for certain is told so at once). Change: gateway/waiting_policy decides apart from input and output whether and until when a request is held: a new one until its first event could not come in time any more, a returning one as long as its caller waits, both for a group that is about to open. The tests replay a clump and an outage.

--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -265,7 +265,11 @@
     // Callers keep to at most a third of the time that they have left.
     const auto honoured = std::max<duration>((request.deadline - now) / 3, duration::zero());
     const auto asked = std::max<duration>(jittered(wait, m_random), leastRetryAfter);
-    return { reason, std::min(asked, std::max<duration>(honoured, leastRetryAfter)), wait, {} };
+    return { .reason = reason,
+        .retryAfter = std::min(asked, std::max<duration>(honoured, leastRetryAfter)),
+        .expectedWait = wait,
+        .startLatency = fromMilliseconds(passesToFirstEvent * passMsOf(m_deployments[request.deployment])),
+        .expectedOpenAt = {} };
 }
 
 void backend_picker::noteRate(deployment_state& group, time_point now)
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -85,6 +85,8 @@
     duration retryAfter {};
     // For an overloaded one: until the request could be run.
     duration expectedWait {};
+    // What the first event would take once a slot is free.
+    duration startLatency {};
     // For a broken group: when it is expected to be open again.
     time_point expectedOpenAt {};
 };
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -26,10 +26,8 @@
 constexpr double silentHeadFactor = 2.5;
 // A begun stream that is silent for this long is continued elsewhere. Callers give up after two seconds.
 constexpr std::chrono::milliseconds silentStreamLimit { 900 };
-constexpr std::chrono::milliseconds callerGapLimit { 1900 };
-constexpr std::chrono::milliseconds groupLookEvery { 30 };
-// No longer than it would take a caller to come back.
-constexpr std::chrono::milliseconds shortWait { 800 };
+// Between two looks for a slot or an open group; about half a pass of an engine.
+constexpr std::chrono::milliseconds lookEvery { 30 };
 // A caller that was refused before is late already, so it stands behind those that can still be served in time.
 constexpr std::uint32_t returningPenalty = 3;
 constexpr std::uint32_t maxUnreachable = 3;
@@ -162,7 +160,11 @@
         finishWithoutServer();
         return next_step::Finished;
     }
-    if (isWorthWaiting(refused) && awaitOpenGroup())
+    const held_request held { .arrivedAt = m_arrivedAt,
+        .deadline = m_deadline,
+        .latencyTarget = m_route->latencyTarget,
+        .isReturning = m_returning };
+    if (const auto until = holdUntil(refused, held, clock_type::now()); until && lookAgainBefore(*until))
         return next_step::TryAgain;
     // The servers that were left out may be asked again rather than nobody.
     if (refused.reason == pick_refusal::NoServers && !m_excluded.empty() && m_route->mayRepeat()
@@ -183,22 +185,19 @@
     return next_step::Finished;
 }
 
-// A group that is open within a moment, or a slot that is free, is waited for by callers who were refused before: they
-// may have no further try. Others are told when to come back.
-bool exchange::isWorthWaiting(const pick_refused& refused) const
+bool exchange::lookAgainBefore(time_point limit)
 {
-    const auto limit = std::min(m_deadline, m_arrivedAt + (m_returning ? callerGapLimit : shortWait));
-    if (refused.reason == pick_refusal::Overloaded)
-        return m_returning && clock_type::now() + refused.expectedWait < limit;
-    return refused.reason == pick_refusal::GroupDown && refused.expectedOpenAt < limit;
+    if (m_caller->gone || clock_type::now() + lookEvery > limit)
+        return false;
+    m_context.runtime.sleepFor(lookEvery);
+    return true;
 }
 
 // Waits while the group is formed again. Returns false when that takes longer than the caller of a stream waits.
 bool exchange::awaitOpenGroup()
 {
-    const auto limit = std::min(m_deadline, (m_begun ? m_lastEventAt : m_arrivedAt) + callerGapLimit);
-    while (!m_caller->gone && clock_type::now() + groupLookEvery < limit) {
-        m_context.runtime.sleepFor(groupLookEvery);
+    const auto limit = std::min<time_point>(m_deadline, m_lastEventAt + callerGapLimit);
+    while (lookAgainBefore(limit)) {
         if (m_context.picker.isOpen(m_deployment, clock_type::now()))
             return true;
     }
@@ -250,8 +249,8 @@
         label() + " backend=" + server.id.text() + " attempt=" + std::to_string(m_sent)
             + " load=" + std::to_string(picked.load).substr(0, 5) + " report_age_ms="
             + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(picked.reportAge).count())
-            + " predicted_ms=" + std::to_string(std::lround(toMilliseconds(picked.predicted)))
-            + " time_left_ms=" + std::to_string(std::lround(toMilliseconds(m_facts.timeLeft.value_or(duration::zero()))))
+            + " predicted_ms=" + std::to_string(std::lround(toMilliseconds(picked.predicted))) + " time_left_ms="
+            + std::to_string(std::lround(toMilliseconds(m_facts.timeLeft.value_or(duration::zero()))))
             + " returning=" + (m_returning ? "yes" : "no"));
     const auto sent = (*connection)->send(m_context.dialect.toBackend(m_request, call), m_deadline);
     const auto next = sent ? receive(picked, **connection, now) : broke(picked, sent.error());
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -11,6 +11,7 @@
 #include "coltsfootbend/gateway/catalogue.h"
 #include "coltsfootbend/gateway/event_stream.h"
 #include "coltsfootbend/gateway/request_dialect.h"
+#include "coltsfootbend/gateway/waiting_policy.h"
 #include "coltsfootbend/limits/patience_tracker.h"
 #include "coltsfootbend/limits/retry_budget.h"
 #include "coltsfootbend/metrics/metrics.h"
@@ -58,7 +59,8 @@
     // The server broke the exchange, or was silent for too long.
     next_step broke(const picked_backend&, const error&);
     bool mayTryAgain();
-    bool isWorthWaiting(const pick_refused&) const;
+    // Waits a moment, no longer than until `limit`. Returns whether it makes sense to look for a server again.
+    bool lookAgainBefore(time_point limit);
     bool awaitOpenGroup();
     void finishWithoutServer();
     void answer(int status, const error&, std::optional<duration> retryAfter = std::nullopt);
--- /dev/null
+++ b/coltsfootbend/gateway/waiting_policy.cpp
@@ -0,0 +1,51 @@
+#include "coltsfootbend/gateway/waiting_policy.h"
+
+#include <algorithm>
+
+namespace coltsfootbend {
+
+namespace {
+
+// For a group that is about to open: no longer than it would take a caller to come back.
+constexpr std::chrono::milliseconds shortWait { 800 };
+
+std::optional<time_point> onlyAfter(time_point needed, time_point limit)
+{
+    return needed < limit ? std::optional(limit) : std::nullopt;
+}
+
+// A clump of requests finds all slots taken, and at the end of each pass some become free. A new request that gets one
+// while it can still be served in time loses nothing; refused, it would be late for certain. One that is late already
+// may have no further try, so it waits as long as its caller does.
+std::optional<time_point> holdForSlot(const pick_refused& refused, const held_request& request, time_point now)
+{
+    if (request.isReturning)
+        return onlyAfter(
+            now + refused.expectedWait, std::min<time_point>(request.deadline, request.arrivedAt + callerGapLimit));
+    return onlyAfter(now, request.arrivedAt + request.latencyTarget - refused.startLatency);
+}
+
+// A group that broke opens after seconds, when everybody comes back. Whoever arrives shortly before is held, so that it
+// does not come with that wave; whoever was refused before is held for as long as its caller waits.
+std::optional<time_point> holdForGroup(const pick_refused& refused, const held_request& request)
+{
+    const duration patience = request.isReturning ? callerGapLimit : shortWait;
+    return onlyAfter(refused.expectedOpenAt, std::min<time_point>(request.deadline, request.arrivedAt + patience));
+}
+
+} // namespace
+
+std::optional<time_point> holdUntil(const pick_refused& refused, const held_request& request, time_point now)
+{
+    switch (refused.reason) {
+    case pick_refusal::Overloaded:
+        return holdForSlot(refused, request, now);
+    case pick_refusal::GroupDown:
+        return holdForGroup(refused, request);
+    case pick_refusal::NoServers:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/gateway/waiting_policy_test.cpp
@@ -0,0 +1,84 @@
+#include "coltsfootbend/gateway/waiting_policy.h"
+
+#include <gtest/gtest.h>
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point start = time_point {} + 1h;
+
+held_request newRequest()
+{
+    return { .arrivedAt = start, .deadline = start + 8s, .latencyTarget = 400ms, .isReturning = false };
+}
+
+held_request returningRequest()
+{
+    auto request = newRequest();
+    request.isReturning = true;
+    return request;
+}
+
+pick_refused overloaded()
+{
+    return { .reason = pick_refusal::Overloaded,
+        .retryAfter = 1s,
+        .expectedWait = 160ms,
+        .startLatency = 150ms,
+        .expectedOpenAt = {} };
+}
+
+pick_refused groupDown(time_point openAt)
+{
+    return { .reason = pick_refusal::GroupDown,
+        .retryAfter = 1s,
+        .expectedWait = openAt - start,
+        .startLatency = 150ms,
+        .expectedOpenAt = openAt };
+}
+
+// A clump: all slots are taken for a pass or two.
+TEST(WaitingPolicy, ANewRequestWaitsForASlotWhileItCanStillBeInTime)
+{
+    EXPECT_EQ(holdUntil(overloaded(), newRequest(), start), start + 250ms);
+    EXPECT_EQ(holdUntil(overloaded(), newRequest(), start + 240ms), start + 250ms);
+    EXPECT_FALSE(holdUntil(overloaded(), newRequest(), start + 250ms));
+}
+
+TEST(WaitingPolicy, ANewRequestThatCannotBeInTimeIsRefusedAtOnce)
+{
+    auto refused = overloaded();
+    refused.startLatency = 450ms;
+    EXPECT_FALSE(holdUntil(refused, newRequest(), start));
+}
+
+TEST(WaitingPolicy, AReturningCallerWaitsAsLongAsItsPatienceLasts)
+{
+    EXPECT_EQ(holdUntil(overloaded(), returningRequest(), start), start + callerGapLimit);
+    EXPECT_FALSE(holdUntil(overloaded(), returningRequest(), start + callerGapLimit - 100ms));
+}
+
+TEST(WaitingPolicy, ADeadlineEndsTheWait)
+{
+    auto request = returningRequest();
+    request.deadline = start + 300ms;
+    EXPECT_EQ(holdUntil(overloaded(), request, start), start + 300ms);
+}
+
+TEST(WaitingPolicy, AGroupThatOpensWithinAMomentIsWaitedFor)
+{
+    EXPECT_TRUE(holdUntil(groupDown(start + 600ms), newRequest(), start));
+    EXPECT_FALSE(holdUntil(groupDown(start + 900ms), newRequest(), start));
+    EXPECT_TRUE(holdUntil(groupDown(start + 900ms), returningRequest(), start));
+    EXPECT_FALSE(holdUntil(groupDown(start + 3s), returningRequest(), start));
+}
+
+TEST(WaitingPolicy, WithoutServersNobodyWaits)
+{
+    EXPECT_FALSE(holdUntil({ .reason = pick_refusal::NoServers }, returningRequest(), start));
+}
+
+} // namespace
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/measure/model_group.cpp
@@ -0,0 +1,183 @@
+#include "coltsfootbend/measure/model_group.h"
+
+#include <algorithm>
+
+namespace coltsfootbend {
+
+namespace {
+
+constexpr std::chrono::milliseconds soonestLate { 20 };
+// Demand moves to other experts this often.
+constexpr pass_number passesPerDemand = 100;
+
+} // namespace
+
+model_group::model_group(fiber_runtime& runtime, const options& options)
+    : m_runtime(runtime)
+    , m_options(options)
+    , m_random(options.seed)
+    , m_lateShare(options.lateShare)
+{
+    form();
+}
+
+void model_group::form()
+{
+    ++m_epoch;
+    m_isOpen = true;
+    m_members.assign(m_options.ranks, member {});
+    for (rank_number rank = 0; rank < m_options.ranks; ++rank) {
+        m_members[rank].counts.assign(std::size_t { m_options.sets } * m_options.experts, 0);
+        m_members[rank].experts.assign(m_options.sets, {});
+        for (auto& set : m_members[rank].experts) {
+            for (std::uint32_t expert = rank; expert < m_options.experts; expert += m_options.ranks)
+                set.push_back(expert);
+        }
+    }
+}
+
+bool model_group::beginPass()
+{
+    const auto next = m_step + 1;
+    const bool isHeld
+        = std::any_of(m_members.begin(), m_members.end(), [next](const auto& member) { return member.held == next; });
+    if (!m_isOpen || isHeld)
+        return false;
+    m_step = next;
+    m_lastPassAt = clock_type::now();
+    for (auto& member : m_members) {
+        if (!member.armed || member.armed->step != m_step)
+            continue;
+        member.version = member.armed->version;
+        member.experts = member.prepared->experts;
+        member.prepared.reset();
+        member.armed.reset();
+        ++m_switches;
+    }
+    m_mixedPasses += std::any_of(m_members.begin(), m_members.end(),
+                         [&](const auto& member) { return member.version != m_members[0].version; })
+        ? 1
+        : 0;
+    countDemand();
+    return true;
+}
+
+void model_group::countDemand()
+{
+    std::minstd_rand demand(m_options.seed + static_cast<unsigned>(m_step / passesPerDemand));
+    for (auto& count : m_members[m_step % m_options.ranks].counts)
+        count += 1 + (demand() % 7 == 0 ? 200 : 0);
+}
+
+result<void> model_group::order(rank_number rank, group_epoch epoch, const order_work& work, time_point deadline)
+{
+    const auto carryOut = [this, rank, epoch, work] { return m_epoch == epoch && work(m_members[rank], m_step); };
+    if (chance(m_lateShare)) {
+        const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.latest).count();
+        const auto late = std::uniform_int_distribution<std::int64_t>(soonestLate.count(), longest)(m_random);
+        m_runtime.spawn([this, carryOut, late] {
+            m_runtime.sleepFor(std::chrono::milliseconds(late));
+            (void)carryOut();
+        });
+        m_runtime.sleepUntil(deadline);
+        return fail(error_kind::TimedOut, "the model does not answer this order", "Look at the report");
+    }
+    if (carryOut())
+        return {};
+    return fail(error_kind::Stale, "the model's state does not allow this order", "Look at the report");
+}
+
+result<rank_report> model_engine::report(time_point)
+{
+    const auto& mine = m_group.at(m_rank);
+    rank_report report;
+    report.group = group_membership { "g", m_group.epoch(), m_rank, m_group.ranks(), m_group.isOpen() };
+    report.step = m_group.step();
+    report.mapVersion = mine.version;
+    if (mine.prepared)
+        report.prepared = mine.prepared->version;
+    report.armed = mine.armed;
+    report.held = mine.held;
+    return report;
+}
+
+result<rank_demand> model_engine::demand(time_point)
+{
+    return rank_demand { m_group.epoch(), m_group.at(m_rank).counts };
+}
+
+result<rank_maps> model_engine::maps(time_point)
+{
+    const auto& mine = m_group.at(m_rank);
+    return rank_maps { m_group.epoch(), { mine.version, mine.experts }, mine.prepared };
+}
+
+result<void> model_engine::prepare(
+    group_epoch epoch, engine_map_version version, const group_map& map, time_point deadline)
+{
+    rank_experts own;
+    for (const auto& set : map)
+        own.push_back(set[m_rank]);
+    return m_group.order(
+        m_rank, epoch,
+        [version, own](model_group::member& mine, pass_number) {
+            if (version <= mine.highest || mine.armed)
+                return false;
+            mine.highest = version;
+            mine.prepared = rank_map_view { version, own };
+            return true;
+        },
+        deadline);
+}
+
+result<void> model_engine::arm(group_epoch epoch, const armed_switch& target, time_point deadline)
+{
+    return m_group.order(
+        m_rank, epoch,
+        [target](model_group::member& mine, pass_number step) {
+            if (!mine.prepared || mine.prepared->version != target.version || step >= target.step)
+                return false;
+            mine.armed = target;
+            return true;
+        },
+        deadline);
+}
+
+result<void> model_engine::disarm(group_epoch epoch, engine_map_version version, time_point deadline)
+{
+    return m_group.order(
+        m_rank, epoch,
+        [version](model_group::member& mine, pass_number) {
+            if (mine.armed && mine.armed->version == version)
+                mine.armed.reset();
+            return mine.version != version;
+        },
+        deadline);
+}
+
+result<void> model_engine::hold(group_epoch epoch, pass_number wanted, time_point deadline)
+{
+    return m_group.order(
+        m_rank, epoch,
+        [wanted](model_group::member& mine, pass_number step) {
+            if (step >= wanted || (mine.held && mine.held != wanted))
+                return false;
+            mine.held = wanted;
+            return true;
+        },
+        deadline);
+}
+
+result<void> model_engine::release(group_epoch epoch, pass_number wanted, time_point deadline)
+{
+    return m_group.order(
+        m_rank, epoch,
+        [wanted](model_group::member& mine, pass_number) {
+            if (mine.held == wanted)
+                mine.held.reset();
+            return true;
+        },
+        deadline);
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/measure/model_group.h
@@ -0,0 +1,109 @@
+#pragma once
+
+// All engines of a group with expert maps, as its promises are written down in docs/design/PLATFORM-PROGRAMS.md: passes
+// that all ranks begin together, and orders that are refused, lost or carried out late. Whoever drives it begins the
+// passes; it counts those that began with two maps, which must never happen. For tests, trials and the soak.
+//
+//     model_group group(runtime, { .ranks = 4, .sets = 2, .experts = 16, .lateShare = 0.3 });
+//     model_engine engine(group, 2);
+//     group.beginPass();
+
+#include "coltsfootbend/group/rank_engine.h"
+#include "coltsfootbend/net/fiber_runtime.h"
+
+#include <functional>
+#include <random>
+#include <vector>
+
+namespace coltsfootbend {
+
+class model_group {
+public:
+    struct options {
+        rank_number ranks = 4;
+        std::uint32_t sets = 2;
+        std::uint32_t experts = 16;
+        // Of the orders: not answered, and carried out within `latest`.
+        double lateShare = 0;
+        duration latest = std::chrono::milliseconds(400);
+        unsigned seed = 1;
+    };
+
+    // One rank's part in map changes.
+    struct member {
+        engine_map_version highest = 0;
+        engine_map_version version = 0;
+        rank_experts experts;
+        std::optional<rank_map_view> prepared;
+        std::optional<armed_switch> armed;
+        std::optional<pass_number> held;
+        std::vector<std::uint64_t> counts;
+    };
+
+    model_group(fiber_runtime&, const options&);
+
+    // Forms the group anew: a new epoch with the first map, nothing prepared, armed or held.
+    void form();
+    // A rank is gone: no pass begins until `form`.
+    void breakUp() { m_isOpen = false; }
+    // Begins the next pass on all ranks, unless the group is broken or one rank holds it. Returns whether it began.
+    bool beginPass();
+    // From now on this share of the orders comes late.
+    void setLateShare(double share) { m_lateShare = share; }
+
+    // Carries `work` out on `rank`, now or late, as engines do with orders. Fails with `Stale` where `work` returns
+    // false or the epoch has passed, with `TimedOut` at `deadline` where the order comes late.
+    using order_work = std::function<bool(member&, pass_number)>;
+    result<void> order(rank_number, group_epoch, const order_work& work, time_point deadline);
+
+    bool isOpen() const { return m_isOpen; }
+    group_epoch epoch() const { return m_epoch; }
+    pass_number step() const { return m_step; }
+    rank_number ranks() const { return m_options.ranks; }
+    const member& at(rank_number rank) const { return m_members[rank]; }
+    bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(m_random) < share; }
+
+    int mixedPasses() const { return m_mixedPasses; }
+    int switches() const { return m_switches; } // Summed over the ranks.
+    time_point lastPassAt() const { return m_lastPassAt; }
+
+private:
+    void countDemand();
+
+    fiber_runtime& m_runtime;
+    const options m_options;
+    std::minstd_rand m_random;
+    double m_lateShare;
+    std::vector<member> m_members;
+    bool m_isOpen = true;
+    group_epoch m_epoch = 0;
+    pass_number m_step = 0;
+    int m_mixedPasses = 0;
+    int m_switches = 0;
+    time_point m_lastPassAt {};
+};
+
+// One rank as its agent sees it.
+class model_engine final : public rank_engine {
+public:
+    model_engine(model_group& group, rank_number rank)
+        : m_group(group)
+        , m_rank(rank)
+    {
+    }
+
+    result<rank_report> report(time_point) override;
+    result<rank_demand> demand(time_point) override;
+    result<rank_maps> maps(time_point) override;
+    result<void> prepare(group_epoch, engine_map_version, const group_map&, time_point deadline) override;
+    result<void> arm(group_epoch, const armed_switch&, time_point deadline) override;
+    result<void> disarm(group_epoch, engine_map_version, time_point deadline) override;
+    result<void> hold(group_epoch, pass_number, time_point deadline) override;
+    result<void> release(group_epoch, pass_number, time_point deadline) override;
+
+private:
+    model_group& m_group;
+    const rank_number m_rank;
+};
+
+} // namespace coltsfootbend
