--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# Fault soaks with real processes: `scripts/soak.sh FIRST LAST [SECONDS [AT_ONCE]]` plays the seeds FIRST to LAST, AT_ONCE at a
+# time, each with faults for SECONDS. `scripts/soak.sh cases` plays the seeds that failed once (scripts/soak-cases.txt).
+# Prints one line a seed, keeps the logs of those that failed, and fails if any did.
+set -u
+cd "$(dirname "$0")/.."
+seconds=${3:-20}
+at_once=${4:-4}
+if [ "${1:-}" = cases ]; then
+  seeds=$(grep -oE '^[0-9]+' scripts/soak-cases.txt)
+else
+  seeds=$(seq "${1:?first seed}" "${2:?last seed}")
+fi
+dir=$(mktemp -d "${TMPDIR:-/tmp}/coltsfootbend-soak.XXXXXX")
+export dir seconds
+play() {
+  build/bin/coltsfootbend_soak --seed "$1" --seconds "$seconds" --directory "$dir/$1" >"$dir/$1.out" 2>&1
+  code=$?
+  grep -E '^(soak|violation):' "$dir/$1.out"
+  [ $code = 0 ] && rm -rf "${dir:?}/$1" && return 0
+  echo "soak: seed $1 failed with $code; logs in $dir/$1"
+  return 1
+}
+export -f play
+if echo "$seeds" | xargs -P "$at_once" -I SEED bash -c 'play SEED'; then
+  echo 'soak: every promise was kept'
+else
+  echo 'soak: a promise was broken'
+  exit 1
+fi
