Agents leave the store to the gateways; who is refused hears who knows more; a stop ends whatever still waits

Change: gateways tell agents once a second, and at once after a change, which revisions they know and whether the store serves them. Agents read newer lists of servers from a gateway, of their own data centre if one has it; the configuration every 15 s; and follow the store only when no gateway that it serves has been heard for 1.5 s. To a gateway that knows less than another an agent names the one to ask, which reads it in one call instead of three guesses. Both have a test. The process now ends without destroying what fibers refer to. E503 tells report_age_ms=none where a server's load was never heard.

--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -45,6 +45,7 @@
     {
     }
 
+    // Returns only when it could not be started.
     int run()
     {
         if (auto composed = compose(); !composed)
@@ -60,10 +61,19 @@
         awaitReload();
         m_runtime.run();
         logEvent(log_event::ProcessStopped, "vm=" + m_settings.vm.text());
-        return 0;
+        endProcess();
     }
 
 private:
+    // Fibers that still wait, for the store perhaps, refer to the services. Destroying those would leave them with
+    // references to nothing, and the end of the thread waits for all fibers. Nothing that lasts is in this process.
+    [[noreturn]] static void endProcess()
+    {
+        stopLog();
+        std::cout.flush();
+        std::_Exit(0);
+    }
+
     static int complain(const error& error)
     {
         std::cerr << "coltsfootbend: " << toString(error) << "\n";
@@ -123,6 +133,7 @@
             peers.push_back({ hint.ip, m_settings.peers.port });
         auto options = m_settings.rankAgent ? deployment_watch::options::forAgents() : deployment_watch::options {};
         options.peers = std::move(peers);
+        options.home = m_settings.dataCentre;
         m_kernel.add(std::make_unique<deployment_watch>(m_runtime,
             std::make_unique<platform::store_client>(m_runtime, *m_settings.deploymentStore),
             std::make_unique<platform::table_decoder>(), std::move(options)));
--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -336,7 +336,10 @@
         if (isBehind || (waiting > 0 && (isTooLate || isTooSlow)))
             return tl::unexpected(refuse(pick_refusal::Overloaded, predicted, request, now));
     }
-    return picked_backend { chosen.server, predicted, load, now - chosen.reportedAt };
+    return picked_backend { .server = chosen.server,
+        .predicted = predicted,
+        .load = load,
+        .reportAge = chosen.report ? std::optional<duration>(now - chosen.reportedAt) : std::nullopt };
 }
 
 void backend_picker::sent(const backend_id& id, time_point now)
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -76,7 +76,7 @@
     duration predicted {};
     // What the choice was made from, for the log.
     double load = 0;
-    duration reportAge {};
+    std::optional<duration> reportAge; // None while the server's load was never heard.
 };
 
 struct pick_refused {
--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <random>
 #include <utility>
 
@@ -16,6 +17,7 @@
 // Peers asked at once: one may be cut off or as ignorant as this process.
 constexpr std::size_t peersAsked = 3;
 constexpr std::chrono::milliseconds peerAnswerLimit { 800 };
+constexpr std::chrono::milliseconds followLookEvery { 100 };
 
 std::vector<wire::stored_row> toWire(const std::map<std::string, watched_row>& rows)
 {
@@ -77,6 +79,10 @@
             }
             isCurrent = true;
         }
+        if (isFollowedByPeers()) {
+            m_runtime.sleepFor(followLookEvery);
+            continue;
+        }
         const auto after = table(name).revision;
         const auto page = m_store->changes(name, after, clock_type::now() + m_options.pollLength);
         if (page) {
@@ -237,13 +243,72 @@
     }
 }
 
-void deployment_watch::meetPeer(const endpoint& peer) { m_peers.insert(peer); }
+bool deployment_watch::isFollowedByPeers() const
+{
+    return m_options.followsPeers && m_followerHeardAt
+        && clock_type::now() < *m_followerHeardAt + m_options.peerSilence;
+}
+
+wire::deployment_knowledge deployment_watch::knowledge() const
+{
+    return { .configurationRevision = table(watched_table::Configuration).revision,
+        .serversRevision = table(watched_table::BackendServers).revision,
+        .isServed = knowsServers() && storeAnswers() && !m_options.followsPeers,
+        .dataCentre = m_options.home.text() };
+}
+
+void deployment_watch::hearGateway(const endpoint& peer, const wire::deployment_knowledge& knowledge)
+{
+    meetPeer(peer);
+    const auto now = clock_type::now();
+    if (knowledge.isServed)
+        m_followerHeardAt = now;
+    if (!isFollowedByPeers())
+        return;
+    const bool hasServers = knowledge.serversRevision > table(watched_table::BackendServers).revision;
+    const bool hasConfiguration = knowledge.configurationRevision > table(watched_table::Configuration).revision
+        && (!m_configurationReadAt || now > *m_configurationReadAt + m_options.configurationFromPeersEvery);
+    if (!hasServers && !hasConfiguration) {
+        // Others may still be ahead; whoever is says so again within a second.
+        m_behindSince.reset();
+        return;
+    }
+    if (!m_behindSince)
+        m_behindSince = now;
+    const bool isNear = knowledge.dataCentre == m_options.home.text();
+    if (!isNear && now < *m_behindSince + m_options.otherDataCentreDelay)
+        return;
+    if (hasConfiguration)
+        m_configurationReadAt = now;
+    readPeer(peer, hasConfiguration);
+}
+
+void deployment_watch::hearOfNews(const endpoint& peer)
+{
+    meetPeer(peer);
+    if (m_storeFailingSince)
+        readPeer(peer, true);
+}
+
+// One at a time: a large configuration fills a small link.
+void deployment_watch::readPeer(const endpoint& peer, bool withConfiguration)
+{
+    if (m_isReadingPeer)
+        return;
+    m_isReadingPeer = true;
+    m_runtime.spawn([this, peer, withConfiguration] {
+        askPeer(peer, withConfiguration);
+        m_isReadingPeer = false;
+    });
+}
 
 void deployment_watch::askPeersLoop()
 {
     while (!m_stopped) {
         m_runtime.sleepFor(m_options.askPeersEvery);
-        if (!m_storeFailingSince || clock_type::now() < *m_storeFailingSince + m_options.askPeersAfter)
+        // Whoever leaves the store to gateways hears from them, even if its own last call failed.
+        if (!m_storeFailingSince || isFollowedByPeers()
+            || clock_type::now() < *m_storeFailingSince + m_options.askPeersAfter)
             continue;
         std::vector<endpoint> asked;
         std::sample(m_peers.begin(), m_peers.end(), std::back_inserter(asked), peersAsked, m_random);
@@ -252,9 +317,10 @@
     }
 }
 
-void deployment_watch::askPeer(const endpoint& peer)
+void deployment_watch::askPeer(const endpoint& peer, bool withConfiguration)
 {
-    const wire::deployment_request request { table(watched_table::Configuration).revision,
+    constexpr auto none = std::numeric_limits<store_revision>::max();
+    const wire::deployment_request request { withConfiguration ? table(watched_table::Configuration).revision : none,
         table(watched_table::BackendServers).revision };
     const auto reply = m_peerService->client().ask(peer, request, clock_type::now() + peerAnswerLimit);
     if (!reply) {
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -2,7 +2,8 @@
 
 // Keeps what this process believes of the deployment current: the operator's configuration and the list of backend
 // servers. Follows the store with long polls; while the store does not serve this VM it asks other processes, who may
-// still be served. What it believes never goes back within its life. Found through the kernel as "deployment".
+// still be served. Rank agents follow the gateways instead, and the store only while no gateway does. What it believes
+// never goes back within its life. Found through the kernel as "deployment".
 //
 //     watch.onCatalogue([](const catalogue_ptr& next) { ... });
 //     if (watch.catalogue()) ... watch.directory().servers() ...
@@ -47,6 +48,16 @@
         // A store that fails for longer is made up for by asking peers, this often.
         duration askPeersAfter = std::chrono::milliseconds(300);
         duration askPeersEvery = std::chrono::milliseconds(400);
+        // Leaves the store to gateways as long as one of them follows it, and reads the list of servers from them.
+        bool followsPeers = false;
+        // Each gateway tells what it knows once a second; without any this process soon follows the store itself.
+        duration peerSilence = std::chrono::milliseconds(1500);
+        // Another data centre's gateway is read only when none of the own one has had the news for this long.
+        duration otherDataCentreDelay = std::chrono::milliseconds(400);
+        // A configuration can have a thousand routes, of which an agent needs the figures of one engine: whoever
+        // follows gateways reads it this seldom.
+        duration configurationFromPeersEvery = std::chrono::seconds(15);
+        data_centre_id home;
         // Peers that are known from the start; those met later are added.
         std::vector<endpoint> peers;
 
@@ -57,6 +68,7 @@
             options chosen;
             chosen.configurationSettle = std::chrono::seconds(1);
             chosen.serversSettle = std::chrono::seconds(1);
+            chosen.followsPeers = true;
             return chosen;
         }
     };
@@ -79,7 +91,13 @@
     void onServers(std::function<void()> changed) { m_onServers.push_back(std::move(changed)); }
 
     // Another process that can be asked.
-    void meetPeer(const endpoint& peer);
+    void meetPeer(const endpoint& peer) { m_peers.insert(peer); }
+    // A gateway says what it knows. Newer lists of servers are read from it by whoever leaves the store to gateways.
+    void hearGateway(const endpoint& peer, const wire::deployment_knowledge&);
+    // The gateway `peer` is said to know more. It is asked if the store does not serve this process.
+    void hearOfNews(const endpoint& peer);
+    // What this process tells others.
+    wire::deployment_knowledge knowledge() const;
     const std::set<endpoint>& peers() const { return m_peers; }
 
 private:
@@ -105,7 +123,11 @@
     void storeAnswered();
     void expireLoop();
     void askPeersLoop();
-    void askPeer(const endpoint&);
+    // True while another process follows the store for this one.
+    bool isFollowedByPeers() const;
+    void readPeer(const endpoint&, bool withConfiguration);
+    // Without the configuration where only the list of servers is wanted.
+    void askPeer(const endpoint&, bool withConfiguration = true);
     wire::deployment_reply replyTo(const wire::deployment_request&) const;
 
     fiber_runtime& m_runtime;
@@ -118,6 +140,12 @@
     backend_directory m_directory;
     std::set<endpoint> m_peers;
     std::optional<time_point> m_storeFailingSince;
+    // When a process that follows the store was last heard.
+    std::optional<time_point> m_followerHeardAt;
+    // Since when gateways have known what this process does not.
+    std::optional<time_point> m_behindSince;
+    std::optional<time_point> m_configurationReadAt;
+    bool m_isReadingPeer = false;
     std::vector<std::function<void(const catalogue_ptr&)>> m_onCatalogue;
     std::vector<std::function<void()>> m_onServers;
     std::minstd_rand m_random { std::random_device {}() };
--- a/coltsfootbend/gateway/deployment_watch_test.cpp
+++ b/coltsfootbend/gateway/deployment_watch_test.cpp
@@ -12,6 +12,7 @@
 struct model_store {
     std::uint64_t version = 1;
     bool isRefusing = false;
+    int calls = 0;
 };
 
 class model_client final : public watched_store {
@@ -24,6 +25,7 @@
 
     result<row_page> readAll(watched_table table, time_point) override
     {
+        ++m_store.calls;
         if (m_store.isRefusing)
             return fail(error_kind::Unavailable, "refused");
         row_page page { {}, m_store.version };
@@ -34,6 +36,7 @@
 
     result<row_page> changes(watched_table table, store_revision after, time_point waitUntil) override
     {
+        ++m_store.calls;
         while (!m_store.isRefusing && m_store.version == after && clock_type::now() < waitUntil)
             m_runtime.sleepFor(2ms);
         if (m_store.isRefusing)
@@ -142,6 +145,94 @@
     });
 }
 
+// What a gateway tells its agents, as datagrams do, until `until`.
+void tellAgent(
+    fiber_runtime& runtime, model_process& gateway, const endpoint& address, model_process& agent, time_point until)
+{
+    while (clock_type::now() < until) {
+        agent.watch->hearGateway(address, gateway.watch->knowledge());
+        runtime.sleepFor(100ms);
+    }
+}
+
+// Sixty agents that follow the store themselves cost more than half of all calls.
+TEST(DeploymentWatch, AnAgentLeavesTheStoreToTheGateways)
+{
+    onRuntime([](fiber_runtime& runtime, model_processes& processes) {
+        const endpoint gatewayAddress { "127.0.0.1", 27343 };
+        auto& gateway = start(runtime, processes, gatewayAddress, {});
+        auto options = deployment_watch::options::forAgents();
+        options.configurationFromPeersEvery = 100ms;
+        auto& agent = start(runtime, processes, { "127.0.0.1", 27344 }, options);
+        agent.store.version = 1;
+        tellAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 300ms);
+        // The polls that were open when the gateway was first heard end with this change.
+        agent.store.version = gateway.store.version = 2;
+        tellAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 1500ms);
+        const int calls = agent.store.calls;
+        for (std::uint64_t version = 3; version <= 6; ++version) {
+            agent.store.version = gateway.store.version = version;
+            tellAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 800ms);
+            EXPECT_EQ(agent.version(), version);
+        }
+        EXPECT_EQ(agent.store.calls, calls);
+    });
+}
+
+// Replays 1,400 new routes: read by 63 agents through links of 8 Mbit/s they filled these for seconds.
+TEST(DeploymentWatch, AnAgentDoesNotReadEveryConfiguration)
+{
+    onRuntime([](fiber_runtime& runtime, model_processes& processes) {
+        const endpoint gatewayAddress { "127.0.0.1", 27347 };
+        auto& gateway = start(runtime, processes, gatewayAddress, {});
+        auto& agent = start(runtime, processes, { "127.0.0.1", 27348 }, deployment_watch::options::forAgents());
+        tellAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 300ms);
+        agent.store.version = gateway.store.version = 2;
+        tellAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 1500ms);
+        for (std::uint64_t version = 3; version <= 5; ++version) {
+            gateway.store.version = version;
+            tellAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 500ms);
+            EXPECT_EQ(agent.watch->knowledge().serversRevision, version);
+        }
+        EXPECT_LT(agent.version(), 5U);
+    });
+}
+
+TEST(DeploymentWatch, AGatewayThatTheStoreRefusesReadsFromWhoIsSaidToKnowMore)
+{
+    onRuntime([](fiber_runtime& runtime, model_processes& processes) {
+        const endpoint served { "127.0.0.1", 27349 };
+        auto& informed = start(runtime, processes, served, {});
+        auto& refused = start(runtime, processes, { "127.0.0.1", 27350 }, {});
+        runtime.sleepFor(100ms);
+        refused.store.isRefusing = true;
+        informed.store.version = 2;
+        runtime.sleepFor(700ms);
+        EXPECT_EQ(refused.version(), 1U);
+        refused.watch->hearOfNews(served);
+        runtime.sleepFor(200ms);
+        EXPECT_EQ(refused.version(), 2U);
+    });
+}
+
+TEST(DeploymentWatch, AnAgentFollowsTheStoreOnceNoGatewayDoes)
+{
+    onRuntime([](fiber_runtime& runtime, model_processes& processes) {
+        const endpoint gatewayAddress { "127.0.0.1", 27345 };
+        auto& gateway = start(runtime, processes, gatewayAddress, {});
+        auto options = deployment_watch::options::forAgents();
+        options.peerSilence = 300ms;
+        options.serversSettle = options.configurationSettle = 100ms;
+        auto& agent = start(runtime, processes, { "127.0.0.1", 27346 }, options);
+        runtime.sleepFor(200ms);
+        gateway.store.isRefusing = true;
+        tellAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 800ms);
+        agent.store.version = 2;
+        tellAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 800ms);
+        EXPECT_EQ(agent.version(), 2U) << "the gateway speaks, but the store does not serve it";
+    });
+}
+
 TEST(DeploymentWatch, WhatIsKnownNeverGoesBack)
 {
     onRuntime([](fiber_runtime& runtime, model_processes& processes) {
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -248,7 +248,7 @@
     logEvent(m_sent == 1 ? log_event::RequestSent : log_event::RequestResumed,
         label() + " backend=" + server.id.text() + " attempt=" + std::to_string(m_sent)
             + " load=" + std::to_string(picked.load).substr(0, 5) + " report_age_ms="
-            + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(picked.reportAge).count())
+            + (picked.reportAge ? std::to_string(std::lround(toMilliseconds(*picked.reportAge))) : "none")
             + " predicted_ms=" + std::to_string(std::lround(toMilliseconds(picked.predicted))) + " time_left_ms="
             + std::to_string(std::lround(toMilliseconds(m_facts.timeLeft.value_or(duration::zero()))))
             + " returning=" + (m_returning ? "yes" : "no"));
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -16,6 +16,9 @@
 // Agents tell their load for three seconds after a subscription, so one lost datagram does no harm.
 constexpr std::chrono::milliseconds subscribeEvery { 1000 };
 constexpr std::chrono::milliseconds maintainEvery { 1000 };
+// What has changed in the deployment is told sooner, since others may hear of it in no other way; a series of changes
+// goes into one message.
+constexpr std::chrono::milliseconds newsLookEvery { 100 };
 // The platform looks at readiness every second and stops sending connections after two misses.
 constexpr std::chrono::milliseconds rotationDelay { 2600 };
 constexpr std::chrono::milliseconds leaveLookEvery { 20 };
@@ -55,8 +58,14 @@
         .budgets = {},
         .patience = {},
         .catalogue = {} });
-    m_watch->onCatalogue([this](const catalogue_ptr& next) { applyCatalogue(next); });
-    m_watch->onServers([this] { applyServers(); });
+    m_watch->onCatalogue([this](const catalogue_ptr& next) {
+        m_hasNews = true;
+        applyCatalogue(next);
+    });
+    m_watch->onServers([this] {
+        m_hasNews = true;
+        applyServers();
+    });
     m_metrics->gauge("requests_running", [this] { return static_cast<double>(m_running); });
     m_metrics->gauge("configuration_version",
         [this] { return m_context->catalogue ? static_cast<double>(m_context->catalogue->version().number()) : 0.0; });
@@ -167,8 +176,10 @@
 void gateway_service::subscribeLoop()
 {
     while (!m_stopped) {
-        const auto bytes = wire::encode(
-            { .sender = m_settings.vm, .senderLife = {}, .version = {}, .content = wire::load_subscribe {} });
+        const auto bytes = wire::encode({ .sender = m_settings.vm,
+            .senderLife = {},
+            .version = {},
+            .content = wire::load_subscribe { m_watch->knowledge() } });
         std::set<std::string> hosts;
         for (const auto& [id, server] : m_watch->directory().servers()) {
             const auto* deployment
@@ -178,7 +189,10 @@
         }
         for (const auto& host : hosts)
             m_news->send({ host, m_settings.peers.port }, bytes);
-        m_runtime.sleepFor(subscribeEvery);
+        const auto nextAt = clock_type::now() + subscribeEvery;
+        m_hasNews = false;
+        while (clock_type::now() < nextAt && !m_hasNews)
+            m_runtime.sleepFor(newsLookEvery);
     }
 }
 
@@ -194,6 +208,8 @@
             continue;
         }
         m_watch->meetPeer(got->sender);
+        if (const auto informed = parseEndpoint(news->newsAt))
+            m_watch->hearOfNews(*informed);
         const auto engine = parseEndpoint(news->engine);
         if (!engine)
             continue;
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -54,6 +54,8 @@
     std::size_t m_running = 0; // Requests under way.
     std::uint32_t m_gateways; // As far as known, this one included.
     bool m_leaving = false;
+    // The deployment has changed since the agents were last told of it.
+    bool m_hasNews = false;
     bool m_stopped = false;
     mutable bool m_saidReady = false;
 };
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -155,12 +155,14 @@
         wire::message_decoder decoder(got->bytes.size() + 1);
         decoder.feed(got->bytes);
         const auto message = decoder.next();
-        if (!message || !*message || !std::holds_alternative<wire::load_subscribe>((*message)->content)) {
+        const auto* subscription
+            = message && *message ? std::get_if<wire::load_subscribe>(&(*message)->content) : nullptr;
+        if (!subscription) {
             m_metrics->count("datagrams_unreadable_total");
             continue;
         }
-        m_subscribers[got->sender] = clock_type::now() + subscriptionLength;
-        m_watch->meetPeer(got->sender);
+        m_subscribers[got->sender] = { clock_type::now() + subscriptionLength, subscription->knows };
+        m_watch->hearGateway(got->sender, subscription->knows);
     }
 }
 
@@ -169,7 +171,7 @@
     while (!m_stopped) {
         m_runtime.sleepFor(newsEvery);
         const auto now = clock_type::now();
-        std::erase_if(m_subscribers, [now](const auto& entry) { return entry.second < now; });
+        std::erase_if(m_subscribers, [now](const auto& entry) { return entry.second.until < now; });
         const auto report = m_engine->report(now + reportLimit);
         if (!report) {
             m_metrics->count("engine_reports_failed_total");
@@ -197,9 +199,37 @@
         news.isOpen = report.group->isOpen;
         news.ranks = report.group->ranks;
     }
-    const auto bytes = wire::encode({ .sender = m_settings.vm, .senderLife = {}, .version = {}, .content = news });
-    for (const auto& [subscriber, until] : m_subscribers)
-        m_news->send(subscriber, bytes);
+    const auto encoded
+        = [&] { return wire::encode({ .sender = m_settings.vm, .senderLife = {}, .version = {}, .content = news }); };
+    const auto bytes = encoded();
+    for (const auto& [address, subscriber] : m_subscribers) {
+        const auto* informed = findInformed(subscriber);
+        if (informed) {
+            news.newsAt = toString(*informed);
+            m_news->send(address, encoded());
+        } else {
+            m_news->send(address, bytes);
+        }
+    }
+}
+
+// One that the store serves, so that it is not a step behind as well; of the same data centre if there is one. Another
+// one each time, for the first may be out of reach.
+const endpoint* rank_service::findInformed(const subscriber& asker)
+{
+    std::vector<const endpoint*> near;
+    std::vector<const endpoint*> far;
+    for (const auto& [address, candidate] : m_subscribers) {
+        const bool knowsMore = candidate.knows.configurationRevision > asker.knows.configurationRevision
+            || candidate.knows.serversRevision > asker.knows.serversRevision;
+        if (!candidate.knows.isServed || !knowsMore)
+            continue;
+        (candidate.knows.dataCentre == asker.knows.dataCentre ? near : far).push_back(&address);
+    }
+    const auto& informed = near.empty() ? far : near;
+    if (informed.empty())
+        return nullptr;
+    return informed[std::uniform_int_distribution<std::size_t>(0, informed.size() - 1)(m_random)];
 }
 
 void rank_service::leadLoop()
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -215,8 +215,18 @@
     std::uint64_t step = 0;
 };
 
+// What a gateway knows of the deployment, so that others hear who knows more than they do.
+struct deployment_knowledge {
+    std::uint64_t configurationRevision = 0;
+    std::uint64_t serversRevision = 0;
+    bool isServed = false; // It follows the store itself, which answers it.
+    std::string dataCentre;
+};
+
 // Gateway to rank agent, as a datagram: tell me your engine's load for a while.
-struct load_subscribe { };
+struct load_subscribe {
+    deployment_knowledge knows;
+};
 // Rank agent to the gateways that subscribed, as a datagram.
 struct load_news {
     std::string engine; // Address at which the engine takes requests.
@@ -231,6 +241,7 @@
     bool isOpen = true;
     std::uint32_t ranks = 0; // Of the group.
     std::uint32_t subscribers = 0; // Gateways that this agent knows.
+    std::string newsAt; // A gateway that knows more of the deployment than the addressed one; empty for none.
 };
 
 struct problem {
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -13,8 +13,11 @@
 fi
 dir=$(mktemp -d "${TMPDIR:-/tmp}/coltsfootbend-soak.XXXXXX")
 export dir seconds
+# Copies, so that a build meanwhile harms nothing.
+cp build/bin/coltsfootbend build/bin/coltsfootbend_soak "$dir/" || exit 1
 play() {
-  build/bin/coltsfootbend_soak --seed "$1" --seconds "$seconds" --directory "$dir/$1" >"$dir/$1.out" 2>&1
+  "$dir/coltsfootbend_soak" --seed "$1" --seconds "$seconds" --directory "$dir/$1" \
+    --program "$dir/coltsfootbend" >"$dir/$1.out" 2>&1
   code=$?
   grep -E '^(soak|violation):' "$dir/$1.out"
   [ $code = 0 ] && rm -rf "${dir:?}/$1" && return 0
