--- a/coltsfootbend/engine/standin.cpp
+++ b/coltsfootbend/engine/standin.cpp
@@ -39,13 +39,8 @@
 
 result<void> engine_standin::start(kernel&)
 {
-    auto opened = listener::open(
-        m_runtime, { .address = m_settings.address, .tls = {} }, [this](const byte_stream_ptr& stream) {
-            serveHttp(
-                m_runtime, stream, {},
-                [this](const http_request& request, http_responder& responder) { handle(request, responder); },
-                [] { return false; });
-        });
+    auto opened = listenHttp(m_runtime, m_settings.address, {},
+        [this](const http_request& request, http_responder& responder) { handle(request, responder); });
     if (!opened)
         return tl::unexpected(opened.error());
     m_listener = *opened;
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -82,13 +82,8 @@
 result<void> gateway_service::listen()
 {
     const auto& gateway = *m_settings.gateway;
-    auto health
-        = listener::open(m_runtime, { .address = gateway.health, .tls = {} }, [this](const byte_stream_ptr& stream) {
-              serveHttp(
-                  m_runtime, stream, http_server_options {},
-                  [this](const http_request& request, http_responder& responder) { serveHealth(request, responder); },
-                  [] { return false; });
-          });
+    auto health = listenHttp(m_runtime, gateway.health, {},
+        [this](const http_request& request, http_responder& responder) { serveHealth(request, responder); });
     if (!health)
         return tl::unexpected(health.error());
     m_health = *health;
--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -332,6 +332,14 @@
     stream->close();
 }
 
+result<std::shared_ptr<listener>> listenHttp(
+    fiber_runtime& runtime, const endpoint& address, const http_server_options& options, http_handler handler)
+{
+    return listener::open(runtime, { .address = address, .tls = {} },
+        [&runtime, options, handler = std::move(handler)](
+            const byte_stream_ptr& stream) { serveHttp(runtime, stream, options, handler, [] { return false; }); });
+}
+
 result<byte_stream_ptr> http_client::obtain(const endpoint& address, time_point deadline, bool& reused)
 {
     auto& idle = m_idle[address];
--- a/coltsfootbend/net/http.h
+++ b/coltsfootbend/net/http.h
@@ -105,6 +105,11 @@
 void serveHttp(fiber_runtime&, const byte_stream_ptr&, const http_server_options&, const http_handler&,
     const std::function<bool()>& isLeaving, idle_connections* idle = nullptr);
 
+// Listens on `address` without TLS and serves what comes, for inner interfaces that are never asked to leave. Fails
+// with `Unavailable` when the address cannot be had.
+result<std::shared_ptr<listener>> listenHttp(
+    fiber_runtime&, const endpoint& address, const http_server_options&, http_handler);
+
 // Sends requests, and keeps connections for later ones.
 class http_client {
 public:
--- a/coltsfootbend/store/standin.cpp
+++ b/coltsfootbend/store/standin.cpp
@@ -114,13 +114,8 @@
 
 result<void> platform_standin::start(kernel&)
 {
-    auto opened = listener::open(m_runtime, { .address = m_address, .tls = {} }, [this](const byte_stream_ptr& stream) {
-        const http_server_options options { .maxBodyBytes = std::size_t { 64 } * 1024 * 1024 };
-        serveHttp(
-            m_runtime, stream, options,
-            [this](const http_request& request, http_responder& responder) { handle(request, responder); },
-            [] { return false; });
-    });
+    auto opened = listenHttp(m_runtime, m_address, { .maxBodyBytes = std::size_t { 64 } * 1024 * 1024 },
+        [this](const http_request& request, http_responder& responder) { handle(request, responder); });
     if (!opened)
         return tl::unexpected(opened.error());
     m_listener = *opened;
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Fault soaks with real processes: `scripts/soak.sh FIRST LAST [SECONDS [AT_ONCE]]` plays the seeds FIRST to LAST, AT_ONCE at a
-# time, each with faults for SECONDS. `scripts/soak.sh cases` plays the seeds that failed once (scripts/soak-cases.txt).
+# time, each with faults for SECONDS. `scripts/soak.sh cases - SECONDS` plays those that failed once (scripts/soak-cases.txt).
 # Prints one line a seed, keeps the logs of those that failed, and fails if any did.
 set -u
 cd "$(dirname "$0")/.."
