A leader that cannot go on says why, and whom it cannot reach

The frozen VM was that of the leader, which had just ordered its own engine to hold a pass; the other ranks' leader could not ask that rank, and waits until it can. Change: E702 with wait= and missing=, once each time the reason changes.

--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -143,6 +143,7 @@
         return waitCycle;
     learn(states);
     const auto todo = resolve(states);
+    noteWaiting(todo, states);
     switch (todo.kind) {
     case group_todo::Wait:
         return waitCycle;
@@ -165,6 +166,25 @@
     return waitCycle;
 }
 
+// A group may stand still while its leader waits, so the reason and who is missing are told once each time it begins.
+void map_leader::noteWaiting(const group_resolution& todo, const states_by_rank& states)
+{
+    const std::string reason = todo.kind == group_todo::Wait ? todo.reason : "";
+    if (reason == m_waitReason)
+        return;
+    m_waitReason = reason;
+    if (reason.empty())
+        return;
+    std::string missing;
+    for (std::size_t rank = 0; rank < states.size(); ++rank) {
+        if (!states[rank])
+            missing += (missing.empty() ? "" : ",") + std::to_string(rank);
+    }
+    logEvent(log_event::MapChangeStep,
+        "wait=\"" + reason + "\" held=" + std::to_string(todo.heldStep)
+            + " missing=" + (missing.empty() ? "-" : missing));
+}
+
 // Takes the counts, the time of passes and the map in use from what the ranks told.
 void map_leader::learn(const states_by_rank& states)
 {
--- a/coltsfootbend/group/map_leader.h
+++ b/coltsfootbend/group/map_leader.h
@@ -70,6 +70,7 @@
     std::vector<result<wire::rank_state>> askAll(const wire::body&, duration limit, bool includingOwn);
     void noteTerm(const wire::rank_state&);
     void learn(const states_by_rank&);
+    void noteWaiting(const group_resolution&, const states_by_rank&);
     bool isMapKnown(const wire::rank_state& own) const;
     duration planAndChange(const states_by_rank&);
     // By how much dearer a copy is than in a busy group: skew costs only where ranks are short of time.
@@ -96,6 +97,8 @@
     group_epoch m_epoch = 0;
     std::string m_group;
     bool m_wantsMap = true;
+    // Why nothing can be done at the moment; empty when something can.
+    std::string m_waitReason;
     engine_map_version m_mapVersion = 0;
     std::optional<group_map> m_map; // In use, of `m_mapVersion` in `m_epoch`.
     engine_map_version m_nextVersion = 0;
