A wait for a group is not ended by its outage lasting longer than usual

Cause: since requests are held by the waiting policy, a returning caller whose group is down beyond the usual time was refused half a second before its patience ended, for the group was always expected to open half a second later. Change: a wait that was begun goes on to its limit; the test replays such an outage.

--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -163,9 +163,12 @@
     const held_request held { .arrivedAt = m_arrivedAt,
         .deadline = m_deadline,
         .latencyTarget = m_route->latencyTarget,
-        .isReturning = m_returning };
-    if (const auto until = holdUntil(refused, held, clock_type::now()); until && lookAgainBefore(*until))
+        .isReturning = m_returning,
+        .isHeld = m_held };
+    if (const auto until = holdUntil(refused, held, clock_type::now()); until && lookAgainBefore(*until)) {
+        m_held = true;
         return next_step::TryAgain;
+    }
     // The servers that were left out may be asked again rather than nobody.
     if (refused.reason == pick_refusal::NoServers && !m_excluded.empty() && m_route->mayRepeat()
         && m_sent < m_route->maxAttempts) {
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -84,6 +84,7 @@
     deployment_id m_deployment;
     time_point m_deadline {};
     bool m_returning = false;
+    bool m_held = false; // Here, for a slot or for its group.
 
     // Shared with the watcher of the caller's connection, which may outlive this.
     struct caller_state {
--- a/coltsfootbend/gateway/waiting_policy.cpp
+++ b/coltsfootbend/gateway/waiting_policy.cpp
@@ -26,11 +26,13 @@
 }
 
 // A group that broke opens after seconds, when everybody comes back. Whoever arrives shortly before is held, so that it
-// does not come with that wave; whoever was refused before is held for as long as its caller waits.
-std::optional<time_point> holdForGroup(const pick_refused& refused, const held_request& request)
+// does not come with that wave; whoever was refused before is held for as long as its caller waits. An outage beyond
+// the usual length is always expected to end in a moment, so that expectation ends no wait that was begun.
+std::optional<time_point> holdForGroup(const pick_refused& refused, const held_request& request, time_point now)
 {
     const duration patience = request.isReturning ? callerGapLimit : shortWait;
-    return onlyAfter(refused.expectedOpenAt, std::min<time_point>(request.deadline, request.arrivedAt + patience));
+    const auto limit = std::min<time_point>(request.deadline, request.arrivedAt + patience);
+    return onlyAfter(request.isHeld ? now : refused.expectedOpenAt, limit);
 }
 
 } // namespace
@@ -41,7 +43,7 @@
     case pick_refusal::Overloaded:
         return holdForSlot(refused, request, now);
     case pick_refusal::GroupDown:
-        return holdForGroup(refused, request);
+        return holdForGroup(refused, request, now);
     case pick_refusal::NoServers:
         return std::nullopt;
     }
--- a/coltsfootbend/gateway/waiting_policy.h
+++ b/coltsfootbend/gateway/waiting_policy.h
@@ -20,6 +20,8 @@
     duration latencyTarget {};
     // It was refused before and is late already.
     bool isReturning = false;
+    // It has been held here since it came.
+    bool isHeld = false;
 };
 
 // The longest that a caller of a stream waits without an event, less the way back to it: it leaves after two seconds.
--- a/coltsfootbend/gateway/waiting_policy_test.cpp
+++ b/coltsfootbend/gateway/waiting_policy_test.cpp
@@ -75,6 +75,16 @@
     EXPECT_FALSE(holdUntil(groupDown(start + 3s), returningRequest(), start));
 }
 
+// An outage that lasts longer than usual is expected to end half a second from any moment that one asks.
+TEST(WaitingPolicy, AWaitForAGroupIsNotEndedByItsOutageLastingLonger)
+{
+    auto request = returningRequest();
+    ASSERT_TRUE(holdUntil(groupDown(start + 500ms), request, start));
+    request.isHeld = true;
+    EXPECT_EQ(holdUntil(groupDown(start + 2s), request, start + 1500ms), start + callerGapLimit);
+    EXPECT_FALSE(holdUntil(groupDown(start + 2500ms), request, start + 2s));
+}
+
 TEST(WaitingPolicy, WithoutServersNobodyWaits)
 {
     EXPECT_FALSE(holdUntil({ .reason = pick_refusal::NoServers }, returningRequest(), start));
