A gateway whose poll is silent reads from those who know more

The poll of the configuration of several gateways told nothing for twelve seconds and did not fail, so that these neither asked the store anew nor listened to agents, who named gateways with news all the while. Ruled out: the store refusing the VM (no E203), a cut VM (its poll of the list of servers went on), agents with an old configuration (they only name others). Not ruled out: that it was so before agents left the store to gateways. Change: news that others are said to have, and that the store has not told for 0.7 s, is read from them.

--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -203,6 +203,7 @@
 
 void deployment_watch::announceChange(watched_table name)
 {
+    m_newsHeardAt.reset();
     if (name == watched_table::BackendServers) {
         for (const auto& changed : m_onServers)
             changed();
@@ -286,7 +287,10 @@
 void deployment_watch::hearOfNews(const endpoint& peer)
 {
     meetPeer(peer);
-    if (m_storeFailingSince)
+    const auto now = clock_type::now();
+    if (!m_newsHeardAt)
+        m_newsHeardAt = now;
+    if (m_storeFailingSince || now > *m_newsHeardAt + m_options.silentPollAfter)
         readPeer(peer, true);
 }
 
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -57,6 +57,8 @@
         // A configuration can have a thousand routes, of which an agent needs the figures of one engine: whoever
         // follows gateways reads it this seldom.
         duration configurationFromPeersEvery = std::chrono::seconds(15);
+        // The own poll tells what others know within this time, its pause after a change included.
+        duration silentPollAfter = std::chrono::milliseconds(700);
         data_centre_id home;
         // Peers that are known from the start; those met later are added.
         std::vector<endpoint> peers;
@@ -94,7 +96,8 @@
     void meetPeer(const endpoint& peer) { m_peers.insert(peer); }
     // A gateway says what it knows. Newer lists of servers are read from it by whoever leaves the store to gateways.
     void hearGateway(const endpoint& peer, const wire::deployment_knowledge&);
-    // The gateway `peer` is said to know more. It is asked if the store does not serve this process.
+    // The gateway `peer` is said to know more. It is asked if the store does not serve this process, or has not told it
+    // the news after a while: a poll can go silent without an error.
     void hearOfNews(const endpoint& peer);
     // What this process tells others.
     wire::deployment_knowledge knowledge() const;
@@ -146,6 +149,8 @@
     std::optional<time_point> m_behindSince;
     std::optional<time_point> m_configurationReadAt;
     bool m_isReadingPeer = false;
+    // Since when others have been said to know more, with no news from the store.
+    std::optional<time_point> m_newsHeardAt;
     std::vector<std::function<void(const catalogue_ptr&)>> m_onCatalogue;
     std::vector<std::function<void()>> m_onServers;
     std::minstd_rand m_random { std::random_device {}() };
--- a/coltsfootbend/gateway/deployment_watch_test.cpp
+++ b/coltsfootbend/gateway/deployment_watch_test.cpp
@@ -12,6 +12,7 @@
 struct model_store {
     std::uint64_t version = 1;
     bool isRefusing = false;
+    bool isSilent = false; // Polls get no answer and no error.
     int calls = 0;
 };
 
@@ -37,7 +38,7 @@
     result<row_page> changes(watched_table table, store_revision after, time_point waitUntil) override
     {
         ++m_store.calls;
-        while (!m_store.isRefusing && m_store.version == after && clock_type::now() < waitUntil)
+        while (!m_store.isRefusing && (m_store.isSilent || m_store.version == after) && clock_type::now() < waitUntil)
             m_runtime.sleepFor(2ms);
         if (m_store.isRefusing)
             return fail(error_kind::Unavailable, "refused");
@@ -215,6 +216,24 @@
     });
 }
 
+// Polls of several gateways were silent for twelve seconds while others heard of six configurations.
+TEST(DeploymentWatch, AGatewayWhosePollIsSilentReadsFromWhoIsSaidToKnowMore)
+{
+    onRuntime([](fiber_runtime& runtime, model_processes& processes) {
+        const endpoint informedAddress { "127.0.0.1", 27351 };
+        auto& informed = start(runtime, processes, informedAddress, {});
+        auto& deaf = start(runtime, processes, { "127.0.0.1", 27352 }, {});
+        runtime.sleepFor(100ms);
+        deaf.store.isSilent = true;
+        deaf.store.version = informed.store.version = 2;
+        for (int i = 0; i < 15; ++i) {
+            runtime.sleepFor(100ms);
+            deaf.watch->hearOfNews(informedAddress);
+        }
+        EXPECT_EQ(deaf.version(), 2U);
+    });
+}
+
 TEST(DeploymentWatch, AnAgentFollowsTheStoreOnceNoGatewayDoes)
 {
     onRuntime([](fiber_runtime& runtime, model_processes& processes) {
