A server's life has a type of its own; what is no registration names no server

Change: backend_life and engine_life (Unix ms of the start, none where not told) with every record; news of an older life is dropped.

--- a/coltsfootbend/gateway/backend_connection.cpp
+++ b/coltsfootbend/gateway/backend_connection.cpp
@@ -133,7 +133,7 @@
         if (mustBeFresh && now >= candidate.freshUntil)
             break;
         idle.pop_back();
-        if (now < candidate.usableUntil && candidate.connection->isOpenAndQuiet())
+        if (candidate.life == server.life && now < candidate.usableUntil && candidate.connection->isOpenAndQuiet())
             return candidate.connection;
         candidate.connection->close();
     }
@@ -153,7 +153,10 @@
         connection->close();
         return;
     }
-    idle.push_back({ std::move(connection), now + std::min(usable, m_options.freshFor), now + usable });
+    idle.push_back({ .connection = std::move(connection),
+        .life = server.life,
+        .freshUntil = now + std::min(usable, m_options.freshFor),
+        .usableUntil = now + usable });
 }
 
 void backend_connections::sweep(const std::function<bool(const backend_id&)>& isKnown)
--- a/coltsfootbend/gateway/backend_connection.h
+++ b/coltsfootbend/gateway/backend_connection.h
@@ -103,6 +103,7 @@
 private:
     struct idle_connection {
         backend_connection_ptr connection;
+        backend_life life; // Of the server when it was made; a restarted server knows nothing of it.
         time_point freshUntil {};
         time_point usableUntil {};
     };
--- a/coltsfootbend/gateway/backend_directory.cpp
+++ b/coltsfootbend/gateway/backend_directory.cpp
@@ -4,10 +4,20 @@
 
 namespace coltsfootbend {
 
-void backend_directory::put(const backend_server& server)
+bool backend_directory::put(const backend_server& server)
 {
+    const auto known = m_servers.find(server.id);
+    if (known != m_servers.end() && server.life < known->second.life)
+        return false;
     m_lapsed.erase(server.id);
     m_servers[server.id] = server;
+    return true;
+}
+
+void backend_directory::forget(const backend_id& id)
+{
+    m_lapsed.erase(id);
+    m_servers.erase(id);
 }
 
 void backend_directory::remove(const backend_id& id, time_point now)
--- a/coltsfootbend/gateway/backend_directory.h
+++ b/coltsfootbend/gateway/backend_directory.h
@@ -12,6 +12,7 @@
 #include "coltsfootbend/base/time.h"
 #include "coltsfootbend/net/byte_stream.h"
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -19,8 +20,18 @@
 
 namespace coltsfootbend {
 
-// One life of a backend server; a restarted one has another.
+// A backend server by its registered name, which it may keep when it is started again.
 using backend_id = text_id<struct backend_tag>;
+// One life of a backend server, by the Unix millisecond of its start; none where it was not told. A later life has the
+// higher number, and knows nothing of what was sent or ordered before.
+using backend_life = number_id<struct backend_life_tag>;
+
+// Tells a server from the one that it was before its restart. What is remembered of a server belongs to one of these.
+struct backend_instance {
+    backend_id id;
+    backend_life life;
+    auto operator<=>(const backend_instance&) const = default;
+};
 
 struct backend_server {
     backend_id id;
@@ -29,6 +40,9 @@
     data_centre_id dataCentre;
     std::uint32_t slots = 1;
     bool isLeaving = false;
+    backend_life life;
+
+    backend_instance instance() const { return { id, life }; }
 };
 
 class backend_directory {
@@ -50,7 +64,10 @@
     {
     }
 
-    void put(const backend_server&);
+    // Takes a registration; one of an older life than the known one is dropped. Returns whether it was taken.
+    bool put(const backend_server&);
+    // The registration of `id` cannot be read, so it names no server, whether or not the store is away.
+    void forget(const backend_id& id);
     // The registration of `id` is gone.
     void remove(const backend_id& id, time_point now);
     // Removes every server that is not in `present`.
--- a/coltsfootbend/gateway/backend_directory_test.cpp
+++ b/coltsfootbend/gateway/backend_directory_test.cpp
@@ -25,6 +25,26 @@
     EXPECT_FALSE(m_directory.find(backend_id("a")));
 }
 
+TEST_F(backend_directory_test, ARegistrationOfAFormerLifeIsDropped)
+{
+    auto restarted = server("a");
+    restarted.life = backend_life(2);
+    EXPECT_TRUE(m_directory.put(restarted));
+    auto former = server("a");
+    former.life = backend_life(1);
+    former.isLeaving = true;
+    EXPECT_FALSE(m_directory.put(former));
+    EXPECT_FALSE(m_directory.find(backend_id("a"))->isLeaving);
+}
+
+TEST_F(backend_directory_test, AServerWhoseRegistrationCannotBeReadIsGoneEvenWhileTheStoreIsAway)
+{
+    m_directory.put(server("a"));
+    m_directory.storeFailed(m_now);
+    m_directory.forget(backend_id("a"));
+    EXPECT_FALSE(m_directory.find(backend_id("a")));
+}
+
 TEST_F(backend_directory_test, WhatLapsedWhileTheStoreWasAwayMayComeBack)
 {
     m_directory.put(server("a"));
--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -80,17 +80,42 @@
 
 void backend_picker::setServers(const std::map<backend_id, backend_server>& servers, const catalogue& catalogue)
 {
-    for (const auto& [id, server] : servers)
-        m_backends[id].server = server;
+    for (const auto& [id, server] : servers) {
+        auto& state = m_backends[id];
+        const bool isNews = enterLife(state, server.life);
+        const auto life = state.server.life;
+        state.server = server;
+        if (!isNews)
+            state.server.life = life; // The engine told of its restart before the store did.
+    }
     std::erase_if(m_backends, [&](const auto& entry) { return !servers.contains(entry.first); });
     for (const auto& deployment : catalogue.deployments())
         m_deployments[deployment.id].engine = deployment.engine;
 }
 
+bool backend_picker::enterLife(backend_state& state, backend_life life)
+{
+    if (life < state.server.life)
+        return life.isNone();
+    if (life == state.server.life)
+        return true;
+    auto server = state.server;
+    server.life = life;
+    state = {};
+    state.server = std::move(server);
+    return true;
+}
+
+backend_picker::backend_state* backend_picker::find(const backend_instance& instance)
+{
+    const auto found = m_backends.find(instance.id);
+    return found == m_backends.end() || found->second.server.life != instance.life ? nullptr : &found->second;
+}
+
 void backend_picker::report(const endpoint& address, const engine_report& report, time_point now)
 {
     for (auto& [id, state] : m_backends) {
-        if (state.server.address != address)
+        if (state.server.address != address || !enterLife(state, report.life))
             continue;
         state.report = report;
         state.reportedAt = now;
@@ -130,12 +155,13 @@
     group.lastStepAt = now;
 }
 
-void backend_picker::responseLoad(const backend_id& id, std::uint32_t running, std::uint32_t waiting, time_point now)
+void backend_picker::responseLoad(
+    const backend_instance& server, std::uint32_t running, std::uint32_t waiting, time_point now)
 {
-    const auto found = m_backends.find(id);
-    if (found == m_backends.end())
+    auto* found = find(server);
+    if (!found)
         return;
-    auto& state = found->second;
+    auto& state = *found;
     if (!state.report)
         state.report.emplace();
     state.report->running = running;
@@ -219,8 +245,8 @@
     std::vector<backend_state*> all;
     std::vector<backend_state*> trusted;
     for (auto& [id, state] : m_backends) {
-        const bool isExcluded
-            = std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
+        const bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), state.server.instance())
+            != request.excluded.end();
         if (state.server.deployment != request.deployment || state.server.isLeaving || isExcluded)
             continue;
         all.push_back(&state);
@@ -342,23 +368,23 @@
         .reportAge = chosen.report ? std::optional<duration>(now - chosen.reportedAt) : std::nullopt };
 }
 
-void backend_picker::sent(const backend_id& id, time_point now)
+void backend_picker::sent(const backend_instance& server, time_point now)
 {
-    const auto found = m_backends.find(id);
-    if (found == m_backends.end())
+    auto* state = find(server);
+    if (!state)
         return;
-    noteRate(m_deployments[found->second.server.deployment], now);
-    ++found->second.inFlight;
-    found->second.sentAt.push_back(now);
+    noteRate(m_deployments[state->server.deployment], now);
+    ++state->inFlight;
+    state->sentAt.push_back(now);
 }
 
 void backend_picker::finished(
-    const backend_id& id, backend_outcome outcome, std::optional<duration> latency, time_point now)
+    const backend_instance& server, backend_outcome outcome, std::optional<duration> latency, time_point now)
 {
-    const auto found = m_backends.find(id);
-    if (found == m_backends.end())
+    auto* found = find(server);
+    if (!found)
         return;
-    auto& state = found->second;
+    auto& state = *found;
     if (state.inFlight > 0)
         --state.inFlight;
     if (outcome == backend_outcome::Abandoned)
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -7,7 +7,7 @@
 //     backend_picker picker(options, random);
 //     picker.setServers(directory.servers(), deployments);
 //     auto choice = picker.pick({ .deployment = id, .latencyTarget = 400ms, ... }, now);
-//     if (choice) { picker.sent(choice->backend, now); ...; picker.finished(choice->backend, outcome, now); }
+//     if (choice) { picker.sent(choice->server.instance(), now); ...; picker.finished(..., outcome, latency, now); }
 
 #include "coltsfootbend/gateway/backend_directory.h"
 #include "coltsfootbend/gateway/catalogue.h"
@@ -25,6 +25,7 @@
 
 // What an engine said of itself.
 struct engine_report {
+    backend_life life; // None where it was not told.
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     double pace = 1; // Above 1 it is slow.
@@ -67,7 +68,7 @@
     // Goes on with a stream that was begun, which has the first claim on a slot.
     bool isResumption = false;
     // Servers that this request has been sent to.
-    std::vector<backend_id> excluded;
+    std::vector<backend_instance> excluded;
 };
 
 struct picked_backend {
@@ -119,16 +120,18 @@
     // How many gateways send to the same servers, this one included.
     void setGateways(std::uint32_t count) { m_gateways = std::max(1U, count); }
 
-    // Takes news of the engine at `address`.
+    // Takes news of the engine at `address`. News of a life before the known one is dropped; with a later one all that
+    // is remembered of the server starts anew.
     void report(const endpoint& address, const engine_report&, time_point now);
-    // Takes what a response told of its server's load.
-    void responseLoad(const backend_id&, std::uint32_t running, std::uint32_t waiting, time_point now);
+    // Takes what a response told of its server's load. Like `sent` and `finished` without effect for another life of
+    // the server than the one that it has now.
+    void responseLoad(const backend_instance&, std::uint32_t running, std::uint32_t waiting, time_point now);
 
     tl::expected<picked_backend, pick_refused> pick(const pick_request&, time_point now);
 
-    void sent(const backend_id&, time_point now);
+    void sent(const backend_instance&, time_point now);
     // `latency`: to the first byte of the answer, where there was one.
-    void finished(const backend_id&, backend_outcome, std::optional<duration> latency, time_point now);
+    void finished(const backend_instance&, backend_outcome, std::optional<duration> latency, time_point now);
 
     // True unless fresh reports say that the group of `deployment` is broken.
     bool isOpen(const deployment_id& deployment, time_point now) const;
@@ -164,6 +167,10 @@
         time_point lastSentAt {};
     };
 
+    // Null unless the server is known with this life.
+    backend_state* find(const backend_instance&);
+    // Forgets what belongs to a former life. Returns false when `life` itself is a former one.
+    static bool enterLife(backend_state&, backend_life life);
     bool isForming(const deployment_id&, time_point now) const;
     double loadOf(const backend_state&, time_point now) const;
     double scoreOf(const backend_state&, const deployment_state&, time_point now) const;
--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -176,16 +176,20 @@
         const auto server = m_decoder->backend(row);
         if (!server) {
             logEvent(log_event::DeploymentRowUnreadable, toString(server.error()));
+            m_directory.forget(backend_id(row.key));
             return;
         }
-        const auto* known = m_directory.find(server->id);
-        if (!known || known->isLeaving != server->isLeaving || known->address != server->address) {
+        const auto* found = m_directory.find(server->id);
+        const auto known = found ? std::optional(*found) : std::nullopt;
+        if (!m_directory.put(*server))
+            return;
+        if (!known || known->isLeaving != server->isLeaving || known->address != server->address
+            || known->life != server->life) {
             logEvent(log_event::BackendListed,
-                "backend=" + server->id.text() + " deployment=" + server->deployment.text()
-                    + " address=" + toString(server->address) + " leaving=" + (server->isLeaving ? "yes" : "no")
-                    + " revision=" + std::to_string(row.revision));
+                "backend=" + server->id.text() + " life=" + std::to_string(server->life.number())
+                    + " deployment=" + server->deployment.text() + " address=" + toString(server->address)
+                    + " leaving=" + (server->isLeaving ? "yes" : "no") + " revision=" + std::to_string(row.revision));
         }
-        m_directory.put(*server);
         return;
     }
     auto next = m_decoder->configuration(row);
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -228,11 +228,11 @@
     if (m_caller->gone)
         return next_step::TryAgain; // The loop ends it.
     if (!connection) {
-        m_context.picker.sent(server.id, clock_type::now());
+        m_context.picker.sent(server.instance(), clock_type::now());
         settle(picked, backend_outcome::Broken);
         logEvent(log_event::RequestFailed,
             label() + " backend=" + server.id.text() + " not_run=yes why=\"" + toString(connection.error()) + "\"");
-        m_excluded.push_back(server.id);
+        m_excluded.push_back(server.instance());
         if (++m_unreachable < maxUnreachable)
             return next_step::TryAgain;
         finishWithoutServer();
@@ -245,9 +245,9 @@
         .priority = priority(),
         .resumeAfter = m_events.lastId() };
     ++m_sent;
-    m_excluded.push_back(server.id);
+    m_excluded.push_back(server.instance());
     m_caller->connection = *connection;
-    m_context.picker.sent(server.id, now);
+    m_context.picker.sent(server.instance(), now);
     logEvent(m_sent == 1 ? log_event::RequestSent : log_event::RequestResumed,
         label() + " backend=" + server.id.text() + " attempt=" + std::to_string(m_sent)
             + " load=" + std::to_string(picked.load).substr(0, 5) + " report_age_ms="
@@ -272,7 +272,8 @@
         return broke(picked, head.error());
     const auto facts = m_context.dialect.readBackend(*head);
     if (facts.load)
-        m_context.picker.responseLoad(picked.server.id, facts.load->running, facts.load->waiting, clock_type::now());
+        m_context.picker.responseLoad(
+            picked.server.instance(), facts.load->running, facts.load->waiting, clock_type::now());
     if (isSuccess(head->status) && (!facts.isSigned || facts.isEncoded))
         return broke(picked, { error_kind::BadInput, "a success without signature, or changed on the way", "" });
     if (isSuccess(head->status) && m_route->kind == route_kind::Stream)
@@ -454,7 +455,7 @@
 void exchange::settle(const picked_backend& picked, backend_outcome outcome, std::optional<duration> latency)
 {
     m_context.metrics.count("attempts_total", { { "outcome", toString(outcome) } });
-    m_context.picker.finished(picked.server.id, outcome, latency, clock_type::now());
+    m_context.picker.finished(picked.server.instance(), outcome, latency, clock_type::now());
 }
 
 retry_budget& exchange::budget() { return m_context.budgets.at(m_deployment); }
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -95,7 +95,7 @@
 
     std::uint32_t m_sent = 0; // Servers that this request was sent to.
     std::uint32_t m_unreachable = 0; // Servers that could not even be connected to.
-    std::vector<backend_id> m_excluded;
+    std::vector<backend_instance> m_excluded;
     bool m_mayHaveRun = false;
     std::optional<duration> m_retryAfter; // Of the last refusal by the picker.
     std::optional<http_response> m_serverFailure; // A server's own error, passed on when nobody else can do better.
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -209,7 +209,8 @@
         if (!engine)
             continue;
         m_context->picker.report(*engine,
-            { .running = news->running,
+            { .life = backend_life(news->life),
+                .running = news->running,
                 .waiting = news->waiting,
                 .pace = news->pace,
                 .group = news->group,
--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -193,13 +193,8 @@
             m_demand.add(state->demand);
     }
     m_demand.endRound();
+    noteFormation(states);
     const auto& any = *std::find_if(states.begin(), states.end(), [](const auto& state) { return state.has_value(); });
-    if (any->epoch != m_epoch) {
-        logEvent(log_event::GroupChanged, "group=" + any->group + " epoch=" + std::to_string(any->epoch));
-        m_epoch = any->epoch;
-        m_map.reset();
-        m_lastStep = 0;
-    }
     const auto now = clock_type::now();
     const auto steps = any->step > m_lastStep ? any->step - m_lastStep : 0;
     constexpr pass_number leastSteps = 4;
@@ -211,6 +206,28 @@
     }
 }
 
+void map_leader::noteFormation(const states_by_rank& states)
+{
+    m_lives.resize(states.size());
+    bool isRestarted = false;
+    group_epoch epoch = m_epoch;
+    for (std::size_t rank = 0; rank < states.size(); ++rank) {
+        const auto& state = states[rank];
+        if (!state)
+            continue;
+        epoch = state->epoch;
+        isRestarted = isRestarted || (m_lives[rank] != 0 && state->life != 0 && m_lives[rank] != state->life);
+        m_lives[rank] = state->life;
+    }
+    if (epoch == m_epoch && !isRestarted)
+        return;
+    logEvent(log_event::GroupChanged, "group=" + m_group + " epoch=" + std::to_string(epoch));
+    m_epoch = epoch;
+    m_map.reset();
+    m_nextVersion = 0;
+    m_lastStep = 0;
+}
+
 bool map_leader::isMapKnown(const wire::rank_state& own) const { return m_map && m_mapVersion == own.mapVersion; }
 
 duration map_leader::planAndChange(const states_by_rank& states)
--- a/coltsfootbend/group/map_leader.h
+++ b/coltsfootbend/group/map_leader.h
@@ -71,6 +71,8 @@
     void noteTerm(const wire::rank_state&);
     void learn(const states_by_rank&);
     void noteWaiting(const group_resolution&, const states_by_rank&);
+    // A group that formed anew, or with restarted engines, has its first map again.
+    void noteFormation(const states_by_rank&);
     bool isMapKnown(const wire::rank_state& own) const;
     duration planAndChange(const states_by_rank&);
     // By how much dearer a copy is than in a busy group: skew costs only where ranks are short of time.
@@ -95,6 +97,7 @@
     demand_estimator m_demand;
     leader_term m_term = 0;
     group_epoch m_epoch = 0;
+    std::vector<std::uint64_t> m_lives; // Of the engines, by rank; 0 where not told.
     std::string m_group;
     bool m_wantsMap = true;
     // Why nothing can be done at the moment; empty when something can.
--- a/coltsfootbend/group/map_participant.cpp
+++ b/coltsfootbend/group/map_participant.cpp
@@ -42,12 +42,30 @@
     return m_term;
 }
 
-result<wire::rank_state> map_participant::stateOf(const rank_report& report) const
+result<void> map_participant::enterLife(engine_life life)
 {
+    if (life == m_life || life.isNone())
+        return {};
+    if (life < m_life)
+        return fail(error_kind::Stale, "this was told before the engine's restart", "Ask again");
+    if (!m_life.isNone()) {
+        m_orders.forget();
+        m_knownMaps.clear();
+        m_isArmed = false;
+    }
+    m_life = life;
+    return {};
+}
+
+result<wire::rank_state> map_participant::stateOf(const rank_report& report)
+{
+    if (const auto entered = enterLife(report.life); !entered)
+        return tl::unexpected(entered.error());
     if (!report.group)
         return fail(error_kind::NotFound, "the engine belongs to no group", "Nothing: it needs no expert maps");
     const auto& group = *report.group;
     wire::rank_state state;
+    state.life = report.life.number();
     state.term = m_term;
     state.group = group.name;
     state.epoch = group.epoch;
@@ -94,16 +112,18 @@
     // of the engine's whole life as that of this moment.
     if (counts.size() != m_lastCounts.size()) {
         m_lastCounts = counts;
+        m_lastCountsLife = demand->life;
         return;
     }
-    // Counts that fall show that the engine was started anew.
-    bool isContinued = true;
+    // Counts of another life, or that fall, show that the engine was started anew: all of them were made since.
+    bool isContinued = demand->life == m_lastCountsLife;
     for (std::size_t i = 0; isContinued && i < counts.size(); ++i)
         isContinued = counts[i] >= m_lastCounts[i];
     state.demand.resize(counts.size());
     for (std::size_t i = 0; i < counts.size(); ++i)
         state.demand[i] = static_cast<std::uint32_t>(std::min(most, counts[i] - (isContinued ? m_lastCounts[i] : 0)));
     m_lastCounts = counts;
+    m_lastCountsLife = demand->life;
 }
 
 result<void> map_participant::addMap(wire::rank_state& state, time_point deadline)
--- a/coltsfootbend/group/map_participant.h
+++ b/coltsfootbend/group/map_participant.h
@@ -55,7 +55,9 @@
     // The whole map that is offered; none when it builds on one that is not known here.
     std::optional<group_map> offeredMap(const wire::rank_prepare&);
     bool obeys(leader_term term);
-    result<wire::rank_state> stateOf(const rank_report&) const;
+    // Forgets what belongs to a former life of the engine. Fails with `Stale` when `life` itself is a former one.
+    result<void> enterLife(engine_life life);
+    result<wire::rank_state> stateOf(const rank_report&);
     result<wire::rank_state> look(time_point deadline);
     void addDemand(wire::rank_state&, time_point deadline);
     result<void> addMap(wire::rank_state&, time_point deadline);
@@ -65,7 +67,9 @@
     leader_term m_term = 0;
     time_point m_heardAt {};
     bool m_isArmed = false;
+    engine_life m_life;
     std::vector<std::uint64_t> m_lastCounts;
+    engine_life m_lastCountsLife;
     // The maps that were offered last, newest first.
     struct known_map {
         group_epoch epoch = 0;
--- a/coltsfootbend/group/rank_engine.h
+++ b/coltsfootbend/group/rank_engine.h
@@ -7,6 +7,7 @@
 //     auto done = engine.arm({ .epoch = 3, .version = 7, .step = 820 }, deadline);
 
 #include "coltsfootbend/base/error.h"
+#include "coltsfootbend/base/id.h"
 #include "coltsfootbend/base/time.h"
 #include "coltsfootbend/group/map_messages.h"
 
@@ -17,6 +18,10 @@
 
 namespace coltsfootbend {
 
+// One life of an engine, by the Unix millisecond of its start; none where it does not tell. A restarted engine holds
+// nothing of what was ordered before, and its counts start anew.
+using engine_life = number_id<struct engine_life_tag>;
+
 // Number of a pass; a group begins each only once in an epoch.
 using pass_number = std::uint64_t;
 using group_epoch = std::uint64_t;
@@ -36,6 +41,7 @@
 };
 
 struct rank_report {
+    engine_life life;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint64_t usedTokens = 0;
@@ -54,6 +60,7 @@
 using group_map = std::vector<rank_experts>;
 
 struct rank_demand {
+    engine_life life;
     group_epoch epoch = 0;
     // By set and expert, since the engine started.
     std::vector<std::uint64_t> counts;
--- a/coltsfootbend/group/rank_orders.cpp
+++ b/coltsfootbend/group/rank_orders.cpp
@@ -28,6 +28,13 @@
     m_highest = 0;
 }
 
+void rank_orders::forget()
+{
+    m_epoch = 0;
+    m_uncertain.reset();
+    m_highest = 0;
+}
+
 std::optional<armed_switch> rank_orders::uncertainSwitch(group_epoch epoch) const
 {
     return epoch == m_epoch ? m_uncertain : std::nullopt;
--- a/coltsfootbend/group/rank_orders.h
+++ b/coltsfootbend/group/rank_orders.h
@@ -51,6 +51,9 @@
     result<rank_report> hold(group_epoch, pass_number step, time_point deadline, const is_current&);
     result<rank_report> release(group_epoch, pass_number step, time_point deadline, const is_current&);
 
+    // The engine was started anew, so that nothing that it was ordered before can still be carried out.
+    void forget();
+
     // A switch that was ordered in `epoch` and is not confirmed: it may still come.
     std::optional<armed_switch> uncertainSwitch(group_epoch epoch) const;
     // The highest version ever ordered in `epoch`.
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -192,6 +192,7 @@
     news.totalTokens = report.totalTokens;
     news.pace = report.pace;
     news.step = report.step;
+    news.life = report.life.number();
     news.subscribers = static_cast<std::uint32_t>(m_subscribers.size());
     if (report.group) {
         news.group = report.group->name;
--- a/coltsfootbend/measure/model_group.cpp
+++ b/coltsfootbend/measure/model_group.cpp
@@ -1,6 +1,7 @@
 #include "coltsfootbend/measure/model_group.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace coltsfootbend {
 
@@ -25,7 +26,9 @@
 {
     ++m_epoch;
     m_isOpen = true;
-    m_members.assign(m_options.ranks, member {});
+    auto former = std::exchange(m_members, std::vector<member>(m_options.ranks));
+    for (rank_number rank = 0; rank < former.size(); ++rank)
+        m_members[rank].life = former[rank].life;
     for (rank_number rank = 0; rank < m_options.ranks; ++rank) {
         m_members[rank].counts.assign(std::size_t { m_options.sets } * m_options.experts, 0);
         m_members[rank].experts.assign(m_options.sets, {});
@@ -36,6 +39,14 @@
     }
 }
 
+void model_group::restart(rank_number rank)
+{
+    m_isOpen = false;
+    const auto before = m_members[rank].life.number();
+    m_members[rank] = member {};
+    m_members[rank].life = engine_life(before + 1);
+}
+
 bool model_group::beginPass()
 {
     const auto next = m_step + 1;
@@ -91,6 +102,7 @@
 {
     const auto& mine = m_group.at(m_rank);
     rank_report report;
+    report.life = mine.life;
     report.group = group_membership { "g", m_group.epoch(), m_rank, m_group.ranks(), m_group.isOpen() };
     report.step = m_group.step();
     report.mapVersion = mine.version;
@@ -103,7 +115,8 @@
 
 result<rank_demand> model_engine::demand(time_point)
 {
-    return rank_demand { m_group.epoch(), m_group.at(m_rank).counts };
+    const auto& mine = m_group.at(m_rank);
+    return rank_demand { .life = mine.life, .epoch = m_group.epoch(), .counts = mine.counts };
 }
 
 result<rank_maps> model_engine::maps(time_point)
--- a/coltsfootbend/measure/model_group.h
+++ b/coltsfootbend/measure/model_group.h
@@ -31,6 +31,7 @@
 
     // One rank's part in map changes.
     struct member {
+        engine_life life { 1 };
         engine_map_version highest = 0;
         engine_map_version version = 0;
         rank_experts experts;
@@ -46,6 +47,8 @@
     void form();
     // A rank is gone: no pass begins until `form`.
     void breakUp() { m_isOpen = false; }
+    // The engine of `rank` starts anew under its old name: it knows nothing, and the group is broken.
+    void restart(rank_number rank);
     // Begins the next pass on all ranks, unless the group is broken or one rank holds it. Returns whether it began.
     bool beginPass();
     // From now on this share of the orders comes late.
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -79,7 +79,8 @@
 {
     return std::tie(value.term, value.group, value.epoch, value.rank, value.ranks, value.isOpen, value.step,
         value.mapVersion, value.preparedVersion, value.armedVersion, value.armedStep, value.isArmUncertain,
-        value.heldStep, value.highestVersion, value.pace, value.requests, value.lacksBase, value.demand, value.map);
+        value.heldStep, value.highestVersion, value.pace, value.requests, value.lacksBase, value.demand, value.map,
+        value.life);
 }
 static auto fieldsOf(rank_row& value) { return std::tie(value.set, value.rank, value.experts); }
 static auto fieldsOf(rank_prepare& value)
@@ -97,7 +98,7 @@
 static auto fieldsOf(load_news& value)
 {
     return std::tie(value.engine, value.running, value.waiting, value.usedTokens, value.totalTokens, value.pace,
-        value.group, value.epoch, value.step, value.isOpen, value.subscribers, value.ranks, value.newsAt);
+        value.group, value.epoch, value.step, value.isOpen, value.subscribers, value.ranks, value.newsAt, value.life);
 }
 static auto fieldsOf(problem& value) { return std::tie(value.kind, value.message, value.remedy); }
 
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -179,6 +179,7 @@
     bool lacksBase = false; // The map that the offered changes apply to is not known here: send the whole map.
     std::vector<std::uint32_t> demand; // By set and expert; empty unless asked for.
     std::vector<std::vector<std::uint32_t>> map; // Experts of this rank in use, by set; empty unless asked for.
+    std::uint64_t life = 0; // Of the engine: Unix milliseconds of its start; 0 where it does not tell.
 };
 // What one rank holds of one set.
 struct rank_row {
@@ -242,6 +243,7 @@
     std::uint32_t ranks = 0; // Of the group.
     std::uint32_t subscribers = 0; // Gateways that this agent knows.
     std::string newsAt; // A gateway that knows more of the deployment than the addressed one; empty for none.
+    std::uint64_t life = 0; // Of the engine: Unix milliseconds of its start; 0 where it does not tell.
 };
 
 struct problem {
