Groups that stand are known by their passes; returns are told beyond the outage

Cause: a gateway took a group for broken only when an engine said so, 1.5 s after a rank was gone. Until then it sent 140 requests into it, moved silent streams to other ranks of the same group, and answered 502 where nothing was known.

Change: gateway/group_outlook keeps one group's state by (deployment, group), so two groups of one deployment are no longer mixed: a group with work that begins no pass stands, until a pass begins (a request now and then probes it when all who waited have left); a 503 that names another server at fault means broken at once. New requests wait while it stands, at most while their first event can still come; silent servers of a standing group are waited for (gateway/silence_guard). Returning callers take slots that reports show to be free beside this gateway's part.

--- a/coltsfootbend/base/log_event.h
+++ b/coltsfootbend/base/log_event.h
@@ -28,6 +28,7 @@
     WorkerSuspected = 301,
     WorkerLeaving = 302,
     BackendListed = 303,
+    GroupCondition = 304,
     LedgerHandedOver = 400,
     LedgerRestored = 401,
     LedgerIncomplete = 402,
--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -20,14 +20,14 @@
 constexpr double passesToFirstEvent = 2.0;
 // Without servers: about how long a new one takes to register.
 constexpr std::chrono::milliseconds registrationTime { 2000 };
-// Of a new outage in the usual one.
-constexpr double outageSmoothing = 0.5;
-// An outage that lasts longer than usual may end at any moment.
-constexpr std::chrono::milliseconds leastOutageLeft { 500 };
 // Returns are spread over this share of the stated time, so that they do not come as one wave.
 constexpr double retrySpread = 0.5;
 constexpr std::chrono::milliseconds leastRetryAfter { 250 };
-// Callers that were refused before get no more of this gateway's part of the slots: the rest is for new ones.
+// Reports of a group that has just opened do not show yet what all gateways send to it.
+constexpr std::chrono::milliseconds reportsSettleAfter { 300 };
+// All gateways together send a request this often into a group that stands with nothing to run.
+constexpr std::chrono::milliseconds probeEvery { 30 };
+// Callers that were refused before get no more of the slots than this: the rest is for new ones.
 constexpr double returningShareOfSlots = 0.8;
 // Passes differ from each other, so that their mean has to stay below the pause that callers accept.
 constexpr double usedShareOfGap = 0.9;
@@ -47,6 +47,8 @@
         return "no_servers";
     case pick_refusal::GroupDown:
         return "group_down";
+    case pick_refusal::GroupStanding:
+        return "group_standing";
     case pick_refusal::Overloaded:
         return "overloaded";
     }
@@ -91,6 +93,10 @@
     std::erase_if(m_backends, [&](const auto& entry) { return !servers.contains(entry.first); });
     for (const auto& deployment : catalogue.deployments())
         m_deployments[deployment.id].engine = deployment.engine;
+    for (auto& [key, outlook] : m_groups) {
+        if (const auto& engine = m_deployments[key.deployment].engine)
+            outlook.setFormTime(engine->formTime);
+    }
 }
 
 bool backend_picker::enterLife(backend_state& state, backend_life life)
@@ -120,39 +126,69 @@
         state.report = report;
         state.reportedAt = now;
         std::erase_if(state.sentAt, [&](time_point sent) { return sent + reportLag < now; });
-        if (!report.group.empty())
-            noteGroup(m_deployments[state.server.deployment], report, now);
+        if (report.group.empty())
+            continue;
+        const group_key key { state.server.deployment, report.group };
+        auto known = m_groups.find(key);
+        if (known == m_groups.end()) {
+            known = m_groups.emplace(key, group_outlook()).first;
+            if (const auto& engine = m_deployments[key.deployment].engine)
+                known->second.setFormTime(engine->formTime);
+        }
+        known->second.hear(address, report, now);
     }
 }
 
-void backend_picker::noteGroup(deployment_state& group, const engine_report& report, time_point now)
+const group_outlook* backend_picker::groupOf(const backend_state& state) const
 {
-    if (report.epoch < group.lastEpoch)
-        return; // Sent before the group was formed again.
-    if (report.isOpen) {
-        if (!group.isOpen) {
-            const auto lasted = now - group.closedAt;
-            group.usualOutage += fromMilliseconds(outageSmoothing * toMilliseconds(lasted - group.usualOutage));
-        }
-        group.isOpen = true;
-    } else {
-        if (group.isOpen)
-            group.closedAt = now;
-        group.isOpen = false;
-        group.brokenKnownAt = now;
-    }
-    constexpr double leastSteps = 4; // Fewer give too coarse a measure.
-    const auto steps = static_cast<double>(report.step) - static_cast<double>(group.lastStep);
-    const bool continues = report.epoch == group.lastEpoch && steps >= 0;
-    if (continues && steps < leastSteps)
+    if (!state.report || state.report->group.empty())
+        return nullptr;
+    const auto found = m_groups.find({ state.server.deployment, state.report->group });
+    return found == m_groups.end() ? nullptr : &found->second;
+}
+
+bool backend_picker::isMoving(const backend_state& state, time_point now) const
+{
+    const auto* group = groupOf(state);
+    return !group || group->condition(now) == group_condition::Open;
+}
+
+bool backend_picker::isMoving(const backend_instance& server, time_point now) const
+{
+    const auto found = m_backends.find(server.id);
+    return found == m_backends.end() || isMoving(found->second, now);
+}
+
+bool backend_picker::isOpen(const deployment_id& deployment, time_point now) const
+{
+    return std::any_of(m_backends.begin(), m_backends.end(), [&](const auto& entry) {
+        return entry.second.server.deployment == deployment && !entry.second.server.isLeaving
+            && isMoving(entry.second, now);
+    });
+}
+
+void backend_picker::groupFailed(const backend_instance& server, time_point now)
+{
+    const auto* state = find(server);
+    if (!state || !state->report)
         return;
-    const double sample = toMilliseconds(now - group.lastStepAt) / steps;
-    // An idle group makes no passes, so only plausible times count.
-    if (continues && sample < 10 * passMsOf(group))
-        group.passMs = group.passMs == 0 ? sample : group.passMs + 0.3 * (sample - group.passMs);
-    group.lastStep = report.step;
-    group.lastEpoch = report.epoch;
-    group.lastStepAt = now;
+    const auto found = m_groups.find({ state->server.deployment, state->report->group });
+    if (found != m_groups.end())
+        found->second.hearProof(now);
+}
+
+std::vector<backend_picker::group_view> backend_picker::groups(time_point now) const
+{
+    std::vector<group_view> views;
+    for (const auto& [key, outlook] : m_groups) {
+        views.push_back({ .deployment = key.deployment,
+            .group = key.group,
+            .condition = outlook.condition(now),
+            .forecast = outlook.forecast(now),
+            .lastPassAt = outlook.lastPassAt(),
+            .passMs = outlook.passMs() });
+    }
+    return views;
 }
 
 void backend_picker::responseLoad(
@@ -181,36 +217,52 @@
     return load;
 }
 
-double backend_picker::runningLimit(const deployment_state& group, duration gapTarget) const
+double backend_picker::runningLimit(const backend_state& state, const engine_model& engine, duration gapTarget) const
 {
-    const double slots = group.engine->slots;
-    if (gapTarget <= duration::zero() || group.passMs <= 0)
+    const auto* group = groupOf(state);
+    const double slots = engine.slots;
+    if (gapTarget <= duration::zero() || !group || group->passMs() <= 0)
         return slots;
-    return std::max(1.0, std::floor(slots * std::min(1.0, usedShareOfGap * toMilliseconds(gapTarget) / group.passMs)));
+    const double share = usedShareOfGap * toMilliseconds(gapTarget) / group->passMs();
+    return std::max(1.0, std::floor(slots * std::min(1.0, share)));
 }
 
-bool backend_picker::exceedsShare(const pick_request& request, const deployment_state& group) const
+bool backend_picker::isBehindNew(const pick_request& request, const deployment_state& deployment, time_point now) const
 {
     double slots = 0;
     double inFlight = 0;
+    double load = 0;
+    bool isReported = true;
     for (const auto& [id, state] : m_backends) {
-        if (state.server.deployment != request.deployment || state.server.isLeaving)
+        if (state.server.deployment != request.deployment || state.server.isLeaving || !isMoving(state, now))
             continue;
-        slots += group.engine->slots;
+        slots += deployment.engine->slots;
         inFlight += state.inFlight;
+        load += loadOf(state, now);
+        const auto* group = groupOf(state);
+        isReported = isReported && group && now > group->openSince() + reportsSettleAfter
+            && now - state.reportedAt <= m_options.reportLimit;
     }
-    return inFlight >= returningShareOfSlots * slots / m_gateways;
+    if (inFlight < returningShareOfSlots * slots / m_gateways)
+        return false;
+    // Callers come back to gateways unevenly: what one has too many of, another has room for, and reports show it.
+    const double others = deployment.requestsPerSecond * (m_gateways - 1) * unseenSeconds;
+    return !isReported || load + others >= returningShareOfSlots * slots;
 }
 
-double backend_picker::passMsOf(const deployment_state& group) const
+double backend_picker::passMsOf(const backend_state& state, const engine_model& engine) const
 {
-    if (!group.engine)
-        return 0;
-    const auto& engine = *group.engine;
     const double context = engine.slots * (engine.usualPromptTokens + engine.usualAnswerTokens / 2) / 1000;
     const double modelled = engine.stepsPerPass
         * (engine.stepMs + engine.perSequenceMs * engine.slots + engine.perThousandContextMs * context);
-    return std::max(modelled, group.passMs);
+    const auto* group = groupOf(state);
+    return std::max(modelled, group ? group->passMs() : 0);
+}
+
+duration backend_picker::startLatencyAt(const backend_state& state, const deployment_state& deployment) const
+{
+    return deployment.engine ? fromMilliseconds(passesToFirstEvent * passMsOf(state, *deployment.engine))
+                             : duration::zero();
 }
 
 duration backend_picker::predictFirst(const backend_state& state, const deployment_state& group, time_point now) const
@@ -218,7 +270,7 @@
     if (!group.engine)
         return fromMilliseconds(state.latencyMs);
     const auto& engine = *group.engine;
-    const double passMs = passMsOf(group);
+    const double passMs = passMsOf(state, engine);
     const double tokensPerPass = std::max(1.0, static_cast<double>(engine.stepsPerPass));
     const double slotMs = passMs * (engine.usualAnswerTokens / tokensPerPass + passesToFirstEvent);
     const double before = loadOf(state, now) + 1 - engine.slots;
@@ -257,36 +309,8 @@
     return trusted.empty() ? all : trusted;
 }
 
-bool backend_picker::isOpen(const deployment_id& deployment, time_point now) const
-{
-    const auto found = m_deployments.find(deployment);
-    return found == m_deployments.end() || found->second.isOpen
-        || now > found->second.brokenKnownAt + m_options.brokenLimit;
-}
-
-bool backend_picker::isForming(const deployment_id& deployment, time_point now) const
-{
-    std::uint32_t ranks = 0;
-    std::uint32_t heard = 0;
-    for (const auto& [id, state] : m_backends) {
-        if (state.server.deployment != deployment || !state.report || now - state.reportedAt > m_options.heardLimit)
-            continue;
-        ranks = std::max(ranks, state.report->ranks);
-        ++heard;
-    }
-    return ranks > 0 && heard >= ranks;
-}
-
-// Once all engines are there the group forms in a time that the operator states; before that only experience tells.
-time_point backend_picker::expectOpen(const pick_request& request, const deployment_state& group, time_point now) const
-{
-    const auto forming = group.engine ? group.engine->formTime : duration::zero();
-    if (isForming(request.deployment, now))
-        return now + forming;
-    return std::max<time_point>(group.closedAt + group.usualOutage, now + leastOutageLeft);
-}
-
-pick_refused backend_picker::refuse(pick_refusal reason, duration wait, const pick_request& request, time_point now)
+pick_refused backend_picker::refuse(
+    pick_refusal reason, duration wait, duration startLatency, const pick_request& request, time_point now)
 {
     // Callers keep to at most a third of the time that they have left.
     const auto honoured = std::max<duration>((request.deadline - now) / 3, duration::zero());
@@ -294,10 +318,34 @@
     return { .reason = reason,
         .retryAfter = std::min(asked, std::max<duration>(honoured, leastRetryAfter)),
         .expectedWait = wait,
-        .startLatency = fromMilliseconds(passesToFirstEvent * passMsOf(m_deployments[request.deployment])),
+        .startLatency = startLatency,
         .expectedOpenAt = {} };
 }
 
+pick_refused backend_picker::refuseForGroups(
+    const std::vector<backend_state*>& servers, const pick_request& request, time_point now)
+{
+    std::optional<group_forecast> first;
+    bool isStanding = false;
+    const backend_state* firstServer = servers.front();
+    for (const auto* state : servers) {
+        const auto* group = groupOf(*state);
+        const auto forecast = group->forecast(now);
+        isStanding = isStanding || group->condition(now) == group_condition::Standing;
+        if (first && forecast.openAt >= first->openAt)
+            continue;
+        first = forecast;
+        firstServer = state;
+    }
+    auto refused = refuse(isStanding ? pick_refusal::GroupStanding : pick_refusal::GroupDown, first->openBy - now,
+        startLatencyAt(*firstServer, m_deployments[request.deployment]), request, now);
+    refused.expectedOpenAt = first->openAt;
+    // Beyond the outage, also where that is later than callers heed: one that is back too early is lost, and one that
+    // comes later than need be is served just as late.
+    refused.retryAfter = std::max<duration>(first->openBy - now, leastRetryAfter);
+    return refused;
+}
+
 void backend_picker::noteRate(deployment_state& group, time_point now)
 {
     if (group.lastSentAt != time_point {}) {
@@ -339,28 +387,43 @@
     return *usable[static_cast<std::size_t>(std::min_element(scores.begin(), scores.end()) - scores.begin())];
 }
 
+bool backend_picker::keepProbed(std::vector<backend_state*>& servers, time_point now)
+{
+    const auto found = std::find_if(servers.begin(), servers.end(), [&](const auto* state) {
+        const auto* group = groupOf(*state);
+        return group && group->mayProbe(now);
+    });
+    if (found == servers.end())
+        return false;
+    const group_key probed { (*found)->server.deployment, (*found)->report->group };
+    m_groups.at(probed).noteProbe(now + probeEvery * m_gateways);
+    std::erase_if(servers, [&](const auto* state) { return state->report->group != probed.group; });
+    return true;
+}
+
 tl::expected<picked_backend, pick_refused> backend_picker::pick(const pick_request& request, time_point now)
 {
     auto& group = m_deployments[request.deployment];
-    const auto usable = candidates(request, now);
+    auto usable = candidates(request, now);
     if (usable.empty())
-        return tl::unexpected(refuse(pick_refusal::NoServers, registrationTime, request, now));
-    if (!isOpen(request.deployment, now)) {
-        const auto open = expectOpen(request, group, now);
-        auto refused = refuse(pick_refusal::GroupDown, open - now, request, now);
-        refused.expectedOpenAt = open;
-        return tl::unexpected(refused);
-    }
+        return tl::unexpected(refuse(pick_refusal::NoServers, registrationTime, {}, request, now));
+    const auto moving
+        = std::partition(usable.begin(), usable.end(), [&](const auto* state) { return isMoving(*state, now); });
+    if (moving != usable.begin())
+        usable.erase(moving, usable.end());
+    else if (!keepProbed(usable, now))
+        return tl::unexpected(refuseForGroups(usable, request, now));
     auto& chosen = choose(usable, group, now);
     const auto predicted = predictFirst(chosen, group, now);
     const double load = loadOf(chosen, now);
     if (group.engine && !request.isResumption) {
-        const double waiting = load + 1 - runningLimit(group, request.gapTarget);
+        const double waiting = load + 1 - runningLimit(chosen, *group.engine, request.gapTarget);
         const bool isTooLate = predicted > (request.isReturning ? request.deadline - now : request.latencyTarget);
         const bool isTooSlow = load + 1 <= group.engine->slots; // It would run, and slow all others down.
-        const bool isBehind = request.isReturning && exceedsShare(request, group);
+        const bool isBehind = request.isReturning && isBehindNew(request, group, now);
         if (isBehind || (waiting > 0 && (isTooLate || isTooSlow)))
-            return tl::unexpected(refuse(pick_refusal::Overloaded, predicted, request, now));
+            return tl::unexpected(
+                refuse(pick_refusal::Overloaded, predicted, startLatencyAt(chosen, group), request, now));
     }
     return picked_backend { .server = chosen.server,
         .predicted = predicted,
@@ -387,7 +450,8 @@
     auto& state = *found;
     if (state.inFlight > 0)
         --state.inFlight;
-    if (outcome == backend_outcome::Abandoned)
+    // While the group does not move, no rank can answer, so that it says nothing of this one.
+    if (outcome == backend_outcome::Abandoned || !isMoving(state, now))
         return;
     const bool isBreak = outcome == backend_outcome::Broken || outcome == backend_outcome::Silent;
     const bool isFailure = isBreak || outcome == backend_outcome::Failed;
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -11,6 +11,8 @@
 
 #include "coltsfootbend/gateway/backend_directory.h"
 #include "coltsfootbend/gateway/catalogue.h"
+#include "coltsfootbend/gateway/engine_report.h"
+#include "coltsfootbend/gateway/group_outlook.h"
 
 #include <algorithm>
 #include <functional>
@@ -23,19 +25,6 @@
 
 namespace coltsfootbend {
 
-// What an engine said of itself.
-struct engine_report {
-    backend_life life; // None where it was not told.
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    double pace = 1; // Above 1 it is slow.
-    std::string group;
-    std::uint64_t epoch = 0;
-    std::uint64_t step = 0;
-    std::uint32_t ranks = 0; // Of the group; 0 without one.
-    bool isOpen = true;
-};
-
 // How a request that was sent to a backend server went.
 enum class backend_outcome {
     Answered, // With a success.
@@ -50,6 +39,7 @@
 enum class pick_refusal {
     NoServers, // None is registered, or all are leaving.
     GroupDown, // The engines' group is broken; nobody can run it now.
+    GroupStanding, // The engines' group makes no passes, for a moment or because it is about to be found broken.
     Overloaded, // It could not be served in time.
 };
 
@@ -88,7 +78,7 @@
     duration expectedWait {};
     // What the first event would take once a slot is free.
     duration startLatency {};
-    // For a broken group: when it is expected to be open again.
+    // For a broken or standing group: when it is expected to be open again.
     time_point expectedOpenAt {};
 };
 
@@ -98,14 +88,9 @@
         data_centre_id home;
         // Reports older than this are not believed.
         duration reportLimit = std::chrono::milliseconds(1500);
-        // A report that a group is broken holds until a newer one, but no longer than this: agents speak ten times a
-        // second, and silence of all of them says nothing of the engines.
-        duration brokenLimit = std::chrono::milliseconds(2500);
         // A server that broke an exchange is left alone for this long, doubled with each further time.
         duration ejection = std::chrono::milliseconds(400);
         duration longestEjection = std::chrono::seconds(4);
-        // All engines of a broken group that were heard within this time are there to form it again.
-        duration heardLimit = std::chrono::milliseconds(350);
         // What a server of another data centre must have less, in requests, to be chosen.
         double otherDataCentreHandicap = 0.25;
         // The share of a new sample in the averages of latency and of failures.
@@ -133,10 +118,30 @@
     // `latency`: to the first byte of the answer, where there was one.
     void finished(const backend_instance&, backend_outcome, std::optional<duration> latency, time_point now);
 
-    // True unless fresh reports say that the group of `deployment` is broken.
+    // A server answered that another rank of its group is gone.
+    void groupFailed(const backend_instance&, time_point now);
+    // True when the server belongs to no group, or to one that makes passes. O(ranks).
+    bool isMoving(const backend_instance&, time_point now) const;
+    // True when a server of `deployment` can take a request, for all that is known of their groups. O(servers).
     bool isOpen(const deployment_id& deployment, time_point now) const;
 
+    // What is believed of one group, for the log.
+    struct group_view {
+        deployment_id deployment;
+        std::string group;
+        group_condition condition = group_condition::Open;
+        group_forecast forecast;
+        time_point lastPassAt {};
+        double passMs = 0;
+    };
+    std::vector<group_view> groups(time_point now) const;
+
 private:
+    struct group_key {
+        deployment_id deployment;
+        std::string group;
+        auto operator<=>(const group_key&) const = default;
+    };
     struct backend_state {
         backend_server server;
         std::optional<engine_report> report;
@@ -151,17 +156,6 @@
     };
     struct deployment_state {
         std::optional<engine_model> engine;
-        // Measured from the step numbers of the reports; 0 until known.
-        double passMs = 0;
-        std::uint64_t lastStep = 0;
-        std::uint64_t lastEpoch = 0;
-        time_point lastStepAt {};
-        bool isOpen = true;
-        time_point closedAt {};
-        // When it was last reported to be broken.
-        time_point brokenKnownAt {};
-        // How long groups of this deployment were broken lately.
-        duration usualOutage = std::chrono::seconds(5);
         // Of the requests that this gateway sends.
         double requestsPerSecond = 0;
         time_point lastSentAt {};
@@ -171,18 +165,26 @@
     backend_state* find(const backend_instance&);
     // Forgets what belongs to a former life. Returns false when `life` itself is a former one.
     static bool enterLife(backend_state&, backend_life life);
-    bool isForming(const deployment_id&, time_point now) const;
+    // Null for a server that belongs to no group, or whose group is not known yet.
+    const group_outlook* groupOf(const backend_state&) const;
+    bool isMoving(const backend_state&, time_point now) const;
+    // What is expected of the group that opens first. None is open.
+    pick_refused refuseForGroups(const std::vector<backend_state*>&, const pick_request&, time_point now);
+    // Keeps those of `servers` that one request may be sent to although their group stands. False when there are none.
+    bool keepProbed(std::vector<backend_state*>& servers, time_point now);
     double loadOf(const backend_state&, time_point now) const;
     double scoreOf(const backend_state&, const deployment_state&, time_point now) const;
     duration predictFirst(const backend_state&, const deployment_state&, time_point now) const;
-    time_point expectOpen(const pick_request&, const deployment_state&, time_point now) const;
-    void noteGroup(deployment_state&, const engine_report&, time_point now);
     // How many requests a server may run before its passes take longer than the pause that callers accept.
-    double runningLimit(const deployment_state&, duration gapTarget) const;
-    // True when this gateway has more under way than its part of all slots.
-    bool exceedsShare(const pick_request&, const deployment_state&) const;
-    double passMsOf(const deployment_state&) const;
-    pick_refused refuse(pick_refusal, duration wait, const pick_request&, time_point now);
+    double runningLimit(const backend_state&, const engine_model&, duration gapTarget) const;
+    // True when a caller that was refused before has to stand behind new ones: neither this gateway's part of the slots
+    // nor what reports tell of all of them leaves room beside those kept for new callers.
+    bool isBehindNew(const pick_request&, const deployment_state&, time_point now) const;
+    // As measured, but no less than the model says of full slots.
+    double passMsOf(const backend_state&, const engine_model&) const;
+    // How long a request waits and how long its first event takes then, at `state`.
+    pick_refused refuse(pick_refusal, duration wait, duration startLatency, const pick_request&, time_point now);
+    duration startLatencyAt(const backend_state&, const deployment_state&) const;
     // Chooses so that all gateways together, none of which sees what the others send, fill the emptiest servers evenly.
     backend_state& choose(const std::vector<backend_state*>&, const deployment_state&, time_point now);
     static void noteRate(deployment_state&, time_point now);
@@ -193,6 +195,7 @@
     std::uint32_t m_gateways = 1;
     std::map<backend_id, backend_state> m_backends;
     std::map<deployment_id, deployment_state> m_deployments;
+    std::map<group_key, group_outlook> m_groups;
 };
 
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/backend_picker_test.cpp
+++ b/coltsfootbend/gateway/backend_picker_test.cpp
@@ -278,6 +278,45 @@
     EXPECT_TRUE(m_picker.pick(request(llm), m_now + 5s));
 }
 
+// Two groups serve one deployment: what stops one leaves the other to be used.
+TEST_F(backend_picker_test, OneBrokenGroupOfADeploymentLeavesTheOther)
+{
+    use(llm, 4);
+    for (int i = 1; i <= 4; ++i) {
+        m_picker.report(addressOf(i),
+            { .running = 1, .group = i <= 2 ? "g1" : "g2", .epoch = 1, .step = 10, .ranks = 2, .isOpen = i > 2 },
+            m_now);
+    }
+    for (int i = 0; i < 20; ++i) {
+        const auto picked = m_picker.pick(request(llm), m_now);
+        ASSERT_TRUE(picked);
+        EXPECT_TRUE(picked->server.id == idOf(3) || picked->server.id == idOf(4));
+    }
+    EXPECT_TRUE(m_picker.isOpen(llm, m_now));
+    EXPECT_FALSE(m_picker.isMoving(backend_instance { idOf(1), {} }, m_now));
+}
+
+TEST_F(backend_picker_test, AServerThatNamesAnotherAtFaultClosesItsGroup)
+{
+    use(llm, 3);
+    reportAll(1, 0);
+    m_picker.groupFailed({ idOf(1), {} }, m_now);
+    EXPECT_EQ(m_picker.pick(request(llm), m_now).error().reason, pick_refusal::GroupDown);
+}
+
+TEST_F(backend_picker_test, WhileAGroupIsBrokenNoneOfItsServersIsSuspected)
+{
+    use(llm, 2);
+    reportAll(1, 0, false);
+    for (int i = 0; i < 3; ++i)
+        m_picker.finished({ idOf(1), {} }, backend_outcome::Broken, {}, m_now);
+    reportAll(0, 0, true, 2);
+    std::set<backend_id> chosen;
+    for (int i = 0; i < 50; ++i)
+        chosen.insert(m_picker.pick(request(llm), m_now)->server.id);
+    EXPECT_EQ(chosen.size(), 2U);
+}
+
 TEST_F(backend_picker_test, AServerThatBreaksExchangesIsLeftAloneAndTriedAgain)
 {
     use(plain, 2);
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -34,6 +34,11 @@
 constexpr std::size_t maxWholeBody = std::size_t { 16 } * 1024 * 1024;
 constexpr std::chrono::milliseconds unreadyRetryAfter { 1000 };
 
+error silentServer()
+{
+    return { error_kind::TimedOut, "the server was silent while its group made passes", "Look at the server's log" };
+}
+
 bool isSuccess(int status) { return status >= 200 && status < 300; }
 
 std::string secondsText(duration length)
@@ -207,14 +212,19 @@
     return false;
 }
 
-time_point exchange::headDeadline(const picked_backend& picked, time_point now) const
+time_point exchange::headPatience(const picked_backend& picked, time_point now) const
 {
-    const auto last = m_deadline + serverAnswerSlack;
     if (!m_route->mayRepeat() || m_sent >= m_route->maxAttempts)
-        return last;
-    const auto patience
-        = std::max(fromMilliseconds(silentHeadFactor * toMilliseconds(m_route->latencyTarget)), 2 * picked.predicted);
-    return std::min(last, now + patience);
+        return time_point::max();
+    return now
+        + std::max(fromMilliseconds(silentHeadFactor * toMilliseconds(m_route->latencyTarget)), 2 * picked.predicted);
+}
+
+// A caller of a stream leaves after a pause; told before that its stream cannot go on, it may come back for the rest.
+time_point exchange::standingPatience(time_point lastSignOfLife) const
+{
+    return m_route->kind == route_kind::Stream && m_route->mayRepeat() ? lastSignOfLife + callerGapLimit
+                                                                       : time_point::max();
 }
 
 exchange::next_step exchange::attempt(const picked_backend& picked)
@@ -267,9 +277,12 @@
         const auto& id = m_context.dialect.readBackend(head).requestId;
         return id.empty() || id == m_facts.requestId;
     };
-    const auto head = connection.readHead(headDeadline(picked, sentAt), isMine);
+    guarded_wait wait(m_context.guard, picked.server.instance(), m_caller->connection);
+    wait.giveUpAt(headPatience(picked, sentAt), standingPatience(m_arrivedAt));
+    const auto head = connection.readHead(m_deadline + serverAnswerSlack, isMine);
     if (!head)
-        return broke(picked, head.error());
+        return broke(picked, wait.isGivenUp() ? silentServer() : head.error());
+    wait.waitOn();
     const auto facts = m_context.dialect.readBackend(*head);
     if (facts.load)
         m_context.picker.responseLoad(
@@ -277,7 +290,7 @@
     if (isSuccess(head->status) && (!facts.isSigned || facts.isEncoded))
         return broke(picked, { error_kind::BadInput, "a success without signature, or changed on the way", "" });
     if (isSuccess(head->status) && m_route->kind == route_kind::Stream)
-        return relayStream(picked, connection, *head, sentAt);
+        return relayStream(picked, connection, *head, wait, sentAt);
     return relayWhole(picked, connection, *head, sentAt);
 }
 
@@ -299,12 +312,8 @@
     const auto facts = m_context.dialect.readBackend(head);
     if (connection.isReusable())
         m_context.connections.keep(picked.server, m_caller->connection, facts.keptFor);
-    if (facts.isNotRun) {
-        settle(picked, backend_outcome::Busy);
-        logEvent(log_event::RequestFailed,
-            label() + " backend=" + picked.server.id.text() + " not_run=yes status=" + std::to_string(head.status));
-        return mayTryAgain() ? next_step::TryAgain : (finishWithoutServer(), next_step::Finished);
-    }
+    if (facts.isNotRun)
+        return notRun(picked, head, facts);
     settle(picked, isSuccess(head.status) ? backend_outcome::Answered : backend_outcome::Failed, latency);
     if (head.status >= 500) {
         m_serverFailure = std::move(response);
@@ -326,17 +335,31 @@
     return next_step::Finished;
 }
 
-exchange::next_step exchange::relayStream(
-    const picked_backend& picked, backend_connection& connection, const http_head& head, time_point sentAt)
+exchange::next_step exchange::notRun(const picked_backend& picked, const http_head& head, const backend_facts& facts)
+{
+    if (facts.atFault && *facts.atFault != picked.server.id)
+        m_context.picker.groupFailed(picked.server.instance(), clock_type::now());
+    settle(picked, backend_outcome::Busy);
+    logEvent(log_event::RequestFailed,
+        label() + " backend=" + picked.server.id.text() + " not_run=yes status=" + std::to_string(head.status)
+            + (facts.atFault ? " at_fault=" + facts.atFault->text() : ""));
+    if (mayTryAgain())
+        return next_step::TryAgain;
+    finishWithoutServer();
+    return next_step::Finished;
+}
+
+exchange::next_step exchange::relayStream(const picked_backend& picked, backend_connection& connection,
+    const http_head& head, guarded_wait& wait, time_point sentAt)
 {
     std::optional<duration> latency;
     while (true) {
-        const auto now = clock_type::now();
         const bool mayMove = m_route->resumable && m_sent < m_route->maxAttempts;
-        const auto limit = m_deadline + serverAnswerSlack;
-        auto bytes = connection.readBody(mayMove ? std::min(limit, now + silentStreamLimit) : limit);
+        const auto now = clock_type::now();
+        wait.giveUpAt(mayMove ? now + silentStreamLimit : time_point::max(), standingPatience(now));
+        auto bytes = connection.readBody(m_deadline + serverAnswerSlack);
         if (!bytes)
-            return broke(picked, bytes.error());
+            return broke(picked, wait.isGivenUp() ? silentServer() : bytes.error());
         if (*bytes && !latency)
             latency = clock_type::now() - sentAt;
         const auto whole = *bytes ? m_events.feed(**bytes) : std::string();
@@ -446,8 +469,10 @@
     if (retryAfter)
         response.head.headers.push_back({ "Retry-After", secondsText(*retryAfter) });
     logEvent(log_event::RequestRefused,
-        label() + " status=" + std::to_string(status) + " why=\"" + why.message + "\""
-            + (retryAfter ? " retry_after_s=" + secondsText(*retryAfter) : ""));
+        label() + " status=" + std::to_string(status) + " returning=" + (m_returning ? "yes" : "no")
+            + " sent=" + std::to_string(m_sent)
+            + " time_left_ms=" + std::to_string(remaining(clock_type::now(), m_deadline).count()) + " why=\""
+            + why.message + "\"" + (retryAfter ? " retry_after_s=" + secondsText(*retryAfter) : ""));
     m_context.metrics.count("answers_total", { { "status", std::to_string(status) } });
     (void)m_responder.send(response);
 }
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -11,6 +11,7 @@
 #include "coltsfootbend/gateway/catalogue.h"
 #include "coltsfootbend/gateway/event_stream.h"
 #include "coltsfootbend/gateway/request_dialect.h"
+#include "coltsfootbend/gateway/silence_guard.h"
 #include "coltsfootbend/gateway/waiting_policy.h"
 #include "coltsfootbend/limits/patience_tracker.h"
 #include "coltsfootbend/limits/retry_budget.h"
@@ -30,6 +31,7 @@
     metrics_service& metrics;
     backend_picker picker;
     backend_connections connections;
+    silence_guard guard;
     // One for each deployment: what may be sent again.
     std::map<deployment_id, retry_budget> budgets;
     patience_tracker patience;
@@ -55,7 +57,10 @@
     next_step attempt(const picked_backend&);
     next_step receive(const picked_backend&, backend_connection&, time_point sentAt);
     next_step relayWhole(const picked_backend&, backend_connection&, const http_head&, time_point sentAt);
-    next_step relayStream(const picked_backend&, backend_connection&, const http_head&, time_point sentAt);
+    next_step relayStream(
+        const picked_backend&, backend_connection&, const http_head&, guarded_wait&, time_point sentAt);
+    // A server's proof that it did not run the request.
+    next_step notRun(const picked_backend&, const http_head&, const backend_facts&);
     // The server broke the exchange, or was silent for too long.
     next_step broke(const picked_backend&, const error&);
     bool mayTryAgain();
@@ -68,7 +73,9 @@
     void settle(const picked_backend&, backend_outcome, std::optional<duration> latency = std::nullopt);
     deployment_id chooseDeployment() const;
     pick_request pickRequest() const;
-    time_point headDeadline(const picked_backend&, time_point now) const;
+    // From when on the head of an answer is looked for elsewhere; never where that may not be.
+    time_point headPatience(const picked_backend&, time_point now) const;
+    time_point standingPatience(time_point lastSignOfLife) const;
     std::uint32_t priority() const;
     retry_budget& budget();
     std::string label() const;
--- a/coltsfootbend/gateway/exchange_test.cpp
+++ b/coltsfootbend/gateway/exchange_test.cpp
@@ -128,6 +128,7 @@
               .metrics = m_metrics,
               .picker = backend_picker({}, 1),
               .connections = backend_connections(runtime),
+              .guard = {},
               .budgets = {},
               .patience = {},
               .catalogue = {} })
@@ -189,7 +190,18 @@
         fiber_runtime runtime;
         runtime.spawn([&] {
             trial current(runtime);
+            bool isDone = false;
+            runtime.spawn([&] {
+                while (!isDone) {
+                    runtime.sleepFor(10ms);
+                    const auto now = clock_type::now();
+                    current.context->guard.check(
+                        [&](const backend_instance& server) { return current.context->picker.isMoving(server, now); },
+                        now);
+                }
+            });
             work(current);
+            isDone = true;
             current.context->connections.sweep([](const backend_id&) { return false; });
             runtime.sleepFor(20ms);
             runtime.stop();
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -16,6 +16,8 @@
 // Agents tell their load for three seconds after a subscription, so one lost datagram does no harm.
 constexpr std::chrono::milliseconds subscribeEvery { 1000 };
 constexpr std::chrono::milliseconds maintainEvery { 1000 };
+// Agents speak this often, so that nothing is seen sooner.
+constexpr std::chrono::milliseconds groupLookEvery { 100 };
 // What has changed in the deployment is told sooner, since others may hear of it in no other way; a series of changes
 // goes into one message.
 constexpr std::chrono::milliseconds newsLookEvery { 100 };
@@ -55,6 +57,7 @@
         .metrics = *m_metrics,
         .picker = backend_picker({ .home = m_settings.dataCentre }, std::random_device {}()),
         .connections = backend_connections(m_runtime),
+        .guard = {},
         .budgets = {},
         .patience = {},
         .catalogue = {} });
@@ -76,6 +79,7 @@
     m_runtime.spawn([this] { subscribeLoop(); });
     m_runtime.spawn([this] { receiveLoop(); });
     m_runtime.spawn([this] { maintainLoop(); });
+    m_runtime.spawn([this] { groupLoop(); });
     return listen();
 }
 
@@ -227,6 +231,34 @@
     }
 }
 
+void gateway_service::groupLoop()
+{
+    while (!m_stopped) {
+        m_runtime.sleepFor(groupLookEvery);
+        const auto now = clock_type::now();
+        m_context->guard.check(
+            [this, now](const backend_instance& server) { return m_context->picker.isMoving(server, now); }, now);
+        logGroups(now);
+    }
+}
+
+void gateway_service::logGroups(time_point now)
+{
+    for (const auto& group : m_context->picker.groups(now)) {
+        auto& logged = m_loggedGroups[group.deployment.text() + "/" + group.group];
+        if (logged == group.condition)
+            continue;
+        logged = group.condition;
+        logEvent(log_event::GroupCondition,
+            "deployment=" + group.deployment.text() + " group=" + group.group
+                + " condition=" + toString(group.condition)
+                + " no_pass_for_ms=" + std::to_string(remaining(group.lastPassAt, now).count())
+                + " pass_ms=" + std::to_string(std::lround(group.passMs))
+                + " expected_open_in_ms=" + std::to_string(remaining(now, group.forecast.openAt).count()));
+        m_context->metrics.count("group_conditions_total", { { "condition", toString(group.condition) } });
+    }
+}
+
 void gateway_service::maintainLoop()
 {
     while (!m_stopped) {
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -39,6 +39,9 @@
     void subscribeLoop();
     void receiveLoop();
     void maintainLoop();
+    // Looks at what changes with time alone: groups that stand, servers that are silent.
+    void groupLoop();
+    void logGroups(time_point now);
 
     fiber_runtime& m_runtime;
     const daemon_settings& m_settings;
@@ -57,6 +60,7 @@
     // The deployment has changed since the agents were last told of it.
     bool m_hasNews = false;
     bool m_stopped = false;
+    std::map<std::string, group_condition> m_loggedGroups; // By deployment and group.
     mutable bool m_saidReady = false;
 };
 
--- a/coltsfootbend/gateway/waiting_policy.cpp
+++ b/coltsfootbend/gateway/waiting_policy.cpp
@@ -30,11 +30,19 @@
 // the usual length is always expected to end in a moment, so that expectation ends no wait that was begun.
 std::optional<time_point> holdForGroup(const pick_refused& refused, const held_request& request, time_point now)
 {
-    const duration patience = request.isReturning ? callerGapLimit : shortWait;
+    const duration patience = request.isReturning ? callerGapLimit - refused.startLatency : duration(shortWait);
     const auto limit = std::min<time_point>(request.deadline, request.arrivedAt + patience);
     return onlyAfter(request.isHeld ? now : refused.expectedOpenAt, limit);
 }
 
+// A group that stands may go on at any moment: engines themselves wait for a rank that is gone for a while before they
+// say so. Until then nobody can tell a caller when to come back, and one that was told too early is lost.
+std::optional<time_point> holdForVerdict(const pick_refused& refused, const held_request& request, time_point now)
+{
+    const duration patience = callerGapLimit - refused.startLatency;
+    return onlyAfter(now, std::min<time_point>(request.deadline, request.arrivedAt + patience));
+}
+
 } // namespace
 
 std::optional<time_point> holdUntil(const pick_refused& refused, const held_request& request, time_point now)
@@ -42,6 +50,8 @@
     switch (refused.reason) {
     case pick_refusal::Overloaded:
         return holdForSlot(refused, request, now);
+    case pick_refusal::GroupStanding:
+        return holdForVerdict(refused, request, now);
     case pick_refusal::GroupDown:
         return holdForGroup(refused, request, now);
     case pick_refusal::NoServers:
