A leader that stands still no longer holds its group

Cause: a leader held the pass of a change at its own rank's engine.

Change: the pass is held at another rank's engine, ordered from the leader's VM. With the leader's rank out of reach, the next leader takes back what others were ordered and lets the pass begin, after a second look, where that is proved safe: every other rank was prepared by that leader, obeys a newer one, is neither armed nor may be, or is taken back; and a leader arms its own rank last, once all others are confirmed (group/group_state.cpp). With all others armed it waits, as before.

Ruled out: changes without a hold (an unanswered order would mix maps); releasing on one look (a report may be older than an order that was confirmed since).

In the model a VM that stands still now stops its own calls too.

--- a/coltsfootbend/group/group_state.cpp
+++ b/coltsfootbend/group/group_state.cpp
@@ -1,5 +1,7 @@
 #include "coltsfootbend/group/group_state.h"
 
+#include "coltsfootbend/group/leader_term.h"
+
 #include <algorithm>
 
 namespace coltsfootbend {
@@ -60,20 +62,53 @@
     });
 }
 
+// The former leader's VM stands still while the group is held for its change. Its own rank cannot be asked, but it is
+// armed last, once all others are confirmed to be: while one of them is prepared by that leader and neither armed nor
+// about to be, and obeys a newer leader now, it never will be. So what others were ordered is taken back, and the pass
+// let begin.
+group_resolution resolveWithoutLeader(const known_states& known, rank_number missing)
+{
+    const auto& first = *known.front();
+    group_resolution resolution;
+    addHolds(known, resolution);
+    const bool isOneChange = std::all_of(known.begin(), known.end(), [&](const auto* state) {
+        return state->preparedVersion == first.preparedVersion && state->preparedTerm == first.preparedTerm
+            && state->mapVersion == first.mapVersion && !state->isArmUncertain && state->term > first.preparedTerm;
+    });
+    if (resolution.heldStep == 0 || !isOneChange || first.preparedTerm == 0 || first.preparedVersion == 0
+        || first.preparedVersion == first.mapVersion || leaderOf(first.preparedTerm) != missing)
+        return waitFor("a rank could not be asked");
+    const auto armed
+        = std::count_if(known.begin(), known.end(), [](const auto* state) { return state->armedVersion != 0; });
+    if (static_cast<std::size_t>(armed) == known.size())
+        return waitFor("the former leader may have armed its own rank");
+    resolution.target = { first.preparedVersion, resolution.heldStep };
+    resolution.kind = armed > 0 ? group_todo::DisarmWithoutLeader : group_todo::ReleaseWithoutLeader;
+    return resolution;
+}
+
 } // namespace
 
 group_resolution resolve(const std::vector<std::optional<wire::rank_state>>& states)
 {
     known_states known;
-    for (const auto& state : states) {
-        if (!state)
-            return waitFor("a rank could not be asked");
-        if (!state->isOpen || state->epoch != states.front()->epoch)
+    std::vector<rank_number> missing;
+    for (rank_number rank = 0; rank < states.size(); ++rank) {
+        const auto& state = states[rank];
+        if (!state) {
+            missing.push_back(rank);
+            continue;
+        }
+        if (!state->isOpen || (!known.empty() && state->epoch != known.front()->epoch))
             return waitFor("the group is not whole");
         known.push_back(&*state);
     }
     if (known.empty())
         return waitFor("no rank is known");
+    if (missing.size() > 1)
+        return waitFor("ranks could not be asked");
+    if (!missing.empty())
+        return resolveWithoutLeader(known, missing.front());
     group_resolution resolution;
     addHolds(known, resolution);
     if (const auto armed = findArmed(known)) {
--- a/coltsfootbend/group/group_state.h
+++ b/coltsfootbend/group/group_state.h
@@ -21,14 +21,19 @@
     Arm, // Arm every rank for `target`, then release it.
     Disarm, // A rank can no longer take `target`, so those that are armed for it must not switch.
     Release, // Let the held pass begin: either all ranks are armed for it, or none.
+    ReleaseWithoutLeader, // The same, although the former leader's rank cannot be asked; look twice before acting on
+                          // it.
+    DisarmWithoutLeader, // Before that, take back what the former leader ordered of some ranks.
 };
 
 struct group_resolution {
     group_todo kind = group_todo::Wait;
-    armed_switch target {}; // For `Arm` and `Disarm`.
+    armed_switch target {}; // For all that arm or disarm; for `ReleaseWithoutLeader` what was prepared.
     std::vector<rank_number> heldBy; // For `Release`, and after `Arm`.
     pass_number heldStep = 0;
     const char* reason = "";
+
+    bool operator==(const group_resolution&) const = default;
 };
 
 // `states`: by rank; none where a rank could not be asked. O(ranks).
--- a/coltsfootbend/group/group_state_test.cpp
+++ b/coltsfootbend/group/group_state_test.cpp
@@ -1,5 +1,7 @@
 #include "coltsfootbend/group/group_state.h"
 
+#include "coltsfootbend/group/leader_term.h"
+
 #include <gtest/gtest.h>
 
 namespace coltsfootbend {
@@ -132,5 +134,68 @@
     EXPECT_EQ(resolve(all).kind, group_todo::Arm);
 }
 
+// Rank 0 led term 1 and stands still; the others obey a newer leader.
+class frozen_leader_test : public testing::Test {
+protected:
+    frozen_leader_test()
+    {
+        prepareAll(m_states, 6);
+        for (auto& state : m_states) {
+            state->preparedTerm = termAfter(0, 0);
+            state->term = termAfter(state->preparedTerm, 1);
+        }
+        m_states[1]->heldStep = 110;
+        m_states[0].reset();
+    }
+
+    states m_states = threeRanks();
+};
+
+TEST_F(frozen_leader_test, ItsHoldIsReleasedWhileNobodyIsArmed)
+{
+    const auto todo = resolve(m_states);
+    EXPECT_EQ(todo.kind, group_todo::ReleaseWithoutLeader);
+    EXPECT_EQ(todo.heldStep, 110U);
+}
+
+TEST_F(frozen_leader_test, WhatSomeWereOrderedIsTakenBackFirst)
+{
+    armOne(m_states, 1, { 6, 110 });
+    EXPECT_EQ(resolve(m_states).kind, group_todo::DisarmWithoutLeader);
+}
+
+TEST_F(frozen_leader_test, WithAllOthersArmedItMayBeArmedItself)
+{
+    armOne(m_states, 1, { 6, 110 });
+    armOne(m_states, 2, { 6, 110 });
+    EXPECT_EQ(resolve(m_states).kind, group_todo::Wait);
+}
+
+TEST_F(frozen_leader_test, AnOrderThatMayStillBeCarriedOutForbidsIt)
+{
+    armOne(m_states, 1, { 6, 110 });
+    m_states[1]->isArmUncertain = true;
+    EXPECT_EQ(resolve(m_states).kind, group_todo::Wait);
+}
+
+TEST_F(frozen_leader_test, AnotherRankThanTheLeadersForbidsIt)
+{
+    for (std::size_t rank : { 1U, 2U })
+        m_states[rank]->preparedTerm = termAfter(0, 2);
+    EXPECT_EQ(resolve(m_states).kind, group_todo::Wait);
+}
+
+TEST_F(frozen_leader_test, ARankWhoseMemoryIsGoneForbidsIt)
+{
+    m_states[2]->preparedTerm = 0;
+    EXPECT_EQ(resolve(m_states).kind, group_todo::Wait);
+}
+
+TEST_F(frozen_leader_test, ARankThatStillObeysItForbidsIt)
+{
+    m_states[2]->term = m_states[2]->preparedTerm;
+    EXPECT_EQ(resolve(m_states).kind, group_todo::Wait);
+}
+
 } // namespace
 } // namespace coltsfootbend
--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <utility>
 
 namespace coltsfootbend {
@@ -14,6 +15,10 @@
 // While the group is not whole: how soon it is looked at again. A group that was formed anew has its first map.
 constexpr std::chrono::milliseconds waitCycle { 100 };
 constexpr std::chrono::milliseconds holdLimit { 250 };
+// An engine answers an order at once, or not at all.
+constexpr std::chrono::milliseconds holdAnswerLimit { 40 };
+// Of a second look, at ranks that have just answered; one that has not is not waited for again.
+constexpr std::chrono::milliseconds confirmLimit { 120 };
 constexpr std::chrono::milliseconds releaseLimit { 600 };
 constexpr int holdTries = 3;
 constexpr pass_number leastPassesAhead = 2;
@@ -112,13 +117,13 @@
     }
 }
 
-map_leader::states_by_rank map_leader::gather()
+map_leader::states_by_rank map_leader::gather(duration limit)
 {
     const wire::rank_query query {
         .term = m_term, .epoch = m_epoch, .demandSources = m_options.demandSources, .wantsMap = m_wantsMap
     };
     // A leader whose own engine does not answer lets somebody else lead.
-    const auto own = m_own.answer(query, clock_type::now() + m_options.queryLimit);
+    const auto own = m_own.answer(query, clock_type::now() + limit);
     if (!own)
         return {};
     m_group = own->group;
@@ -128,17 +133,32 @@
             states[state.rank] = state;
     };
     take(*own);
-    for (const auto& answer : askAll(query, m_options.queryLimit, false)) {
-        if (answer)
-            take(*answer);
+    const auto others = m_others; // They may be replaced meanwhile.
+    const auto answers = askAll(query, limit, false);
+    std::map<rank_number, std::shared_ptr<rank_channel>> reached;
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        if (!answers[i])
+            continue;
+        take(*answers[i]);
+        if (answers[i]->group == m_group)
+            reached[(answers[i]->rank + own->ranks - own->rank) % own->ranks] = others[i];
     }
+    m_holders.clear();
+    for (auto& [distance, channel] : reached)
+        m_holders.push_back(std::move(channel));
     return states;
 }
 
+bool map_leader::isConfirmed(const group_resolution& seen)
+{
+    const auto states = gather(confirmLimit);
+    return !isDeposed() && !states.empty() && resolve(states) == seen;
+}
+
 duration map_leader::lead(leader_term term)
 {
     m_term = term;
-    const auto states = gather();
+    const auto states = gather(m_options.queryLimit);
     if (isDeposed() || states.empty())
         return waitCycle;
     learn(states);
@@ -160,6 +180,18 @@
         logEvent(log_event::MapChangeStep, "finish=release step=" + std::to_string(todo.heldStep));
         releaseAll(todo.heldStep);
         return duration::zero();
+    case group_todo::DisarmWithoutLeader:
+        if (isConfirmed(todo)) {
+            logEvent(log_event::MapChangeFailed, "finish=disarm_without_leader " + describe(todo.target));
+            disarmAll(todo.target.version);
+        }
+        return duration::zero();
+    case group_todo::ReleaseWithoutLeader:
+        if (isConfirmed(todo)) {
+            logEvent(log_event::MapChangeFailed, "finish=release_without_leader step=" + std::to_string(todo.heldStep));
+            releaseAll(todo.heldStep);
+        }
+        return duration::zero();
     case group_todo::Ready:
         return planAndChange(states);
     }
@@ -355,22 +387,49 @@
     return std::clamp(passes, leastPassesAhead, mostPassesAhead);
 }
 
+rank_channel* map_leader::holder()
+{
+    return m_holders.empty() ? nullptr : m_holders[m_holder % m_holders.size()].get();
+}
+
+result<wire::rank_state> map_leader::holdAt(rank_channel& channel, pass_number step)
+{
+    const auto limit = clock_type::now() + holdLimit;
+    result<wire::rank_state> state = fail(error_kind::TimedOut, "the engine did not confirm the hold", "");
+    while (clock_type::now() < limit && !isDeposed()) {
+        // Unanswered or refused: the report tells whether it was carried out.
+        (void)channel.hold(m_epoch, step, std::min(limit, clock_type::now() + holdAnswerLimit));
+        state = channel.ask(wire::rank_query { .term = m_term, .epoch = m_epoch }, limit);
+        if (!state || state->epoch != m_epoch || state->heldStep != 0 || state->step >= step)
+            break;
+    }
+    if (state)
+        noteTerm(*state);
+    return state;
+}
+
 // Counts from the pass that the own rank has just begun: what the others told of theirs is older by the copying of
 // experts. Each pass of waiting runs under the worse map; a hold that is reached costs only what is left of arming.
+//
+// The pass is held at another rank's engine, ordered from here: a VM that stands still takes its own engine's hold with
+// it, and nobody can let the group go on until it wakes (4.1 s in one play, with all streams of the group lost).
 std::optional<pass_number> map_leader::holdAhead(pass_number step)
 {
-    for (int tries = 0; tries < holdTries && !isDeposed(); ++tries) {
+    auto* rank = holder();
+    for (int tries = 0; rank && tries < holdTries && !isDeposed(); ++tries) {
         const auto current
             = m_own.answer(wire::rank_query { .term = m_term, .epoch = m_epoch }, clock_type::now() + holdLimit);
         if (current)
             step = std::max(step, current->step);
         const auto wanted = step + passesAhead();
-        const auto state = m_own.hold(m_term, m_epoch, wanted, clock_type::now() + holdLimit);
+        const auto state = holdAt(*rank, wanted);
         if (state && state->heldStep == wanted && state->epoch == m_epoch)
             return wanted;
         if (!state || state->epoch != m_epoch || state->heldStep != 0)
             break;
+        step = std::max(step, state->step);
     }
+    ++m_holder; // The next change is held elsewhere.
     logEvent(log_event::MapChangeFailed, "step=hold");
     return std::nullopt;
 }
--- a/coltsfootbend/group/map_leader.h
+++ b/coltsfootbend/group/map_leader.h
@@ -26,6 +26,8 @@
     virtual ~rank_channel() = default;
     // Fails when the rank cannot be asked.
     virtual result<wire::rank_state> ask(const wire::body&, time_point deadline) = 0;
+    // Orders the rank's engine, from this VM, not to begin pass `step`. Fails like `rank_engine::hold`.
+    virtual result<void> hold(group_epoch, pass_number step, time_point deadline) = 0;
 };
 
 class map_leader {
@@ -63,7 +65,7 @@
 private:
     using states_by_rank = std::vector<std::optional<wire::rank_state>>;
 
-    states_by_rank gather();
+    states_by_rank gather(duration limit);
     // Speaks to all ranks while a long step is under way, so that nobody takes the leader for dead.
     void beat();
     // Asks all ranks, the own one as well if `includingOwn`, at the same time.
@@ -81,6 +83,12 @@
     // Prepares `map` on all ranks. Returns the latest pass that any of them has begun; none when one has not got it.
     std::optional<pass_number> prepareAll(engine_map_version version, const group_map& map);
     std::optional<pass_number> holdAhead(pass_number step);
+    // Holds the pass `step` at the rank of `channel`. Returns the rank's state afterwards.
+    result<wire::rank_state> holdAt(rank_channel& channel, pass_number step);
+    // The rank at which passes are held: never the own one.
+    rank_channel* holder();
+    // True when a second look at all ranks shows the same.
+    bool isConfirmed(const group_resolution&);
     bool armAll(const armed_switch&);
     void disarmAll(engine_map_version);
     void releaseAll(pass_number step);
@@ -94,6 +102,9 @@
     const map_planner m_planner;
     std::minstd_rand m_random;
     std::vector<std::shared_ptr<rank_channel>> m_others;
+    // The other ranks that answered last, from the one after the own on; and which of them holds passes.
+    std::vector<std::shared_ptr<rank_channel>> m_holders;
+    std::size_t m_holder = 0;
     demand_estimator m_demand;
     leader_term m_term = 0;
     group_epoch m_epoch = 0;
--- a/coltsfootbend/group/map_leader_test.cpp
+++ b/coltsfootbend/group/map_leader_test.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint32_t sets = 2;
 constexpr std::uint32_t experts = 16;
 constexpr duration passTime = 4ms;
+constexpr duration freezeLength = 2500ms;
 
 struct trial_faults {
     double lateShare = 0; // Of the orders: not answered, and carried out later.
@@ -24,25 +25,59 @@
     duration epochLength = std::chrono::hours(1); // After which a rank crashes and the group is formed anew.
 };
 
-// Begins passes until `until`, and forms the group anew from time to time.
-void runPasses(fiber_runtime& runtime, model_group& group, const trial_faults& faults, time_point until)
-{
-    auto epochEnd = clock_type::now() + faults.epochLength;
-    while (clock_type::now() < until) {
-        runtime.sleepFor(passTime);
-        if (clock_type::now() > epochEnd) {
-            group.form();
-            epochEnd = clock_type::now() + faults.epochLength;
-        }
-        group.beginPass();
+// An engine as the agent on its VM sees it: while the VM stands still, so does whatever asks it.
+class local_engine final : public rank_engine {
+public:
+    local_engine(fiber_runtime& runtime, model_group& group, rank_number rank, const time_point& pausedUntil)
+        : m_runtime(runtime)
+        , m_engine(group, rank)
+        , m_pausedUntil(pausedUntil)
+    {
+    }
+
+    result<rank_report> report(time_point deadline) override { return awake().report(deadline); }
+    result<rank_demand> demand(time_point deadline) override { return awake().demand(deadline); }
+    result<rank_maps> maps(time_point deadline) override { return awake().maps(deadline); }
+    result<void> prepare(
+        group_epoch epoch, engine_map_version version, const group_map& map, time_point deadline) override
+    {
+        return awake().prepare(epoch, version, map, deadline);
+    }
+    result<void> arm(group_epoch epoch, const armed_switch& target, time_point deadline) override
+    {
+        return awake().arm(epoch, target, deadline);
+    }
+    result<void> disarm(group_epoch epoch, engine_map_version version, time_point deadline) override
+    {
+        return awake().disarm(epoch, version, deadline);
+    }
+    result<void> hold(group_epoch epoch, pass_number step, time_point deadline) override
+    {
+        return awake().hold(epoch, step, deadline);
+    }
+    result<void> release(group_epoch epoch, pass_number step, time_point deadline) override
+    {
+        return awake().release(epoch, step, deadline);
+    }
+
+private:
+    model_engine& awake()
+    {
+        while (clock_type::now() < m_pausedUntil)
+            m_runtime.sleepFor(2ms);
+        return m_engine;
     }
-}
+
+    fiber_runtime& m_runtime;
+    model_engine m_engine;
+    const time_point& m_pausedUntil;
+};
 
 // One rank's agent: its part, and its leader when it leads.
 struct model_agent {
     model_agent(fiber_runtime& runtime, model_group& group, rank_number number, unsigned seed)
         : rank(number)
-        , engine(group, number)
+        , engine(runtime, group, number, pausedUntil)
         , participant(std::make_unique<map_participant>(runtime, engine))
         , leader(std::make_unique<map_leader>(runtime, *participant,
               map_leader::options { .planner = { .placesPerRank = 6, .newPerChange = 2, .gainPerMove = 0.001 },
@@ -50,24 +85,27 @@
                   .experts = experts,
                   .cycle = 30ms,
                   .leastGain = 0.02,
+                  .queryLimit = 100ms,
                   .leastArmingTime = 20ms },
               seed))
     {
     }
 
+    time_point pausedUntil {}; // Its VM stands still.
     rank_number rank;
-    model_engine engine;
+    local_engine engine;
     std::unique_ptr<map_participant> participant;
     std::unique_ptr<map_leader> leader;
-    time_point pausedUntil {};
 };
 
 class model_channel final : public rank_channel {
 public:
-    model_channel(fiber_runtime& runtime, model_group& group, const trial_faults& faults, model_agent& agent)
+    model_channel(fiber_runtime& runtime, model_group& group, const trial_faults& faults, const model_agent& from,
+        model_agent& agent)
         : m_runtime(runtime)
         , m_group(group)
         , m_faults(faults)
+        , m_from(from)
         , m_agent(agent)
     {
     }
@@ -80,26 +118,98 @@
         if (clock_type::now() >= deadline || m_group.chance(m_faults.lostShare))
             return fail(error_kind::Lost, "lost");
         auto state = m_agent.participant->answer(asked, deadline);
+        while (clock_type::now() < m_from.pausedUntil)
+            m_runtime.sleepFor(2ms);
         if (m_group.chance(m_faults.lostShare))
             return fail(error_kind::Lost, "answer lost");
         return state;
     }
 
+    // The engine stands still with its agent's VM.
+    result<void> hold(group_epoch epoch, pass_number step, time_point deadline) override
+    {
+        m_runtime.sleepFor(1ms);
+        if (clock_type::now() < m_agent.pausedUntil)
+            m_runtime.sleepUntil(deadline);
+        if (clock_type::now() >= deadline || m_group.chance(m_faults.lostShare))
+            return fail(error_kind::Lost, "lost");
+        return m_agent.engine.hold(epoch, step, deadline);
+    }
+
 private:
     fiber_runtime& m_runtime;
     model_group& m_group;
     const trial_faults m_faults;
+    const model_agent& m_from;
     model_agent& m_agent;
 };
 
 struct trial_result {
     int mixedPasses = 0;
     int switches = 0;
+    int freezes = 0;
+    duration longestStand {}; // Between two passes.
     bool isMoving = false;
 };
 
+// Whether the group has come to where the leader's VM is to stand still.
+using freeze_moment = std::function<bool(const model_group&)>;
+
+bool isHeldSomewhere(const model_group& group)
+{
+    for (rank_number rank = 0; rank < group.ranks(); ++rank) {
+        if (group.at(rank).held)
+            return true;
+    }
+    return false;
+}
+
+int armedRanks(const model_group& group)
+{
+    int armed = 0;
+    for (rank_number rank = 0; rank < group.ranks(); ++rank)
+        armed += group.at(rank).armed ? 1 : 0;
+    return armed;
+}
+
+// Lets the VM of whoever leads stand still for `length` at each such moment, with time between to recover.
+void freezeLeaders(fiber_runtime& runtime, const model_group& group,
+    const std::vector<std::unique_ptr<model_agent>>& agents, const freeze_moment& moment, duration length,
+    time_point until, trial_result& outcome)
+{
+    while (clock_type::now() < until) {
+        runtime.sleepFor(200us);
+        if (!moment(group))
+            continue;
+        leader_term newest = 0;
+        for (const auto& agent : agents)
+            newest = std::max(newest, agent->participant->term());
+        agents[leaderOf(newest)]->pausedUntil = clock_type::now() + length;
+        ++outcome.freezes;
+        runtime.sleepFor(length + 800ms);
+    }
+}
+
+// Begins passes until `until`, and forms the group anew from time to time.
+void runPasses(
+    fiber_runtime& runtime, model_group& group, const trial_faults& faults, time_point until, trial_result& outcome)
+{
+    auto epochEnd = clock_type::now() + faults.epochLength;
+    while (clock_type::now() < until) {
+        runtime.sleepFor(passTime);
+        if (clock_type::now() > epochEnd) {
+            group.form();
+            epochEnd = clock_type::now() + faults.epochLength;
+        }
+        const auto before = group.lastPassAt();
+        if (group.beginPass() && before != time_point {})
+            outcome.longestStand = std::max<duration>(outcome.longestStand, group.lastPassAt() - before);
+    }
+}
+
 // Runs a group for `length`. `pauses`: the agent that leads stands still, time and again, and another takes over.
-trial_result play(const trial_faults& faults, bool pauses, unsigned seed, duration length)
+trial_result play(
+    const trial_faults& faults, bool pauses, unsigned seed, duration length, const freeze_moment& freezeAt = {})
 {
     trial_result outcome;
     std::thread([&] {
@@ -116,7 +226,7 @@
                 std::vector<std::shared_ptr<rank_channel>> others;
                 for (auto& other : agents) {
                     if (other != agent)
-                        others.push_back(std::make_shared<model_channel>(runtime, *group, faults, *other));
+                        others.push_back(std::make_shared<model_channel>(runtime, *group, faults, *agent, *other));
                 }
                 agent->leader->setOthers(std::move(others));
                 runtime.spawn([&runtime, &agent = *agent, until, pauses, group] {
@@ -138,7 +248,12 @@
                     }
                 });
             }
-            runPasses(runtime, *group, faults, until);
+            if (freezeAt) {
+                runtime.spawn([&, group] {
+                    freezeLeaders(runtime, *group, agents, freezeAt, freezeLength, until - freezeLength, outcome);
+                });
+            }
+            runPasses(runtime, *group, faults, until, outcome);
             outcome.mixedPasses = group->mixedPasses();
             outcome.switches = group->switches() / static_cast<int>(ranks);
             outcome.isMoving = group->lastPassAt() > until - 1500ms;
@@ -188,5 +303,29 @@
     EXPECT_TRUE(outcome.isMoving);
 }
 
+// The leader's VM stands still while the group is held and nobody is armed yet. What it held is let go by the next
+// leader.
+TEST(MapLeader, AGroupThatIsHeldByALeaderThatStandsStillGoesOn)
+{
+    const auto held = [](const model_group& group) { return isHeldSomewhere(group) && armedRanks(group) == 0; };
+    const auto outcome = play({}, false, seedOf(5), 9s, held);
+    EXPECT_GE(outcome.freezes, 2);
+    EXPECT_EQ(outcome.mixedPasses, 0);
+    EXPECT_LT(toMilliseconds(outcome.longestStand), 1500);
+    EXPECT_TRUE(outcome.isMoving);
+}
+
+TEST(MapLeader, AGroupWithSomeRanksArmedByALeaderThatStandsStillNeverMixesMaps)
+{
+    const auto someArmed = [](const model_group& group) {
+        const int armed = armedRanks(group);
+        return isHeldSomewhere(group) && armed > 0 && armed < static_cast<int>(ranks);
+    };
+    const auto outcome = play({ .lateShare = 0.1 }, false, seedOf(6), 12s, someArmed);
+    EXPECT_GE(outcome.freezes, 2);
+    EXPECT_EQ(outcome.mixedPasses, 0);
+    EXPECT_TRUE(outcome.isMoving);
+}
+
 } // namespace
 } // namespace coltsfootbend
--- a/coltsfootbend/group/map_participant.cpp
+++ b/coltsfootbend/group/map_participant.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr unsigned rankBits = 16;
 // The map in use, and one that was prepared and given up since.
 constexpr std::size_t keptMaps = 3;
 
@@ -22,10 +21,6 @@
 
 } // namespace
 
-leader_term termAfter(leader_term seen, rank_number rank) { return ((seen >> rankBits) + 1) << rankBits | rank; }
-
-rank_number leaderOf(leader_term term) { return static_cast<rank_number>(term & ((1U << rankBits) - 1)); }
-
 bool map_participant::obeys(leader_term term)
 {
     if (term < m_term)
@@ -52,6 +47,8 @@
         m_orders.forget();
         m_knownMaps.clear();
         m_isArmed = false;
+        m_isPrepared = false;
+        m_preparedTerm = 0;
     }
     m_life = life;
     return {};
@@ -75,6 +72,8 @@
     state.step = report.step;
     state.mapVersion = report.mapVersion;
     state.preparedVersion = report.prepared.value_or(0);
+    if (state.preparedVersion != 0 && state.preparedVersion == m_preparedVersion)
+        state.preparedTerm = m_preparedTerm;
     if (report.armed) {
         state.armedVersion = report.armed->version;
         state.armedStep = report.armed->step;
@@ -98,6 +97,7 @@
         return tl::unexpected(report.error());
     auto state = stateOf(*report);
     m_isArmed = state && state->armedVersion != 0;
+    m_isPrepared = state && state->preparedVersion > state->mapVersion;
     return state;
 }
 
@@ -197,6 +197,9 @@
             state->lacksBase = true;
         return state;
     }
+    m_preparedVersion = asked.version;
+    m_preparedTerm = asked.term;
+    m_isPrepared = true;
     const auto done
         = m_orders.prepare(asked.epoch, asked.version, *map, deadline, [&] { return m_term == asked.term; });
     return done ? stateOf(*done) : look(deadline);
@@ -229,13 +232,4 @@
     return done ? stateOf(*done) : look(deadline);
 }
 
-result<wire::rank_state> map_participant::hold(
-    leader_term term, group_epoch epoch, pass_number step, time_point deadline)
-{
-    if (!obeys(term))
-        return look(deadline);
-    const auto done = m_orders.hold(epoch, step, deadline, [&] { return m_term == term; });
-    return done ? stateOf(*done) : look(deadline);
-}
-
 } // namespace coltsfootbend
--- a/coltsfootbend/group/map_participant.h
+++ b/coltsfootbend/group/map_participant.h
@@ -7,6 +7,7 @@
 //     map_participant participant(runtime, engine);
 //     wire::rank_state state = *participant.answer(asked, deadline);
 
+#include "coltsfootbend/group/leader_term.h"
 #include "coltsfootbend/group/rank_orders.h"
 #include "coltsfootbend/wire/messages.h"
 
@@ -15,11 +16,6 @@
 
 namespace coltsfootbend {
 
-// Terms order leaders: first by count, then by rank, so that no two ranks have the same.
-using leader_term = std::uint64_t;
-leader_term termAfter(leader_term seen, rank_number rank);
-rank_number leaderOf(leader_term term);
-
 class map_participant {
 public:
     map_participant(fiber_runtime& runtime, rank_engine& engine)
@@ -33,14 +29,13 @@
     // for any other message.
     result<wire::rank_state> answer(const wire::body& asked, time_point deadline);
 
-    // Holds the group's pass `step` at this rank; for the leader, whose own rank this is.
-    result<wire::rank_state> hold(leader_term, group_epoch, pass_number step, time_point deadline);
-
     leader_term term() const { return m_term; }
     // When a leader was last heard.
     time_point heardAt() const { return m_heardAt; }
     // True while a switch is ordered that the leader has yet to let happen.
     bool isArmed() const { return m_isArmed; }
+    // True while a map is prepared that is not in use yet: the leader is in the middle of a change.
+    bool isPrepared() const { return m_isPrepared; }
     // Takes the lead with a term that nobody has had.
     leader_term claim(rank_number rank);
     // Somebody leads with `term`, as another rank tells.
@@ -67,6 +62,10 @@
     leader_term m_term = 0;
     time_point m_heardAt {};
     bool m_isArmed = false;
+    bool m_isPrepared = false;
+    // The last map that was ordered to be prepared, and in which term.
+    engine_map_version m_preparedVersion = 0;
+    leader_term m_preparedTerm = 0;
     engine_life m_life;
     std::vector<std::uint64_t> m_lastCounts;
     engine_life m_lastCountsLife;
--- a/coltsfootbend/group/rank_engine.h
+++ b/coltsfootbend/group/rank_engine.h
@@ -38,6 +38,8 @@
 struct armed_switch {
     engine_map_version version = 0;
     pass_number step = 0;
+
+    bool operator==(const armed_switch&) const = default;
 };
 
 struct rank_report {
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -27,6 +27,8 @@
 // With a switch ordered the group may stand still until somebody finishes it.
 constexpr std::chrono::milliseconds armedSilence { 400 };
 constexpr std::chrono::milliseconds armedSilencePerRank { 60 };
+// A change is under way, for which the group may be held already.
+constexpr std::chrono::milliseconds preparedSilence { 600 };
 constexpr rank_number ranksInTurn = 32;
 constexpr std::chrono::milliseconds followCycle { 50 };
 // An agent that did not answer is left alone for this long, and its engine is asked from here.
@@ -64,6 +66,11 @@
         return fail(error_kind::Unavailable, told ? told->message : "the agent gave no state", "Look at its log");
     }
 
+    result<void> hold(group_epoch epoch, pass_number step, time_point deadline) override
+    {
+        return m_engine->hold(epoch, step, deadline);
+    }
+
     // False once the rank is known to belong to another group, or to none.
     bool mayBelongTo(const std::string& group) const { return !m_hasNoGroup && (m_group.empty() || m_group == group); }
 
@@ -265,6 +272,8 @@
     const auto turn = std::min(m_group->rank, ranksInTurn);
     if (m_participant.isArmed())
         return armedSilence + turn * armedSilencePerRank;
+    if (m_participant.isPrepared())
+        return preparedSilence + turn * armedSilencePerRank;
     return (m_participant.term() == 0 ? silenceAfterStart : leaderSilence) + turn * silencePerRank;
 }
 
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -80,7 +80,7 @@
     return std::tie(value.term, value.group, value.epoch, value.rank, value.ranks, value.isOpen, value.step,
         value.mapVersion, value.preparedVersion, value.armedVersion, value.armedStep, value.isArmUncertain,
         value.heldStep, value.highestVersion, value.pace, value.requests, value.lacksBase, value.demand, value.map,
-        value.life);
+        value.life, value.preparedTerm);
 }
 static auto fieldsOf(rank_row& value) { return std::tie(value.set, value.rank, value.experts); }
 static auto fieldsOf(rank_prepare& value)
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -180,6 +180,7 @@
     std::vector<std::uint32_t> demand; // By set and expert; empty unless asked for.
     std::vector<std::vector<std::uint32_t>> map; // Experts of this rank in use, by set; empty unless asked for.
     std::uint64_t life = 0; // Of the engine: Unix milliseconds of its start; 0 where it does not tell.
+    std::uint64_t preparedTerm = 0; // Whose order prepared `preparedVersion`; 0 where that is not known.
 };
 // What one rank holds of one set.
 struct rank_row {
