One change copies for 110 ms at most, the worst sets first

Change: the planner bounds the copies of all sets that one change brings to a rank, by the engine's link and the size of an expert (mostCopyTime), and plans the sets that lose most first; what is left follows in the next change.

--- a/coltsfootbend/gateway/catalogue.h
+++ b/coltsfootbend/gateway/catalogue.h
@@ -76,6 +76,8 @@
     std::uint32_t placesPerRank = 0;
     std::uint32_t newPerChange = 0;
     double expertGigabytes = 0;
+    // Of an engine's own link, over which it copies experts; 0 where not stated.
+    double gigabytesPerSecond = 0;
     // How long a group takes to form again once all its ranks are back.
     duration formTime {};
 
--- a/coltsfootbend/group/map_planner.cpp
+++ b/coltsfootbend/group/map_planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <numeric>
 #include <optional>
+#include <utility>
 
 namespace coltsfootbend {
 
@@ -24,8 +25,9 @@
 class set_plan {
 public:
     set_plan(const rank_experts& experts, const std::vector<double>& load, const std::vector<double>& paces,
-        const map_planner::options& options)
+        const map_planner::options& options, std::vector<std::uint32_t> copiesLeft = {})
         : m_options(options)
+        , m_copiesLeft(std::move(copiesLeft))
         , m_load(load)
         , m_paces(paces)
         , m_original(experts)
@@ -93,7 +95,11 @@
 
     bool mayTake(rank_number rank, expert which) const
     {
-        return !holds(rank, which) && (wasThere(rank, which) || m_new[rank] < m_options.newPerChange);
+        if (holds(rank, which))
+            return false;
+        const auto most
+            = m_copiesLeft.empty() ? m_options.newPerChange : std::min(m_options.newPerChange, m_copiesLeft[rank]);
+        return wasThere(rank, which) || m_new[rank] < most;
     }
 
     std::vector<rank_number> leastBusy(rank_number except) const
@@ -192,6 +198,7 @@
     }
 
     const map_planner::options& m_options;
+    const std::vector<std::uint32_t> m_copiesLeft; // By rank, for all sets; empty where nothing limits them.
     const std::vector<double>& m_load;
     const std::vector<double>& m_paces;
     const rank_experts& m_original;
@@ -205,24 +212,45 @@
 // equally busy, so that one move alone gains nothing.
 constexpr std::uint32_t patience = 8;
 
+// Experts that one rank has to copy.
+std::uint32_t newOn(const std::vector<expert>& before, const std::vector<expert>& after)
+{
+    return static_cast<std::uint32_t>(std::count_if(after.begin(), after.end(),
+        [&](expert held) { return std::find(before.begin(), before.end(), held) == before.end(); }));
+}
+
 std::uint32_t copies(const rank_experts& before, const rank_experts& after)
 {
     std::uint32_t count = 0;
-    for (std::size_t rank = 0; rank < after.size(); ++rank) {
-        for (const auto held : after[rank])
-            count += std::find(before[rank].begin(), before[rank].end(), held) == before[rank].end() ? 1 : 0;
-    }
+    for (std::size_t rank = 0; rank < after.size(); ++rank)
+        count += newOn(before[rank], after[rank]);
     return count;
 }
 
+// Where copies are scarce, the sets that lose most by their skew get them first.
+std::vector<std::size_t> worstFirst(
+    const group_map& current, const group_demand& demand, const std::vector<double>& paces)
+{
+    const map_planner::options any;
+    std::vector<double> skews;
+    for (std::size_t set = 0; set < current.size(); ++set)
+        skews.push_back(set_plan(current[set], demand[set], paces, any).skew());
+    std::vector<std::size_t> order(current.size());
+    std::iota(order.begin(), order.end(), std::size_t { 0 });
+    std::stable_sort(
+        order.begin(), order.end(), [&](std::size_t left, std::size_t right) { return skews[left] > skews[right]; });
+    return order;
+}
+
 } // namespace
 
 map_plan map_planner::plan(
     const group_map& current, const group_demand& demand, const std::vector<double>& paces, double gainPerMove) const
 {
     map_plan plan { .next = current, .moves = 0, .skewBefore = 0, .skewAfter = 0 };
-    for (std::size_t set = 0; set < current.size(); ++set) {
-        set_plan working(current[set], demand[set], paces, m_options);
+    std::vector<std::uint32_t> copiesLeft(paces.size(), m_options.copiesPerRank);
+    for (const auto set : worstFirst(current, demand, paces)) {
+        set_plan working(current[set], demand[set], paces, m_options, copiesLeft);
         const double before = working.skew();
         double bestValue = 0;
         double after = before;
@@ -241,6 +269,8 @@
             }
         }
         plan.moves += copies(current[set], plan.next[set]);
+        for (std::size_t rank = 0; rank < copiesLeft.size(); ++rank)
+            copiesLeft[rank] -= newOn(current[set][rank], plan.next[set][rank]);
         plan.skewBefore += before / static_cast<double>(current.size());
         plan.skewAfter += after / static_cast<double>(current.size());
     }
--- a/coltsfootbend/group/map_planner.h
+++ b/coltsfootbend/group/map_planner.h
@@ -12,6 +12,7 @@
 #include "coltsfootbend/group/rank_engine.h"
 
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 namespace coltsfootbend {
@@ -35,6 +36,10 @@
         std::uint32_t placesPerRank = 1;
         // Experts of a set that one change may bring to a rank.
         std::uint32_t newPerChange = 1;
+        // Experts of all sets that one change may bring to a rank: a change is prepared only once the rank with the
+        // most has copied all of them, and until then passes run under the worse map. What is left follows in the next
+        // change.
+        std::uint32_t copiesPerRank = std::numeric_limits<std::uint32_t>::max();
         // By how much the skew of a set must fall for each expert that is copied. A user who minds copies sets more.
         double gainPerMove = 0.01;
         // How many of the least busy ranks are tried as the other side of a move.
--- a/coltsfootbend/group/map_planner_test.cpp
+++ b/coltsfootbend/group/map_planner_test.cpp
@@ -102,5 +102,30 @@
     }
 }
 
+// A shift of demand at full load: passes run under the worse map until the rank with the most copies has made them all.
+TEST(MapPlanner, OneChangeBringsNoRankMoreCopiesThanItMayAndStillTakesMostOfTheSkew)
+{
+    constexpr std::size_t sets = 4;
+    auto limited = usual;
+    limited.copiesPerRank = 3;
+    const auto map = firstMap(sets);
+    const auto demand = skewedDemand(sets, 5);
+    const auto whole = map_planner(usual).plan(map, demand, evenPaces);
+    const auto first = map_planner(limited).plan(map, demand, evenPaces);
+    for (rank_number rank = 0; rank < ranks; ++rank) {
+        std::uint32_t copied = 0;
+        for (std::size_t set = 0; set < sets; ++set) {
+            for (const auto held : first.next[set][rank]) {
+                const auto& before = map[set][rank];
+                copied += std::find(before.begin(), before.end(), held) == before.end() ? 1 : 0;
+            }
+        }
+        EXPECT_LE(copied, 3U);
+    }
+    EXPECT_GT(first.gain(), whole.gain() / 2);
+    const auto second = map_planner(limited).plan(first.next, demand, evenPaces);
+    EXPECT_LT(second.skewAfter, first.skewAfter) << "what is left follows";
+}
+
 } // namespace
 } // namespace coltsfootbend
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <random>
 
 namespace coltsfootbend {
@@ -30,6 +31,8 @@
 // A change is under way, for which the group may be held already.
 constexpr std::chrono::milliseconds preparedSilence { 600 };
 constexpr rank_number ranksInTurn = 32;
+// What one change may take to copy experts: about two passes under a bad map.
+constexpr std::chrono::milliseconds mostCopyTime { 110 };
 constexpr std::chrono::milliseconds followCycle { 50 };
 // An agent that did not answer is left alone for this long, and its engine is asked from here.
 constexpr std::chrono::milliseconds agentPause { 1000 };
@@ -301,6 +304,7 @@
     m_leader = std::make_unique<map_leader>(m_runtime, m_participant,
         map_leader::options { .planner = { .placesPerRank = engine->placesPerRank,
                                   .newPerChange = engine->newPerChange,
+                                  .copiesPerRank = copiesPerRank(*engine),
                                   .gainPerMove = gainPerMove(*engine) },
             .sets = engine->expertSets,
             .experts = engine->experts,
@@ -309,6 +313,14 @@
     return m_leader.get();
 }
 
+std::uint32_t rank_service::copiesPerRank(const engine_model& engine)
+{
+    if (engine.gigabytesPerSecond <= 0 || engine.expertGigabytes <= 0)
+        return std::numeric_limits<std::uint32_t>::max();
+    const double copyMs = 1000 * engine.expertGigabytes / engine.gigabytesPerSecond;
+    return std::max(1U, static_cast<std::uint32_t>(toMilliseconds(mostCopyTime) / copyMs));
+}
+
 // What one copy must bring in one set. More ranks share the gain of a faster pass, but each copy also makes the change
 // longer for all of them: between the two, the root.
 double rank_service::gainPerMove(const engine_model& engine) const
--- a/coltsfootbend/group/rank_service.h
+++ b/coltsfootbend/group/rank_service.h
@@ -53,6 +53,8 @@
     // Null where the engine's deployment has no expert maps.
     const engine_model* engineModel() const;
     double gainPerMove(const engine_model&) const;
+    // Experts that one change may bring to a rank, so that copying them holds the change up for no longer than that.
+    static std::uint32_t copiesPerRank(const engine_model&);
     map_leader* leader();
     void updateOthers();
     duration silenceLimit() const;
