A server whose address another one has is asked no more; a refusal names an address

Cause: after all VMs had lost power, servers were started under new ids. And the header that names a server at fault holds an address, not an id, so that a full server's own refusal counted as proof that its group was broken.

Change: a 421 rules the instance out until it is registered anew, 5 s at most. The header is read as an endpoint and compared with the server's own address.

Ruled out: ejection for a while, as for broken exchanges (200 ms: the next requests met the same).

--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -64,6 +64,8 @@
         return "failed";
     case backend_outcome::Busy:
         return "busy";
+    case backend_outcome::Replaced:
+        return "replaced";
     case backend_outcome::Broken:
         return "broken";
     case backend_outcome::Silent:
@@ -86,6 +88,8 @@
         auto& state = m_backends[id];
         const bool isNews = enterLife(state, server.life);
         const auto life = state.server.life;
+        if (state.server.address != server.address)
+            state.replacedUntil = {};
         state.server = server;
         if (!isNews)
             state.server.life = life; // The engine told of its restart before the store did.
@@ -299,7 +303,8 @@
     for (auto& [id, state] : m_backends) {
         const bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), state.server.instance())
             != request.excluded.end();
-        if (state.server.deployment != request.deployment || state.server.isLeaving || isExcluded)
+        if (state.server.deployment != request.deployment || state.server.isLeaving || isExcluded
+            || now < state.replacedUntil)
             continue;
         all.push_back(&state);
         if (now >= state.ejectedUntil)
@@ -451,6 +456,8 @@
     if (state.inFlight > 0)
         --state.inFlight;
     // While the group does not move, no rank can answer, so that it says nothing of this one.
+    if (outcome == backend_outcome::Replaced)
+        state.replacedUntil = now + m_options.replacedLimit;
     if (outcome == backend_outcome::Abandoned || !isMoving(state, now))
         return;
     const bool isBreak = outcome == backend_outcome::Broken || outcome == backend_outcome::Silent;
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -30,6 +30,7 @@
     Answered, // With a success.
     Failed, // With an error of its own.
     Busy, // It proved that it did not run the request.
+    Replaced, // Another server answered at its address.
     Broken, // The connection failed or the answer was not whole.
     Silent, // Nothing came for too long.
     Abandoned, // The caller left, which says nothing of the server.
@@ -93,6 +94,8 @@
         duration longestEjection = std::chrono::seconds(4);
         // What a server of another data centre must have less, in requests, to be chosen.
         double otherDataCentreHandicap = 0.25;
+        // A server whose address another one has is asked no more until it is registered anew, but for so long at most.
+        duration replacedLimit = std::chrono::seconds(5);
         // The share of a new sample in the averages of latency and of failures.
         double smoothing = 0.2;
     };
@@ -151,6 +154,7 @@
         std::vector<time_point> sentAt;
         std::uint32_t consecutiveBreaks = 0;
         time_point ejectedUntil {};
+        time_point replacedUntil {};
         double failureShare = 0;
         double latencyMs = 0;
     };
--- a/coltsfootbend/gateway/backend_picker_test.cpp
+++ b/coltsfootbend/gateway/backend_picker_test.cpp
@@ -358,6 +358,20 @@
         EXPECT_EQ(m_picker.pick(request(plain), m_now)->server.id, idOf(2));
 }
 
+// All servers were started anew; until they are registered, others answer at the addresses that are known.
+TEST_F(backend_picker_test, AServerWhoseAddressAnotherOneHasIsAskedNoMore)
+{
+    use(plain, 2);
+    m_picker.finished({ idOf(1), {} }, backend_outcome::Replaced, {}, m_now);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(m_picker.pick(request(plain), m_now + 2s)->server.id, idOf(2));
+    m_picker.finished({ idOf(2), {} }, backend_outcome::Replaced, {}, m_now);
+    EXPECT_EQ(m_picker.pick(request(plain), m_now + 2s).error().reason, pick_refusal::NoServers);
+    m_servers[idOf(1)].life = backend_life(7);
+    m_picker.setServers(m_servers, *m_catalogue);
+    EXPECT_EQ(m_picker.pick(request(plain), m_now + 2s)->server.id, idOf(1));
+}
+
 class restarted_backend_test : public backend_picker_test {
 protected:
     restarted_backend_test()
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -337,12 +337,12 @@
 
 exchange::next_step exchange::notRun(const picked_backend& picked, const http_head& head, const backend_facts& facts)
 {
-    if (facts.atFault && *facts.atFault != picked.server.id)
+    if (facts.atFault && *facts.atFault != picked.server.address && !facts.isOtherServer)
         m_context.picker.groupFailed(picked.server.instance(), clock_type::now());
-    settle(picked, backend_outcome::Busy);
+    settle(picked, facts.isOtherServer ? backend_outcome::Replaced : backend_outcome::Busy);
     logEvent(log_event::RequestFailed,
         label() + " backend=" + picked.server.id.text() + " not_run=yes status=" + std::to_string(head.status)
-            + (facts.atFault ? " at_fault=" + facts.atFault->text() : ""));
+            + (facts.atFault ? " at_fault=" + toString(*facts.atFault) : ""));
     if (mayTryAgain())
         return next_step::TryAgain;
     finishWithoutServer();
--- a/coltsfootbend/gateway/request_dialect.h
+++ b/coltsfootbend/gateway/request_dialect.h
@@ -50,8 +50,8 @@
     bool isNotRun = false;
     // The server of this address is not the one that was meant.
     bool isOtherServer = false;
-    // The server that kept it from running, where it is another than the one that answers: a rank of its group is gone.
-    std::optional<backend_id> atFault;
+    // For a refusal: the server that kept the request from running, itself or another rank of its group.
+    std::optional<endpoint> atFault;
     // Bears the server's signature, without which a success is not to be believed.
     bool isSigned = false;
     // Was changed on the way: bodies are asked for without coding.
--- a/coltsfootbend/gateway/waiting_policy_test.cpp
+++ b/coltsfootbend/gateway/waiting_policy_test.cpp
@@ -87,8 +87,8 @@
     EXPECT_FALSE(holdUntil(groupDown(start + 2500ms), request, start + 2s));
 }
 
-// A group stands, as when a data centre has just been cut off: until engines say that it is broken, nobody knows when to
-// come back, and a caller comes back once.
+// A group stands, as when a data centre has just been cut off: until engines say that it is broken, nobody knows when
+// to come back, and a caller comes back once.
 TEST(WaitingPolicy, AGroupThatStandsIsWaitedForWhileTheFirstEventCanStillCome)
 {
     auto refused = groupDown(start + 10s);
