A server that left while this process was cut off is gone at its return

Ruled out: news through peers, which brought no older list; held requests. The store itself was not away.

Change: once a page is taken, lapsed servers of a deployment are kept only where most of its registrations lapsed, as they do when the store itself was away; otherwise they are gone.

Tests: AServerThatLeftWhileThisProcessWasCutOffIsGoneAtItsReturn (kept it before), WhereMostLapsedNoneIsGivenUpAsTheyComeBack.

--- a/coltsfootbend/gateway/backend_directory.cpp
+++ b/coltsfootbend/gateway/backend_directory.cpp
@@ -59,6 +59,34 @@
     m_failingSince.reset();
 }
 
+// A process that was cut off from the store sees the same as one whose store was away. A server that left meanwhile
+// must get nothing more then: one gateway sent to it for 2.2 s after its leaving, where 2 s are allowed.
+void backend_directory::settleLapses(time_point now)
+{
+    if (m_failingSince)
+        return;
+    struct tally {
+        std::size_t listed = 0;
+        std::size_t lapsed = 0;
+    };
+    std::map<deployment_id, tally> tallies;
+    for (const auto& [id, server] : m_servers) {
+        ++tallies[server.deployment].listed;
+        tallies[server.deployment].lapsed += m_lapsed.contains(id) ? 1 : 0;
+    }
+    for (const auto& [deployment, tally] : tallies) {
+        if (2 * tally.lapsed > tally.listed)
+            m_massLapses.try_emplace(deployment, m_keepLapsedUntil);
+    }
+    std::erase_if(m_massLapses, [now](const auto& entry) { return now >= entry.second; });
+    std::erase_if(m_lapsed, [&](const auto& entry) {
+        if (m_massLapses.contains(m_servers.at(entry.first).deployment))
+            return false;
+        m_servers.erase(entry.first);
+        return true;
+    });
+}
+
 std::size_t backend_directory::expire(time_point now)
 {
     // While the store is away nobody can come back, so nobody is given up.
--- a/coltsfootbend/gateway/backend_directory.h
+++ b/coltsfootbend/gateway/backend_directory.h
@@ -77,6 +77,10 @@
     void storeFailed(time_point now);
     void storeAnswered(time_point now);
 
+    // To be called once all changes of a page are taken. Drops the lapsed servers of a deployment of which most are
+    // still registered: when a store returns that was away itself, most registrations have lapsed. O(servers).
+    void settleLapses(time_point now);
+
     // Drops servers whose registration did not come back in time. Returns how many.
     std::size_t expire(time_point now);
 
@@ -88,6 +92,8 @@
     std::map<backend_id, backend_server> m_servers;
     // Servers without a registration, and until when each is kept.
     std::map<backend_id, time_point> m_lapsed;
+    // Deployments of which most registrations lapsed, and until when those are waited for.
+    std::map<deployment_id, time_point> m_massLapses;
     std::optional<time_point> m_failingSince;
     time_point m_keepLapsedUntil {};
 };
--- a/coltsfootbend/gateway/backend_directory_test.cpp
+++ b/coltsfootbend/gateway/backend_directory_test.cpp
@@ -80,5 +80,36 @@
     EXPECT_FALSE(m_directory.find(backend_id("a")));
 }
 
+// This process was cut off while the store served everybody else; one server left meanwhile.
+TEST_F(backend_directory_test, AServerThatLeftWhileThisProcessWasCutOffIsGoneAtItsReturn)
+{
+    for (const char* id : { "a", "b", "c" })
+        m_directory.put(server(id));
+    m_directory.storeFailed(m_now);
+    m_now += 4s;
+    m_directory.storeAnswered(m_now);
+    m_directory.retainOnly({ backend_id("b"), backend_id("c") }, m_now);
+    m_directory.settleLapses(m_now);
+    EXPECT_FALSE(m_directory.find(backend_id("a")));
+    EXPECT_TRUE(m_directory.find(backend_id("b")));
+}
+
+TEST_F(backend_directory_test, WhereMostLapsedNoneIsGivenUpAsTheyComeBack)
+{
+    for (const char* id : { "a", "b", "c" })
+        m_directory.put(server(id));
+    m_directory.storeFailed(m_now);
+    m_now += 4s;
+    m_directory.storeAnswered(m_now);
+    m_directory.retainOnly({ backend_id("c") }, m_now);
+    m_directory.settleLapses(m_now);
+    m_now += 1s;
+    m_directory.put(server("b"));
+    m_directory.settleLapses(m_now);
+    EXPECT_TRUE(m_directory.find(backend_id("a")));
+    m_now += 1300ms;
+    EXPECT_EQ(m_directory.expire(m_now), 1U);
+}
+
 } // namespace
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -209,6 +209,7 @@
 {
     m_newsHeardAt.reset();
     if (name == watched_table::BackendServers) {
+        m_directory.settleLapses(clock_type::now());
         for (const auto& changed : m_onServers)
             changed();
         return;
--- a/coltsfootbend/gateway/group_outlook_test.cpp
+++ b/coltsfootbend/gateway/group_outlook_test.cpp
@@ -25,7 +25,7 @@
         for (const auto end = m_now + length; m_now < end; m_now += 50ms) {
             if (makesPasses)
                 ++m_step;
-            for (int rank = first + (m_step + m_turn) % 2; rank < ranks; rank += 2)
+            for (int rank = first + static_cast<int>((m_step + m_turn) % 2); rank < ranks; rank += 2)
                 tell(rank, running);
             if (!makesPasses)
                 ++m_turn;
