--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -36,7 +36,7 @@
 
 error silentServer()
 {
-    return { error_kind::TimedOut, "the server was silent while its group made passes", "Look at the server's log" };
+    return { error_kind::TimedOut, "the server was silent for too long", "Look at the server's log" };
 }
 
 bool isSuccess(int status) { return status >= 200 && status < 300; }
--- a/coltsfootbend/group/rank_orders.cpp
+++ b/coltsfootbend/group/rank_orders.cpp
@@ -131,19 +131,6 @@
         m_options.repeatAfter, deadline, isCurrent);
 }
 
-result<rank_report> rank_orders::hold(
-    group_epoch epoch, pass_number step, time_point deadline, const is_current& isCurrent)
-{
-    enterEpoch(epoch);
-    const auto judge = [&](const rank_report& report) {
-        if (!isInEpoch(report, epoch) || report.step >= step)
-            return confirmation::Impossible;
-        return report.held == step ? confirmation::Confirmed : confirmation::Pending;
-    };
-    return untilConfirmed([&](time_point limit) { return m_engine.hold(epoch, step, limit); }, judge,
-        m_options.repeatAfter, deadline, isCurrent);
-}
-
 result<rank_report> rank_orders::release(
     group_epoch epoch, pass_number step, time_point deadline, const is_current& isCurrent)
 {
--- a/coltsfootbend/group/rank_orders.h
+++ b/coltsfootbend/group/rank_orders.h
@@ -48,7 +48,6 @@
         group_epoch, engine_map_version, const group_map&, time_point deadline, const is_current&);
     result<rank_report> arm(group_epoch, const armed_switch&, time_point deadline, const is_current&);
     result<rank_report> disarm(group_epoch, engine_map_version, time_point deadline, const is_current&);
-    result<rank_report> hold(group_epoch, pass_number step, time_point deadline, const is_current&);
     result<rank_report> release(group_epoch, pass_number step, time_point deadline, const is_current&);
 
     // The engine was started anew, so that nothing that it was ordered before can still be carried out.
