A refusal after a server's own points beyond the outage too

Cause: what a server refused was answered with a Retry-After of a third of the caller's time at most, or, where no other server was left to ask, with the time in which new ones register, also when the refusal had just told of an outage.

Change: the forecast is asked without leaving out the servers that this request was sent to, and is not cut.

Test: Exchange.ARefusalThatNamesAnotherRankIsAnswered503WithAReturnBeyondTheOutage failed before (1 s).

--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -454,11 +454,12 @@
     m_context.metrics.count("refused_total", { { "reason", "servers_refused" } });
     // What the picker would say of another try now is the best guess at when one makes sense.
     const auto now = clock_type::now();
-    const auto again = m_context.picker.pick(pickRequest(), now);
+    auto next = pickRequest();
+    next.excluded.clear(); // Another try may be sent anywhere.
+    const auto again = m_context.picker.pick(next, now);
     const auto wait = again ? duration(unreadyRetryAfter) : again.error().retryAfter;
     answer(statusUnavailable,
-        { error_kind::Unavailable, "not run: no server took it", "Come back after the time in Retry-After" },
-        std::min<duration>(wait, (m_deadline - now) / 3));
+        { error_kind::Unavailable, "not run: no server took it", "Come back after the time in Retry-After" }, wait);
 }
 
 void exchange::answer(int status, const error& why, std::optional<duration> retryAfter)
--- a/coltsfootbend/gateway/exchange_test.cpp
+++ b/coltsfootbend/gateway/exchange_test.cpp
@@ -480,5 +480,23 @@
     });
 }
 
+// One refusal that names another rank tells of the outage, and the caller is told to come back beyond it.
+TEST(Exchange, ARefusalThatNamesAnotherRankIsAnswered503WithAReturnBeyondTheOutage)
+{
+    onRuntime([](trial& trial) {
+        scripted_server server(trial.runtime, [](byte_stream& stream, const std::string& head, int) {
+            (void)stream.writeAll(answerTo(head, 503, "stalled", "X-Not-Executed: 1\r\nAt-Server: 10.9.9.9:80\r\n"));
+        });
+        trial.use(makeRoute(route_kind::Stream, 1, true), { &server });
+        trial.context->picker.report(
+            server.address(), { .running = 1, .group = "g", .epoch = 1, .step = 5, .ranks = 2 }, clock_type::now());
+        const auto& got = trial.run();
+        EXPECT_EQ(got.status, 503);
+        EXPECT_GT(std::stod(findHeader(got.headers, "Retry-After").value_or("0")), 5);
+        EXPECT_FALSE(trial.context->picker.isOpen(service, clock_type::now()));
+        server.close();
+    });
+}
+
 } // namespace
 } // namespace coltsfootbend
