--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -346,7 +346,7 @@
     auto refused = refuse(isStanding ? pick_refusal::GroupStanding : pick_refusal::GroupDown, first->openBy - now,
         startLatencyAt(*firstServer, m_deployments[request.deployment]), request, now);
     refused.expectedOpenAt = first->openAt;
-    // Beyond the outage, also where that is later than callers heed: one that is back too early is lost (130 of 270 in
+    // Beyond the outage, also where that is later than callers heed: one that is back too early is lost (about 160 in
     // one outage of 5.7 s), and one that comes later than need be is served just as late.
     refused.retryAfter = std::max<duration>(first->openBy - now, leastRetryAfter);
     return refused;
