Calls to the store tell how they ended and what they had waited; dropped pages have a line

The logs of the incident could not tell a call that was never answered from changes that came and were dropped: neither leaves a line. Now each failed call is logged with what it had waited (E208), each dropped page too (E209), calls are counted by table and outcome, and two gauges tell how long ago the store last answered about each table. No logic is changed.

--- a/coltsfootbend/base/log_event.h
+++ b/coltsfootbend/base/log_event.h
@@ -24,6 +24,8 @@
     DeploymentRead = 205,
     DeploymentRowGone = 206,
     DeploymentRowUnreadable = 207,
+    StoreCallFailed = 208,
+    DeploymentPageDropped = 209,
     WorkerJoined = 300,
     WorkerSuspected = 301,
     WorkerLeaving = 302,
--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -55,6 +55,11 @@
     if (!peers)
         return tl::unexpected(peers.error());
     m_peerService = *peers;
+    auto metrics = kernel.require<metrics_service>("metrics");
+    if (!metrics)
+        return tl::unexpected(metrics.error());
+    m_metrics = *metrics;
+    exposeMetrics();
     m_peerService->on<wire::deployment_request>(
         [this](peer_stream& stream, const wire::message&, const wire::deployment_request& asked) {
             (void)stream.send(replyTo(asked), true);
@@ -84,13 +89,19 @@
             continue;
         }
         const auto after = table(name).revision;
-        const auto page = m_store->changes(name, after, clock_type::now() + m_options.pollLength);
+        const auto sentAt = clock_type::now();
+        const auto page = m_store->changes(name, after, sentAt + m_options.pollLength);
+        noteCall(name, "changes", sentAt, page);
         if (page) {
             storeAnswered();
             pause = m_options.retryPause;
             // A peer may have told a newer state meanwhile, on which these changes do not build.
             if (table(name).revision == after)
                 takeChanges(name, *page);
+            else
+                logEvent(log_event::DeploymentPageDropped,
+                    "table=" + std::string(toString(name)) + " asked_after=" + std::to_string(after) + " known="
+                        + std::to_string(table(name).revision) + " page=" + std::to_string(page->revision));
             m_runtime.sleepFor(
                 name == watched_table::Configuration ? m_options.configurationSettle : m_options.serversSettle);
             continue;
@@ -104,6 +115,33 @@
     }
 }
 
+template <typename T>
+void deployment_watch::noteCall(watched_table name, const char* call, time_point sentAt, const result<T>& done)
+{
+    m_metrics->count("store_calls_total",
+        { { "table", toString(name) }, { "call", call }, { "outcome", done ? "ok" : toString(done.error().kind) } });
+    const auto now = clock_type::now();
+    if (done) {
+        table(name).answeredAt = now;
+        return;
+    }
+    logEvent(log_event::StoreCallFailed,
+        "table=" + std::string(toString(name)) + " call=" + call
+            + " waited_ms=" + std::to_string(remaining(sentAt, now).count()) + " why="" + toString(done.error()) + """);
+}
+
+// A table about which the store has said nothing for long is no proof of anything: the age shows a call that is out and
+// may never be answered, for which there is no line in the log yet.
+void deployment_watch::exposeMetrics()
+{
+    for (const auto name : { watched_table::Configuration, watched_table::BackendServers }) {
+        m_metrics->gauge(std::string(toString(name)) + "_store_silent_seconds", [this, name] {
+            const auto& answeredAt = table(name).answeredAt;
+            return answeredAt ? toMilliseconds(clock_type::now() - *answeredAt) / 1000 : -1.0;
+        });
+    }
+}
+
 // All processes lose the store at once: their tries are spread, so that its return is not met by all of them together.
 void deployment_watch::pauseAfterFailure(duration& pause)
 {
@@ -114,7 +152,9 @@
 
 result<void> deployment_watch::refresh(watched_table name)
 {
-    auto page = m_store->readAll(name, clock_type::now() + m_options.readLimit);
+    const auto sentAt = clock_type::now();
+    auto page = m_store->readAll(name, sentAt + m_options.readLimit);
+    noteCall(name, "read", sentAt, page);
     if (!page)
         return tl::unexpected(page.error());
     if (page->revision < table(name).revision)
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -11,6 +11,7 @@
 #include "coltsfootbend/gateway/backend_directory.h"
 #include "coltsfootbend/gateway/catalogue.h"
 #include "coltsfootbend/kernel/kernel.h"
+#include "coltsfootbend/metrics/metrics.h"
 #include "coltsfootbend/store/watched_store.h"
 #include "coltsfootbend/wire/peer.h"
 
@@ -108,6 +109,8 @@
     struct table_copy {
         store_revision revision = 0;
         std::map<std::string, watched_row> rows;
+        // When the store last answered a call about this table.
+        std::optional<time_point> answeredAt;
     };
 
     static std::size_t indexOf(watched_table table) { return static_cast<std::size_t>(table); }
@@ -115,6 +118,9 @@
     const table_copy& table(watched_table name) const { return m_tables[indexOf(name)]; }
 
     void follow(watched_table);
+    // Notes how a call to the store ended: its count, and what a failed one had waited.
+    template <typename T> void noteCall(watched_table, const char* call, time_point sentAt, const result<T>&);
+    void exposeMetrics();
     void pauseAfterFailure(duration& pause);
     result<void> refresh(watched_table);
     // Takes a whole table, or changes to it. Older ones than what is known are dropped.
@@ -138,6 +144,7 @@
     const std::unique_ptr<deployment_decoder> m_decoder;
     const options m_options;
     peer_service* m_peerService = nullptr;
+    metrics_service* m_metrics = nullptr;
     std::array<table_copy, 2> m_tables;
     catalogue_ptr m_catalogue;
     backend_directory m_directory;
--- a/coltsfootbend/gateway/deployment_watch_test.cpp
+++ b/coltsfootbend/gateway/deployment_watch_test.cpp
@@ -65,6 +65,7 @@
 struct model_process {
     model_process(fiber_runtime& runtime, const endpoint& address, deployment_watch::options options)
     {
+        core.add(std::make_unique<metrics_service>());
         core.add(std::make_unique<peer_service>(runtime,
             peer_identity { .vm = vm_id(toString(address)), .life = incarnation(1) },
             peer_service::options { .address = address, .serverTls = {}, .clientTls = {} }));
