--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -100,8 +100,8 @@
                 takeChanges(name, *page);
             else
                 logEvent(log_event::DeploymentPageDropped,
-                    "table=" + std::string(toString(name)) + " asked_after=" + std::to_string(after) + " known="
-                        + std::to_string(table(name).revision) + " page=" + std::to_string(page->revision));
+                    "table=" + std::string(toString(name)) + " asked_after=" + std::to_string(after)
+                        + " known=" + std::to_string(table(name).revision) + " page=" + std::to_string(page->revision));
             m_runtime.sleepFor(
                 name == watched_table::Configuration ? m_options.configurationSettle : m_options.serversSettle);
             continue;
@@ -126,8 +126,8 @@
         return;
     }
     logEvent(log_event::StoreCallFailed,
-        "table=" + std::string(toString(name)) + " call=" + call
-            + " waited_ms=" + std::to_string(remaining(sentAt, now).count()) + " why="" + toString(done.error()) + """);
+        "table=" + std::string(toString(name)) + " call=" + call + " waited_ms="
+            + std::to_string(remaining(sentAt, now).count()) + " why=\"" + toString(done.error()) + "\"");
 }
 
 // A table about which the store has said nothing for long is no proof of anything: the age shows a call that is out and
