The failing test of one table vouching for the other now takes that path

It passed on the code as it is: the model store had no change that concerns the list of servers alone, so the loss of the store was never taken back.

--- a/coltsfootbend/gateway/deployment_watch_test.cpp
+++ b/coltsfootbend/gateway/deployment_watch_test.cpp
@@ -1,5 +1,6 @@
 #include "coltsfootbend/gateway/deployment_watch.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <set>
 #include <thread>
@@ -13,13 +14,19 @@
 
 // A store with one configuration whose version can be raised; it may refuse a VM.
 struct model_store {
-    std::uint64_t version = 1;
+    std::uint64_t version = 1; // Of both tables.
+    std::uint64_t serversVersion = 0; // Of the list of servers, where that is higher.
     bool isRefusing = false;
     bool isSilent = false; // Polls get no answer and no error.
     // Takes calls about these tables and never answers those taken meanwhile; polls from before stay good.
     std::set<watched_table> swallowed;
     int forgottenPolls = 0; // Raised to forget the polls that are out: they get no answer any more.
     int calls = 0;
+
+    std::uint64_t versionOf(watched_table table) const
+    {
+        return table == watched_table::Configuration ? version : std::max(version, serversVersion);
+    }
 };
 
 class model_client final : public watched_store {
@@ -44,12 +51,13 @@
         if (m_store.swallowed.contains(table))
             return waitInVain(waitUntil + answerSlack);
         const int forgotten = m_store.forgottenPolls;
-        while (!m_store.isRefusing && (m_store.isSilent || m_store.version == after) && clock_type::now() < waitUntil) {
+        while (!m_store.isRefusing && (m_store.isSilent || m_store.versionOf(table) == after)
+            && clock_type::now() < waitUntil) {
             if (forgotten != m_store.forgottenPolls)
                 return waitInVain(waitUntil + answerSlack);
             m_runtime.sleepFor(2ms);
         }
-        return m_store.version == after && !m_store.isRefusing ? row_page { {}, after } : page(table);
+        return m_store.versionOf(table) == after && !m_store.isRefusing ? row_page { {}, after } : page(table);
     }
 
 private:
@@ -59,7 +67,7 @@
     {
         if (m_store.isRefusing)
             return fail(error_kind::Unavailable, "refused");
-        row_page page { {}, m_store.version };
+        row_page page { {}, m_store.versionOf(table) };
         if (table == watched_table::Configuration)
             page.rows.push_back({ "config", std::to_string(m_store.version), m_store.version, false });
         return page;
@@ -327,7 +335,9 @@
         runtime.sleepFor(200ms);
         gateway.store.swallowed = { watched_table::Configuration };
         gateway.store.isRefusing = false;
-        runtime.sleepFor(1500ms);
+        runtime.sleepFor(1000ms);
+        gateway.store.serversVersion = 5;
+        runtime.sleepFor(500ms);
         informed.store.version = 2;
         EXPECT_EQ(versionWithin(runtime, gateway, 2, 2s), 2U);
     });
