No silence of the store is believed for more than a second; each table is judged by its own calls

Cause: a long poll that tells nothing was taken for "nothing changed" for up to 21.5 s. A change makes all gateways ask anew at the same moment; a store that takes calls and answers none then deafens all of them at once, so that no peer knows more. And any answered call, also one about the other table, ended the state in which peers and the store are asked again. Class: an answer that is awaited is taken as proof of what only an answer proves; its time limit was sized for the usual case.

Ruled out: versions that came and were refused or dropped (no E207, E209 with the lines added for it); pauses between tries (one call in 21.5 s).

Change: table_follower follows one table and has its own loss and return; it asks the store in between, by calls that are answered at once, unless another gateway has and says so. Agents pass the youngest such confirmation on and name the gateway whose duty it is. A poll that is found deaf is cancelled (http_client takes a cancellation), and asked again after a short call was answered. The revision of a table no longer counts changes of other tables, by which whoever had asked last seemed to know more.

WhoHasAskedLast…, GatewaysAskTheStoreInTurnForAll, LoadSubscribers.*, Http.* new.

--- a/coltsfootbend/base/log_event.cpp
+++ b/coltsfootbend/base/log_event.cpp
@@ -66,6 +66,7 @@
         return google::GLOG_ERROR;
     case log_event::StoreLost:
     case log_event::StoreCallFailed:
+    case log_event::StorePollDeaf:
     case log_event::WorkerSuspected:
     case log_event::LedgerIncomplete:
     case log_event::RequestUnknown:
--- a/coltsfootbend/base/log_event.h
+++ b/coltsfootbend/base/log_event.h
@@ -26,6 +26,7 @@
     DeploymentRowUnreadable = 207,
     StoreCallFailed = 208,
     DeploymentPageDropped = 209,
+    StorePollDeaf = 210,
     WorkerJoined = 300,
     WorkerSuspected = 301,
     WorkerLeaving = 302,
--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -17,7 +17,8 @@
 // Peers asked at once: one may be cut off or as ignorant as this process.
 constexpr std::size_t peersAsked = 3;
 constexpr std::chrono::milliseconds peerAnswerLimit { 800 };
-constexpr std::chrono::milliseconds followLookEvery { 100 };
+// Older news that the store was heard say nothing any more.
+constexpr std::uint64_t longestToldAgeMs = 60'000;
 
 std::vector<wire::stored_row> toWire(const std::map<std::string, watched_row>& rows)
 {
@@ -58,113 +59,33 @@
     auto metrics = kernel.require<metrics_service>("metrics");
     if (!metrics)
         return tl::unexpected(metrics.error());
-    m_metrics = *metrics;
-    exposeMetrics();
     m_peerService->on<wire::deployment_request>(
         [this](peer_stream& stream, const wire::message&, const wire::deployment_request& asked) {
             (void)stream.send(replyTo(asked), true);
         });
-    m_runtime.spawn([this] { follow(watched_table::Configuration); });
-    m_runtime.spawn([this] { follow(watched_table::BackendServers); });
+    table_follower::owner& owner = *this;
+    for (const auto name : { watched_table::Configuration, watched_table::BackendServers }) {
+        m_followers[indexOf(name)]
+            = std::make_unique<table_follower>(m_runtime, *m_store, **metrics, name, owner, m_options.store);
+        follower(name).start();
+    }
     m_runtime.spawn([this] { expireLoop(); });
     m_runtime.spawn([this] { askPeersLoop(); });
     return {};
 }
 
-void deployment_watch::follow(watched_table name)
-{
-    bool isCurrent = false;
-    duration pause = m_options.retryPause;
-    while (!m_stopped) {
-        if (!isCurrent) {
-            if (auto done = refresh(name); !done) {
-                storeFailed(name, done.error());
-                pauseAfterFailure(pause);
-                continue;
-            }
-            isCurrent = true;
-        }
-        if (isFollowedByPeers()) {
-            m_runtime.sleepFor(followLookEvery);
-            continue;
-        }
-        const auto after = table(name).revision;
-        const auto sentAt = clock_type::now();
-        const auto page = m_store->changes(name, after, sentAt + m_options.pollLength);
-        noteCall(name, "changes", sentAt, page);
-        if (page) {
-            storeAnswered();
-            pause = m_options.retryPause;
-            // A peer may have told a newer state meanwhile, on which these changes do not build.
-            if (table(name).revision == after)
-                takeChanges(name, *page);
-            else
-                logEvent(log_event::DeploymentPageDropped,
-                    "table=" + std::string(toString(name)) + " asked_after=" + std::to_string(after)
-                        + " known=" + std::to_string(table(name).revision) + " page=" + std::to_string(page->revision));
-            m_runtime.sleepFor(
-                name == watched_table::Configuration ? m_options.configurationSettle : m_options.serversSettle);
-            continue;
-        }
-        isCurrent = page.error().kind != error_kind::Stale;
-        // A poll that was cut may have missed nothing; it goes on from the same revision.
-        if (isCurrent) {
-            storeFailed(name, page.error());
-            pauseAfterFailure(pause);
-        }
-    }
-}
-
-template <typename T>
-void deployment_watch::noteCall(watched_table name, const char* call, time_point sentAt, const result<T>& done)
+void deployment_watch::stop()
 {
-    m_metrics->count("store_calls_total",
-        { { "table", toString(name) }, { "call", call }, { "outcome", done ? "ok" : toString(done.error().kind) } });
-    const auto now = clock_type::now();
-    if (done) {
-        table(name).answeredAt = now;
-        return;
+    m_stopped = true;
+    for (const auto& follower : m_followers) {
+        if (follower)
+            follower->stop();
     }
-    logEvent(log_event::StoreCallFailed,
-        "table=" + std::string(toString(name)) + " call=" + call + " waited_ms="
-            + std::to_string(remaining(sentAt, now).count()) + " why=\"" + toString(done.error()) + "\"");
 }
 
-// A table about which the store has said nothing for long is no proof of anything: the age shows a call that is out and
-// may never be answered, for which there is no line in the log yet.
-void deployment_watch::exposeMetrics()
-{
-    for (const auto name : { watched_table::Configuration, watched_table::BackendServers }) {
-        m_metrics->gauge(std::string(toString(name)) + "_store_silent_seconds", [this, name] {
-            const auto& answeredAt = table(name).answeredAt;
-            return answeredAt ? toMilliseconds(clock_type::now() - *answeredAt) / 1000 : -1.0;
-        });
-    }
-}
+void deployment_watch::takeWhole(watched_table name, row_page page) { replaceTable(name, std::move(page), "store"); }
 
-// All processes lose the store at once: their tries are spread, so that its return is not met by all of them together.
-void deployment_watch::pauseAfterFailure(duration& pause)
-{
-    const double spread = std::uniform_real_distribution<double>(0.75, 1.25)(m_random);
-    m_runtime.sleepFor(fromMilliseconds(spread * toMilliseconds(pause)));
-    pause = std::min(2 * pause, m_options.longestRetryPause);
-}
-
-result<void> deployment_watch::refresh(watched_table name)
-{
-    const auto sentAt = clock_type::now();
-    auto page = m_store->readAll(name, sentAt + m_options.readLimit);
-    noteCall(name, "read", sentAt, page);
-    if (!page)
-        return tl::unexpected(page.error());
-    if (page->revision < table(name).revision)
-        return fail(error_kind::Stale, "the store answered with an older state than it gave before", "Ask again");
-    storeAnswered();
-    takeWhole(name, std::move(*page), "store");
-    return {};
-}
-
-void deployment_watch::takeWhole(watched_table name, row_page page, const char* source)
+void deployment_watch::replaceTable(watched_table name, row_page page, const char* source)
 {
     auto& copy = table(name);
     if (page.revision < copy.revision)
@@ -173,6 +94,7 @@
         "table=" + std::string(toString(name)) + " source=" + source + " rows=" + std::to_string(page.rows.size())
             + " revision=" + std::to_string(page.revision));
     copy.revision = page.revision;
+    copy.position = std::max(copy.position, page.revision);
     std::map<std::string, watched_row> rows;
     std::vector<backend_id> present;
     for (auto& row : page.rows) {
@@ -191,10 +113,11 @@
 void deployment_watch::takeChanges(watched_table name, const row_page& page)
 {
     auto& copy = table(name);
-    copy.revision = std::max(copy.revision, page.revision);
+    copy.position = std::max(copy.position, page.revision);
     if (page.rows.empty())
         return;
     for (const auto& row : page.rows) {
+        copy.revision = std::max(copy.revision, row.revision);
         if (row.isDeleted) {
             copy.rows.erase(row.key);
             if (name == watched_table::BackendServers)
@@ -260,24 +183,33 @@
     }
 }
 
-void deployment_watch::storeFailed(watched_table name, const error& why)
+void deployment_watch::storeLost(watched_table name, time_point since)
 {
-    const auto now = clock_type::now();
-    m_directory.storeFailed(now);
-    if (m_storeFailingSince)
-        return;
-    m_storeFailingSince = now;
-    logEvent(log_event::StoreLost, "table=" + std::string(toString(name)) + " why=\"" + toString(why) + "\"");
+    if (name == watched_table::BackendServers)
+        m_directory.storeFailed(since);
 }
 
-void deployment_watch::storeAnswered()
+void deployment_watch::storeRegained(watched_table name)
 {
-    const auto now = clock_type::now();
-    m_directory.storeAnswered(now);
-    if (!m_storeFailingSince)
-        return;
-    logEvent(log_event::StoreRegained, "after_ms=" + std::to_string(remaining(*m_storeFailingSince, now).count()));
-    m_storeFailingSince.reset();
+    if (name == watched_table::BackendServers)
+        m_directory.storeAnswered(clock_type::now());
+}
+
+void deployment_watch::storeChecked(watched_table)
+{
+    for (const auto& checked : m_onStoreChecked)
+        checked();
+}
+
+std::optional<time_point> deployment_watch::lostSince() const
+{
+    std::optional<time_point> earliest;
+    for (const auto& follower : m_followers) {
+        const auto since = follower ? follower->lostSince() : std::nullopt;
+        if (since)
+            earliest = std::min(*since, earliest.value_or(*since));
+    }
+    return earliest;
 }
 
 void deployment_watch::expireLoop()
@@ -289,7 +221,7 @@
     }
 }
 
-bool deployment_watch::isFollowedByPeers() const
+bool deployment_watch::isFollowedByOthers() const
 {
     return m_options.followsPeers && m_followerHeardAt
         && clock_type::now() < *m_followerHeardAt + m_options.peerSilence;
@@ -297,22 +229,43 @@
 
 wire::deployment_knowledge deployment_watch::knowledge() const
 {
-    return { .configurationRevision = table(watched_table::Configuration).revision,
-        .serversRevision = table(watched_table::BackendServers).revision,
+    return { .configuration = confirmation(watched_table::Configuration),
+        .servers = confirmation(watched_table::BackendServers),
         .isServed = knowsServers() && storeAnswers() && !m_options.followsPeers,
         .dataCentre = m_options.home.text() };
 }
 
+wire::store_confirmation deployment_watch::confirmation(watched_table name) const
+{
+    wire::store_confirmation told { .revision = table(name).revision };
+    if (const auto confirmedAt = follower(name).confirmedAt())
+        told.ageMs = static_cast<std::uint64_t>(remaining(*confirmedAt, clock_type::now()).count());
+    return told;
+}
+
+void deployment_watch::hearConfirmations(
+    const wire::store_confirmation& configuration, const wire::store_confirmation& servers, check_duty duty)
+{
+    const auto now = clock_type::now();
+    const auto hear = [&](watched_table name, const wire::store_confirmation& told) {
+        follower(name).setDuty(duty);
+        if (told.ageMs <= longestToldAgeMs)
+            follower(name).hearConfirmation(told.revision, now - std::chrono::milliseconds(told.ageMs));
+    };
+    hear(watched_table::Configuration, configuration);
+    hear(watched_table::BackendServers, servers);
+}
+
 void deployment_watch::hearGateway(const endpoint& peer, const wire::deployment_knowledge& knowledge)
 {
     meetPeer(peer);
     const auto now = clock_type::now();
     if (knowledge.isServed)
         m_followerHeardAt = now;
-    if (!isFollowedByPeers())
+    if (!isFollowedByOthers())
         return;
-    const bool hasServers = knowledge.serversRevision > table(watched_table::BackendServers).revision;
-    const bool hasConfiguration = knowledge.configurationRevision > table(watched_table::Configuration).revision
+    const bool hasServers = knowledge.servers.revision > table(watched_table::BackendServers).revision;
+    const bool hasConfiguration = knowledge.configuration.revision > table(watched_table::Configuration).revision
         && (!m_configurationReadAt || now > *m_configurationReadAt + m_options.configurationFromPeersEvery);
     if (!hasServers && !hasConfiguration) {
         // Others may still be ahead; whoever is says so again within a second.
@@ -335,7 +288,7 @@
     const auto now = clock_type::now();
     if (!m_newsHeardAt)
         m_newsHeardAt = now;
-    if (m_storeFailingSince || now > *m_newsHeardAt + m_options.silentPollAfter)
+    if (lostSince() || now > *m_newsHeardAt + m_options.silentPollAfter)
         readPeer(peer, true);
 }
 
@@ -356,8 +309,8 @@
     while (!m_stopped) {
         m_runtime.sleepFor(m_options.askPeersEvery);
         // Whoever leaves the store to gateways hears from them, even if its own last call failed.
-        if (!m_storeFailingSince || isFollowedByPeers()
-            || clock_type::now() < *m_storeFailingSince + m_options.askPeersAfter)
+        const auto failingSince = lostSince();
+        if (!failingSince || isFollowedByOthers() || clock_type::now() < *failingSince + m_options.askPeersAfter)
             continue;
         std::vector<endpoint> asked;
         std::sample(m_peers.begin(), m_peers.end(), std::back_inserter(asked), peersAsked, m_random);
@@ -380,10 +333,17 @@
     const auto* told = std::get_if<wire::deployment_reply>(&reply->content);
     if (!told)
         return;
-    if (told->configurationRevision > table(watched_table::Configuration).revision)
-        takeWhole(watched_table::Configuration, fromWire(told->configurationRevision, told->configuration), "peer");
-    if (told->serversRevision > table(watched_table::BackendServers).revision)
-        takeWhole(watched_table::BackendServers, fromWire(told->serversRevision, told->servers), "peer");
+    takeFromPeer(watched_table::Configuration, told->configurationRevision, told->configuration);
+    takeFromPeer(watched_table::BackendServers, told->serversRevision, told->servers);
+}
+
+void deployment_watch::takeFromPeer(
+    watched_table name, store_revision revision, const std::vector<wire::stored_row>& rows)
+{
+    if (revision <= table(name).revision)
+        return;
+    follower(name).distrustPoll();
+    replaceTable(name, fromWire(revision, rows), "peer");
 }
 
 wire::deployment_reply deployment_watch::replyTo(const wire::deployment_request& asked) const
--- a/coltsfootbend/gateway/deployment_watch_test.cpp
+++ b/coltsfootbend/gateway/deployment_watch_test.cpp
@@ -1,5 +1,7 @@
 #include "coltsfootbend/gateway/deployment_watch.h"
 
+#include "coltsfootbend/group/load_subscribers.h"
+
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <set>
@@ -16,6 +18,7 @@
 struct model_store {
     std::uint64_t version = 1; // Of both tables.
     std::uint64_t serversVersion = 0; // Of the list of servers, where that is higher.
+    std::uint64_t position = 0; // Of the last change of other tables, where that is higher.
     bool isRefusing = false;
     bool isSilent = false; // Polls get no answer and no error.
     // Takes calls about these tables and never answers those taken meanwhile; polls from before stay good.
@@ -45,38 +48,39 @@
         return page(table);
     }
 
-    result<row_page> changes(watched_table table, store_revision after, time_point waitUntil) override
+    result<row_page> changes(watched_table table, store_revision after, time_point waitUntil, time_point deadline,
+        cancellation* poll) override
     {
         ++m_store.calls;
         if (m_store.swallowed.contains(table))
-            return waitInVain(waitUntil + answerSlack);
+            return waitInVain(deadline, poll);
         const int forgotten = m_store.forgottenPolls;
-        while (!m_store.isRefusing && (m_store.isSilent || m_store.versionOf(table) == after)
+        while (!m_store.isRefusing && (m_store.isSilent || m_store.versionOf(table) <= after)
             && clock_type::now() < waitUntil) {
             if (forgotten != m_store.forgottenPolls)
-                return waitInVain(waitUntil + answerSlack);
+                return waitInVain(deadline, poll);
+            if (poll && poll->isCancelled())
+                return fail(error_kind::Lost, "cancelled");
             m_runtime.sleepFor(2ms);
         }
-        return m_store.versionOf(table) == after && !m_store.isRefusing ? row_page { {}, after } : page(table);
+        return m_store.versionOf(table) <= after && !m_store.isRefusing
+            ? row_page { {}, std::max(after, m_store.position) }
+            : page(table);
     }
 
 private:
-    static constexpr std::chrono::milliseconds answerSlack { 1500 };
-
     result<row_page> page(watched_table table) const
     {
         if (m_store.isRefusing)
             return fail(error_kind::Unavailable, "refused");
-        row_page page { {}, m_store.versionOf(table) };
-        if (table == watched_table::Configuration)
-            page.rows.push_back({ "config", std::to_string(m_store.version), m_store.version, false });
-        return page;
+        const auto version = m_store.versionOf(table);
+        return row_page { { { toString(table), std::to_string(version), version, false } }, version };
     }
 
     // Until the caller gives up, or the test ends.
-    result<row_page> waitInVain(time_point deadline)
+    result<row_page> waitInVain(time_point deadline, const cancellation* poll = nullptr)
     {
-        while (!m_store.isRefusing && clock_type::now() < deadline)
+        while (!m_store.isRefusing && clock_type::now() < deadline && !(poll && poll->isCancelled()))
             m_runtime.sleepFor(2ms);
         return fail(error_kind::Lost, "never answered");
     }
@@ -229,7 +233,7 @@
         for (std::uint64_t version = 3; version <= 5; ++version) {
             gateway.store.version = version;
             tellAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 500ms);
-            EXPECT_EQ(agent.watch->knowledge().serversRevision, version);
+            EXPECT_EQ(agent.watch->knowledge().servers.revision, version);
         }
         EXPECT_LT(agent.version(), 5U);
     });
@@ -277,7 +281,7 @@
         auto& gateway = start(runtime, processes, gatewayAddress, {});
         auto options = deployment_watch::options::forAgents();
         options.peerSilence = 300ms;
-        options.serversSettle = options.configurationSettle = 100ms;
+        options.store.settle = 100ms;
         auto& agent = start(runtime, processes, { "127.0.0.1", 27346 }, options);
         runtime.sleepFor(200ms);
         gateway.store.isRefusing = true;
@@ -356,6 +360,67 @@
     });
 }
 
+// The store's answers count the changes of all tables. A gateway that had asked last seemed to know more than all
+// others, who then read from it what they had.
+TEST(DeploymentWatch, WhoHasAskedLastDoesNotSeemToKnowMore)
+{
+    onRuntime([](fiber_runtime& runtime, model_processes& processes) {
+        auto& gateway = start(runtime, processes, { "127.0.0.1", 27357 }, {});
+        runtime.sleepFor(100ms);
+        gateway.store.position = 40;
+        runtime.sleepFor(1800ms);
+        EXPECT_EQ(gateway.watch->knowledge().configuration.revision, 1U);
+        EXPECT_LT(gateway.watch->knowledge().configuration.ageMs, 1600U);
+        // Changes that come after those of other tables are told all the same.
+        gateway.store.version = 41;
+        EXPECT_EQ(versionWithin(runtime, gateway, 41, 500ms), 41U);
+    });
+}
+
+// What gateways tell each other through an agent, ten times a second, until `until`.
+void talkThroughAgent(
+    fiber_runtime& runtime, const model_processes& gateways, const std::vector<endpoint>& addresses, time_point until)
+{
+    load_subscribers agent(1);
+    while (clock_type::now() < until) {
+        const auto now = clock_type::now();
+        for (std::size_t i = 0; i < gateways.size(); ++i)
+            agent.hear(addresses[i], gateways[i]->watch->knowledge(), now + 3s, now);
+        for (std::size_t i = 0; i < gateways.size(); ++i) {
+            const auto* checker = agent.checker();
+            const auto duty = checker && *checker == addresses[i] ? check_duty::Own : check_duty::Other;
+            gateways[i]->watch->hearConfirmations(agent.configuration(now), agent.servers(now), duty);
+        }
+        runtime.sleepFor(100ms);
+    }
+}
+
+// A check costs two calls. Each gateway for itself would make six in five seconds; it is one a second for all together.
+TEST(DeploymentWatch, GatewaysAskTheStoreInTurnForAll)
+{
+    onRuntime([](fiber_runtime& runtime, model_processes& processes) {
+        constexpr std::uint16_t firstPort = 27360;
+        constexpr int gateways = 6;
+        std::vector<endpoint> addresses;
+        for (int i = 0; i < gateways; ++i) {
+            addresses.push_back({ "127.0.0.1", static_cast<std::uint16_t>(firstPort + i) });
+            start(runtime, processes, addresses.back(), {});
+        }
+        talkThroughAgent(runtime, processes, addresses, clock_type::now() + 2s);
+        const auto calls = [&] {
+            int sum = 0;
+            for (const auto& process : processes)
+                sum += process->store.calls;
+            return sum;
+        };
+        const int before = calls();
+        talkThroughAgent(runtime, processes, addresses, clock_type::now() + 5s);
+        EXPECT_LE(calls() - before, 2 * 6);
+        for (const auto& process : processes)
+            EXPECT_LT(process->watch->knowledge().configuration.ageMs, 1600U);
+    });
+}
+
 TEST(DeploymentWatch, WhatIsKnownNeverGoesBack)
 {
     onRuntime([](fiber_runtime& runtime, model_processes& processes) {
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -28,6 +28,8 @@
 constexpr std::chrono::milliseconds leaveMargin { 300 };
 // Until agents say how many gateways there are: careful, for the retry budget is shared by all.
 constexpr std::uint32_t assumedGateways = 48;
+// Agents name who asks the store ten times a second; some may not be heard for a while.
+constexpr std::chrono::milliseconds checkerKnownFor { 1000 };
 // What of the shared budget is used: requests are counted differently by those who set it, and gateways come and go.
 constexpr double usedShareOfBudget = 0.7;
 
@@ -69,6 +71,7 @@
         m_hasNews = true;
         applyServers();
     });
+    m_watch->onStoreChecked([this] { m_hasNews = true; });
     m_metrics->gauge("requests_running", [this] { return static_cast<double>(m_running); });
     m_metrics->gauge("configuration_version",
         [this] { return m_context->catalogue ? static_cast<double>(m_context->catalogue->version().number()) : 0.0; });
@@ -207,6 +210,7 @@
             continue;
         }
         m_watch->meetPeer(got->sender);
+        hearOfStore(*news);
         if (const auto informed = parseEndpoint(news->newsAt))
             m_watch->hearOfNews(*informed);
         const auto engine = parseEndpoint(news->engine);
@@ -231,6 +235,22 @@
     }
 }
 
+void gateway_service::hearOfStore(const wire::load_news& news)
+{
+    const auto now = clock_type::now();
+    if (!news.checker.empty()) {
+        m_checkerNamedUntil = now + checkerKnownFor;
+        if (news.checker == toString(m_settings.peers))
+            m_isCheckerUntil = now + checkerKnownFor;
+    }
+    auto duty = check_duty::Unknown;
+    if (now < m_isCheckerUntil)
+        duty = check_duty::Own;
+    else if (now < m_checkerNamedUntil)
+        duty = check_duty::Other;
+    m_watch->hearConfirmations(news.configuration, news.servers, duty);
+}
+
 void gateway_service::groupLoop()
 {
     while (!m_stopped) {
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -38,6 +38,8 @@
     void serveHealth(const http_request&, http_responder&) const;
     void subscribeLoop();
     void receiveLoop();
+    // When other gateways have heard of the store, and who asks it for all.
+    void hearOfStore(const wire::load_news&);
     void maintainLoop();
     // Looks at what changes with time alone: groups that stand, servers that are silent.
     void groupLoop();
@@ -59,6 +61,9 @@
     bool m_leaving = false;
     // The deployment has changed since the agents were last told of it.
     bool m_hasNews = false;
+    // Agents have named this gateway, or any, as the one that asks the store for all.
+    time_point m_isCheckerUntil {};
+    time_point m_checkerNamedUntil {};
     bool m_stopped = false;
     std::map<std::string, group_condition> m_loggedGroups; // By deployment and group.
     mutable bool m_saidReady = false;
--- /dev/null
+++ b/coltsfootbend/group/load_subscribers_test.cpp
@@ -0,0 +1,64 @@
+#include "coltsfootbend/group/load_subscribers.h"
+
+#include <gtest/gtest.h>
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr time_point start { std::chrono::hours(1) };
+const endpoint first { "10.0.0.1", 7000 };
+const endpoint second { "10.0.0.2", 7000 };
+const endpoint third { "10.0.0.3", 7000 };
+
+wire::deployment_knowledge knowing(std::uint64_t revision, std::uint64_t ageMs, bool isServed = true)
+{
+    return { .configuration = { revision, ageMs }, .servers = { 7, ageMs }, .isServed = isServed, .dataCentre = "a" };
+}
+
+TEST(LoadSubscribers, TheYoungestConfirmationGrowsOlderWithTime)
+{
+    load_subscribers subscribers(1);
+    EXPECT_EQ(subscribers.configuration(start).ageMs, wire::store_confirmation::never);
+    subscribers.hear(first, knowing(5, 300), start + 3s, start);
+    subscribers.hear(second, knowing(6, 100), start + 3s, start);
+    subscribers.hear(third, knowing(9, wire::store_confirmation::never), start + 3s, start);
+    EXPECT_EQ(subscribers.configuration(start + 50ms).revision, 6U);
+    EXPECT_EQ(subscribers.configuration(start + 50ms).ageMs, 150U);
+    EXPECT_EQ(subscribers.servers(start).revision, 7U);
+    subscribers.hear(first, knowing(5, 10), start + 4s, start + 1s);
+    EXPECT_EQ(subscribers.configuration(start + 1s).revision, 5U);
+}
+
+TEST(LoadSubscribers, TheFirstGatewayThatIsServedAsksTheStoreForAll)
+{
+    load_subscribers subscribers(1);
+    EXPECT_EQ(subscribers.checker(), nullptr);
+    subscribers.hear(third, knowing(5, 0), start + 9s, start);
+    subscribers.hear(second, knowing(5, 0), start + 3s, start);
+    subscribers.hear(first, knowing(5, 0, false), start + 9s, start);
+    ASSERT_NE(subscribers.checker(), nullptr);
+    EXPECT_EQ(*subscribers.checker(), second);
+    subscribers.expire(start + 4s);
+    EXPECT_EQ(*subscribers.checker(), third);
+}
+
+TEST(LoadSubscribers, WhoKnowsMoreIsServedAndOfTheSameDataCentreIfThereIsOne)
+{
+    load_subscribers subscribers(1);
+    subscribers.hear(first, knowing(5, 0), start + 3s, start);
+    auto far = knowing(6, 0);
+    far.dataCentre = "b";
+    subscribers.hear(second, far, start + 3s, start);
+    const auto& asker = subscribers.all().at(first);
+    ASSERT_NE(subscribers.findInformed(asker), nullptr);
+    EXPECT_EQ(*subscribers.findInformed(asker), second);
+    subscribers.hear(third, knowing(6, 0), start + 3s, start);
+    EXPECT_EQ(*subscribers.findInformed(asker), third);
+    subscribers.hear(third, knowing(6, 0, false), start + 3s, start);
+    EXPECT_EQ(*subscribers.findInformed(asker), second);
+}
+
+} // namespace
+} // namespace coltsfootbend
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -172,7 +172,8 @@
             m_metrics->count("datagrams_unreadable_total");
             continue;
         }
-        m_subscribers[got->sender] = { clock_type::now() + subscriptionLength, subscription->knows };
+        const auto now = clock_type::now();
+        m_subscribers.hear(got->sender, subscription->knows, now + subscriptionLength, now);
         m_watch->hearGateway(got->sender, subscription->knows);
     }
 }
@@ -182,7 +183,7 @@
     while (!m_stopped) {
         m_runtime.sleepFor(newsEvery);
         const auto now = clock_type::now();
-        std::erase_if(m_subscribers, [now](const auto& entry) { return entry.second.until < now; });
+        m_subscribers.expire(now);
         const auto report = m_engine->report(now + reportLimit);
         if (!report) {
             m_metrics->count("engine_reports_failed_total");
@@ -204,7 +205,12 @@
     news.pace = report.pace;
     news.step = report.step;
     news.life = report.life.number();
-    news.subscribers = static_cast<std::uint32_t>(m_subscribers.size());
+    news.subscribers = static_cast<std::uint32_t>(m_subscribers.all().size());
+    const auto now = clock_type::now();
+    news.configuration = m_subscribers.configuration(now);
+    news.servers = m_subscribers.servers(now);
+    if (const auto* checker = m_subscribers.checker())
+        news.checker = toString(*checker);
     if (report.group) {
         news.group = report.group->name;
         news.epoch = report.group->epoch;
@@ -214,8 +220,8 @@
     const auto encoded
         = [&] { return wire::encode({ .sender = m_settings.vm, .senderLife = {}, .version = {}, .content = news }); };
     const auto bytes = encoded();
-    for (const auto& [address, subscriber] : m_subscribers) {
-        const auto* informed = findInformed(subscriber);
+    for (const auto& [address, subscriber] : m_subscribers.all()) {
+        const auto* informed = m_subscribers.findInformed(subscriber);
         if (informed) {
             news.newsAt = toString(*informed);
             m_news->send(address, encoded());
@@ -225,25 +231,6 @@
     }
 }
 
-// One that the store serves, so that it is not a step behind as well; of the same data centre if there is one. Another
-// one each time, for the first may be out of reach.
-const endpoint* rank_service::findInformed(const subscriber& asker)
-{
-    std::vector<const endpoint*> near;
-    std::vector<const endpoint*> far;
-    for (const auto& [address, candidate] : m_subscribers) {
-        const bool knowsMore = candidate.knows.configurationRevision > asker.knows.configurationRevision
-            || candidate.knows.serversRevision > asker.knows.serversRevision;
-        if (!candidate.knows.isServed || !knowsMore)
-            continue;
-        (candidate.knows.dataCentre == asker.knows.dataCentre ? near : far).push_back(&address);
-    }
-    const auto& informed = near.empty() ? far : near;
-    if (informed.empty())
-        return nullptr;
-    return informed[std::uniform_int_distribution<std::size_t>(0, informed.size() - 1)(m_random)];
-}
-
 void rank_service::leadLoop()
 {
     while (!m_stopped)
--- a/coltsfootbend/group/rank_service.h
+++ b/coltsfootbend/group/rank_service.h
@@ -7,6 +7,7 @@
 //     kernel.add(std::make_unique<rank_service>(runtime, settings, engine, engineAt));
 
 #include "coltsfootbend/gateway/deployment_watch.h"
+#include "coltsfootbend/group/load_subscribers.h"
 #include "coltsfootbend/group/map_leader.h"
 #include "coltsfootbend/group/map_participant.h"
 #include "coltsfootbend/metrics/metrics.h"
@@ -36,17 +37,9 @@
 
 private:
     void answerPeers();
-    // A gateway that is told this engine's load.
-    struct subscriber {
-        time_point until {};
-        wire::deployment_knowledge knows;
-    };
-
     void newsLoop();
     void receiveLoop();
     void tellLoad(const rank_report&);
-    // A gateway that knows more of the deployment than `asker`, or null.
-    const endpoint* findInformed(const subscriber& asker);
     void leadLoop();
     // Leads, or waits for who does. Returns when to look again.
     duration leadOrFollow();
@@ -68,8 +61,7 @@
     metrics_service* m_metrics = nullptr;
     peer_service* m_peers = nullptr;
     std::unique_ptr<datagram_socket> m_news;
-    std::map<endpoint, subscriber> m_subscribers;
-    std::minstd_rand m_random { std::random_device {}() };
+    load_subscribers m_subscribers { std::random_device {}() };
     std::optional<group_membership> m_group; // By the last report.
     std::map<endpoint, std::shared_ptr<agent_channel>> m_channels; // By the engine's address.
     std::unique_ptr<map_leader> m_leader;
--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -359,7 +359,8 @@
         idle.push_back(std::move(stream));
 }
 
-result<http_response> http_client::send(const endpoint& address, const http_request& request, time_point deadline)
+result<http_response> http_client::send(
+    const endpoint& address, const http_request& request, time_point deadline, cancellation* call)
 {
     http_response response;
     const auto done = stream(address, request, deadline,
@@ -368,14 +369,15 @@
                 [&](std::string_view bytes) {
                     response.body.append(bytes);
                     return response.body.size() <= m_options.maxBodyBytes;
-                } });
+                } },
+        call);
     if (!done)
         return tl::unexpected(done.error());
     return response;
 }
 
-result<void> http_client::stream(
-    const endpoint& address, const http_request& request, time_point deadline, const streaming& streaming)
+result<void> http_client::stream(const endpoint& address, const http_request& request, time_point deadline,
+    const streaming& streaming, cancellation* call)
 {
     bool reused = false;
     auto connection = obtain(address, deadline, reused);
@@ -386,8 +388,26 @@
     }
     if (!connection)
         return tl::unexpected(connection.error());
-    auto& stream = **connection;
-    stream.setDeadline(deadline);
+    (*connection)->setDeadline(deadline);
+    if (call)
+        call->attach([stream = *connection] { stream->close(); });
+    bool keepsAlive = false;
+    auto done = exchange(**connection, address, request, streaming, keepsAlive);
+    if (call)
+        call->detach();
+    if (done && keepsAlive)
+        keep(address, *connection);
+    // One that fell silent says nothing good of those kept beside it, which may be as silent.
+    const bool wasSilent = clock_type::now() >= deadline || (call && call->isCancelled());
+    if (!done && reused && wasSilent)
+        m_idle.erase(address);
+    return done;
+}
+
+// Sends and reads the whole answer on one connection.
+result<void> http_client::exchange(byte_stream& stream, const endpoint& address, const http_request& request,
+    const streaming& streaming, bool& keepsAlive)
+{
     auto message = toBeast(address, request);
     boost::system::error_code code;
     http::write(stream, message, code);
@@ -417,8 +437,7 @@
             return fail(error_kind::Lost, "cancelled", "Ask again if the answer is still wanted");
         }
     }
-    if (parser.get().keep_alive())
-        keep(address, *connection);
+    keepsAlive = parser.get().keep_alive();
     return {};
 }
 
--- a/coltsfootbend/net/http.h
+++ b/coltsfootbend/net/http.h
@@ -8,6 +8,7 @@
 
 #include "coltsfootbend/base/error.h"
 #include "coltsfootbend/net/byte_stream.h"
+#include "coltsfootbend/net/cancellation.h"
 
 #include <cstddef>
 #include <functional>
@@ -133,17 +134,19 @@
     }
 
     // Sends and waits for the whole answer. Fails with `Unavailable` when nothing was sent, with `Lost` when the
-    // answer never came whole, with `BadInput` when it cannot be understood.
-    result<http_response> send(const endpoint&, const http_request&, time_point deadline);
+    // answer never came whole or `call` was cancelled, with `BadInput` when it cannot be understood.
+    result<http_response> send(const endpoint&, const http_request&, time_point deadline, cancellation* call = nullptr);
 
     // As `send`, but hands over the head and then the body as it comes. Returning false from `onBytes` cancels.
     struct streaming {
         std::function<void(const http_head&)> onHead;
         std::function<bool(std::string_view)> onBytes;
     };
-    result<void> stream(const endpoint&, const http_request&, time_point deadline, const streaming&);
+    result<void> stream(
+        const endpoint&, const http_request&, time_point deadline, const streaming&, cancellation* call = nullptr);
 
 private:
+    result<void> exchange(byte_stream&, const endpoint&, const http_request&, const streaming&, bool& keepsAlive);
     result<byte_stream_ptr> obtain(const endpoint&, time_point deadline, bool& reused);
     void keep(const endpoint&, byte_stream_ptr);
 
--- a/coltsfootbend/net/net_test.cpp
+++ b/coltsfootbend/net/net_test.cpp
@@ -149,6 +149,67 @@
     });
 }
 
+TEST(Http, ACallThatIsCancelledEndsAtOnce)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        boost::asio::ip::tcp::acceptor silent(runtime.io(), { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        const endpoint address { "127.0.0.1", silent.local_endpoint().port() };
+        http_client client(runtime);
+        cancellation call;
+        runtime.spawn([&] {
+            runtime.sleepFor(50ms);
+            call.cancel();
+        });
+        const auto begun = clock_type::now();
+        const auto answer = client.send(
+            address, { .method = "GET", .target = "/", .headers = {}, .body = {} }, clock_type::now() + 20s, &call);
+        ASSERT_FALSE(answer);
+        EXPECT_EQ(answer.error().kind, error_kind::Lost);
+        EXPECT_LT(clock_type::now() - begun, 2s);
+        const auto later = client.send(
+            address, { .method = "GET", .target = "/", .headers = {}, .body = {} }, clock_type::now() + 20s, &call);
+        EXPECT_FALSE(later);
+        EXPECT_LT(clock_type::now() - begun, 2s);
+    });
+}
+
+// Connections can fall silent without a reset while new ones work. Two were kept; once a call on one has waited in
+// vain, the next call must not wait on the other.
+TEST(Http, AKeptConnectionThatFellSilentIsNotFollowedByTheNextOne)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        bool isSilent = false;
+        int opened = 0;
+        const auto server
+            = listener::open(runtime, { .address = { "127.0.0.1", 0 }, .tls = {} }, [&](const byte_stream_ptr& stream) {
+                  const int number = ++opened;
+                  serveHttp(
+                      runtime, stream, { .idleLimit = 2s, .readLimit = 2s },
+                      [&, number](const http_request&, http_responder& responder) {
+                          runtime.sleepFor(isSilent && number <= 2 ? 1500ms : 20ms);
+                          (void)responder.send({ { 200, {} }, "" });
+                      },
+                      [] { return false; });
+              });
+        ASSERT_TRUE(server);
+        const endpoint address { "127.0.0.1", (*server)->port() };
+        http_client client(runtime);
+        const auto call = [&](duration limit) {
+            return client
+                .send(address, { .method = "GET", .target = "/", .headers = {}, .body = {} }, clock_type::now() + limit)
+                .has_value();
+        };
+        runtime.spawn([&] { EXPECT_TRUE(call(1s)); });
+        EXPECT_TRUE(call(1s));
+        runtime.sleepFor(50ms);
+        EXPECT_EQ(opened, 2);
+        isSilent = true;
+        EXPECT_FALSE(call(200ms));
+        EXPECT_TRUE(call(200ms));
+        (*server)->close();
+    });
+}
+
 // What follows a body of unknown length would be answered as a second request.
 TEST(Http, ABodyOfUnknownFramingIsRefusedAndClosesTheConnection)
 {
--- a/coltsfootbend/store/watched_store.h
+++ b/coltsfootbend/store/watched_store.h
@@ -5,10 +5,11 @@
 // itself: see `store/store.h`.
 //
 //     auto page = store.readAll(watched_table::BackendServers, deadline);
-//     auto next = store.changes(watched_table::BackendServers, page->revision, deadline);
+//     auto next = store.changes(watched_table::BackendServers, page->revision, waitUntil, deadline, nullptr);
 
 #include "coltsfootbend/base/error.h"
 #include "coltsfootbend/base/time.h"
+#include "coltsfootbend/net/cancellation.h"
 
 #include <cstdint>
 #include <string>
@@ -49,9 +50,12 @@
     // Returns every row of `table`. Fails with `Unavailable`, `Lost`, `TimedOut` or `Overloaded`.
     virtual result<row_page> readAll(watched_table table, time_point deadline) = 0;
 
-    // Returns the changes after `after`, as soon as there is one; an empty page when there was none by `waitUntil`.
-    // Fails with `Stale` when the store has forgotten them: read all again. Otherwise as `readAll`.
-    virtual result<row_page> changes(watched_table table, store_revision after, time_point waitUntil) = 0;
+    // Returns the changes after `after`, as soon as there is one; an empty page when there was none by `waitUntil`. Its
+    // answer is waited for until `deadline`, or until `poll` is cancelled, which may be null. Fails with `Stale` when
+    // the store has forgotten them: read all again. Otherwise as `readAll`.
+    virtual result<row_page> changes(
+        watched_table table, store_revision after, time_point waitUntil, time_point deadline, cancellation* poll)
+        = 0;
 };
 
 } // namespace coltsfootbend
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -90,15 +90,17 @@
 static auto fieldsOf(rank_arm& value) { return std::tie(value.term, value.epoch, value.version, value.step); }
 static auto fieldsOf(rank_release& value) { return std::tie(value.term, value.epoch, value.step); }
 static auto fieldsOf(rank_disarm& value) { return std::tie(value.term, value.epoch, value.version); }
+static auto fieldsOf(store_confirmation& value) { return std::tie(value.revision, value.ageMs); }
 static auto fieldsOf(deployment_knowledge& value)
 {
-    return std::tie(value.configurationRevision, value.serversRevision, value.isServed, value.dataCentre);
+    return std::tie(value.configuration, value.servers, value.isServed, value.dataCentre);
 }
 static auto fieldsOf(load_subscribe& value) { return std::tie(value.knows); }
 static auto fieldsOf(load_news& value)
 {
     return std::tie(value.engine, value.running, value.waiting, value.usedTokens, value.totalTokens, value.pace,
-        value.group, value.epoch, value.step, value.isOpen, value.subscribers, value.ranks, value.newsAt, value.life);
+        value.group, value.epoch, value.step, value.isOpen, value.subscribers, value.ranks, value.newsAt, value.life,
+        value.configuration, value.servers, value.checker);
 }
 static auto fieldsOf(problem& value) { return std::tie(value.kind, value.message, value.remedy); }
 
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -8,6 +8,7 @@
 #include "coltsfootbend/request/request_flow.h"
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <variant>
 #include <vector>
@@ -217,10 +218,18 @@
     std::uint64_t step = 0;
 };
 
+// The store had nothing newer than `revision` of a table so long ago.
+struct store_confirmation {
+    static constexpr std::uint64_t never = std::numeric_limits<std::uint64_t>::max();
+
+    std::uint64_t revision = 0;
+    std::uint64_t ageMs = never;
+};
+
 // What a gateway knows of the deployment, so that others hear who knows more than they do.
 struct deployment_knowledge {
-    std::uint64_t configurationRevision = 0;
-    std::uint64_t serversRevision = 0;
+    store_confirmation configuration;
+    store_confirmation servers;
     bool isServed = false; // It follows the store itself, which answers it.
     std::string dataCentre;
 };
@@ -245,6 +254,10 @@
     std::uint32_t subscribers = 0; // Gateways that this agent knows.
     std::string newsAt; // A gateway that knows more of the deployment than the addressed one; empty for none.
     std::uint64_t life = 0; // Of the engine: Unix milliseconds of its start; 0 where it does not tell.
+    // The youngest that any gateway has told this agent.
+    store_confirmation configuration;
+    store_confirmation servers;
+    std::string checker; // The gateway that asks the store for all; empty for none.
 };
 
 struct problem {
