An order names group, epoch, life and term; a rank of any other formation refuses it

Cause: orders, states and what is remembered knew a group's epoch and not the group. A rank also took its term along, which in the new group named another leader of the same term. A leader that changed groups kept the former map as the base of its changes.

Change: order_scope in every message of a leader, group_formation in rank_orders and in what is remembered; a rank looks at its engine first and obeys only where all of it holds. Orders go to ranks that have told of this formation in the round, no longer to all of the service. A rank that joins another group forgets its term. A leader whose rank has changed does not lead. Ranks of other groups, or of none, are asked again while the own group is not complete; one told "no group" was never asked again. On the wire of the engine an order names its epoch only: it rests on the report read just before, and what was ordered is remembered by epoch whatever the group.

--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -44,6 +44,27 @@
     return rows;
 }
 
+// The own rank, asked like the others.
+class own_channel final : public rank_channel {
+public:
+    explicit own_channel(map_participant& own)
+        : m_own(own)
+    {
+    }
+
+    result<wire::rank_state> ask(const wire::body& asked, time_point deadline) override
+    {
+        return m_own.answer(asked, deadline);
+    }
+    result<void> hold(group_epoch, pass_number, time_point) override
+    {
+        return fail(error_kind::Denied, "passes are never held at the leader's own rank", "Choose another rank");
+    }
+
+private:
+    map_participant& m_own;
+};
+
 } // namespace
 
 map_leader::map_leader(
@@ -53,6 +74,7 @@
     , m_options(options)
     , m_planner(options.planner)
     , m_random(seed)
+    , m_ownChannel(std::make_shared<own_channel>(own))
     , m_demand(options.sets, options.experts)
 {
 }
@@ -63,7 +85,13 @@
         m_own.yield(state.term);
 }
 
-std::vector<result<wire::rank_state>> map_leader::askAll(const wire::body& asked, duration limit, bool includingOwn)
+wire::order_scope map_leader::scopeOf(rank_number rank) const
+{
+    return { .term = m_term, .group = m_group, .epoch = m_epoch, .life = rank < m_lives.size() ? m_lives[rank] : 0 };
+}
+
+std::vector<result<wire::rank_state>> map_leader::askAll(
+    const std::vector<std::shared_ptr<rank_channel>>& channels, const std::vector<wire::body>& asked, duration limit)
 {
     // The answers outlive this call's fibers: a slow rank may answer after the others were given up.
     struct round {
@@ -77,20 +105,15 @@
     };
     auto current = std::make_shared<round>(m_runtime);
     const auto deadline = clock_type::now() + limit;
-    const std::size_t count = m_others.size() + (includingOwn ? 1 : 0);
-    current->open = count;
-    current->answers.assign(count, fail(error_kind::TimedOut, "the rank did not answer", ""));
-    for (std::size_t i = 0; i < m_others.size(); ++i) {
-        m_runtime.spawn([current, i, channel = m_others[i], asked, deadline] {
+    current->open = channels.size();
+    current->answers.assign(channels.size(), fail(error_kind::TimedOut, "the rank did not answer", ""));
+    for (std::size_t i = 0; i < channels.size(); ++i) {
+        m_runtime.spawn([current, i, channel = channels[i], asked = asked[i], deadline] {
             current->answers[i] = channel->ask(asked, deadline);
             --current->open;
             current->done.notify();
         });
     }
-    if (includingOwn) {
-        current->answers.back() = m_own.answer(asked, deadline);
-        --current->open;
-    }
     auto beatAt = clock_type::now() + m_options.beatEvery;
     while (current->open > 0 && clock_type::now() < deadline) {
         (void)current->done.waitUntil(std::min(deadline, beatAt));
@@ -101,51 +124,71 @@
     }
     auto answers = current->answers;
     for (const auto& answer : answers) {
-        if (answer)
+        if (answer && answer->group == m_group)
             noteTerm(*answer);
     }
     return answers;
 }
 
+// Only ranks that have told of this formation are ordered: a rank of another group whose epoch counts alike would carry
+// the order out as well.
+template <typename Order>
+std::vector<result<wire::rank_state>> map_leader::orderAll(Order order, duration limit, bool includingOwn)
+{
+    std::vector<std::shared_ptr<rank_channel>> channels;
+    std::vector<wire::body> orders;
+    if (includingOwn) {
+        order.scope = scopeOf(m_rank);
+        channels.push_back(m_ownChannel);
+        orders.push_back(order);
+    }
+    for (const auto& member : m_members) {
+        order.scope = scopeOf(member.rank);
+        channels.push_back(member.channel);
+        orders.push_back(order);
+    }
+    return askAll(channels, orders, limit);
+}
+
 void map_leader::beat()
 {
-    const wire::rank_query query { .term = m_term, .epoch = m_epoch };
     const auto deadline = clock_type::now() + m_options.queryLimit;
-    for (const auto& channel : m_others) {
+    for (const auto& member : m_members) {
+        const wire::rank_query query { .scope = scopeOf(member.rank) };
         // Answers are of no interest here: a newer leader's term comes with the answers to the step itself.
-        m_runtime.spawn([channel, query, deadline] { (void)channel->ask(query, deadline); });
+        m_runtime.spawn([channel = member.channel, query, deadline] { (void)channel->ask(query, deadline); });
     }
 }
 
 map_leader::states_by_rank map_leader::gather(duration limit)
 {
-    const wire::rank_query query {
-        .term = m_term, .epoch = m_epoch, .demandSources = m_options.demandSources, .wantsMap = m_wantsMap
-    };
-    // A leader whose own engine does not answer lets somebody else lead.
+    m_isComplete = false;
+    wire::rank_query query { .scope = { .term = m_term, .group = m_own.group(), .epoch = m_epoch },
+        .demandSources = m_options.demandSources,
+        .wantsMap = m_wantsMap };
+    // A leader whose own engine does not answer lets somebody else lead, and so does one whose rank is another one now.
     const auto own = m_own.answer(query, clock_type::now() + limit);
-    if (!own)
+    if (!own || own->group != query.scope.group || leaderOf(m_term) != own->rank)
         return {};
     m_group = own->group;
+    m_rank = own->rank;
     states_by_rank states(own->ranks);
-    const auto take = [&](const wire::rank_state& state) {
-        if (state.group == m_group && state.rank < states.size())
-            states[state.rank] = state;
-    };
-    take(*own);
+    states[own->rank] = *own;
     const auto others = m_others; // They may be replaced meanwhile.
-    const auto answers = askAll(query, limit, false);
-    std::map<rank_number, std::shared_ptr<rank_channel>> reached;
+    const auto answers = askAll(others, std::vector<wire::body>(others.size(), query), limit);
+    std::map<rank_number, member> reached;
     for (std::size_t i = 0; i < answers.size(); ++i) {
-        if (!answers[i])
+        const auto& answer = answers[i];
+        if (!answer || answer->group != m_group || answer->rank >= states.size() || answer->rank == own->rank)
             continue;
-        take(*answers[i]);
-        if (answers[i]->group == m_group)
-            reached[(answers[i]->rank + own->ranks - own->rank) % own->ranks] = others[i];
+        states[answer->rank] = *answer;
+        if (answer->epoch == own->epoch)
+            reached[(answer->rank + own->ranks - own->rank) % own->ranks] = { answer->rank, others[i] };
     }
-    m_holders.clear();
-    for (auto& [distance, channel] : reached)
-        m_holders.push_back(std::move(channel));
+    m_members.clear();
+    for (auto& [distance, member] : reached)
+        m_members.push_back(std::move(member));
+    m_isComplete = m_members.size() + 1 == states.size();
     return states;
 }
 
@@ -242,17 +285,17 @@
 {
     m_lives.resize(states.size());
     bool isRestarted = false;
-    group_epoch epoch = m_epoch;
+    const auto epoch = states[m_rank]->epoch;
     for (std::size_t rank = 0; rank < states.size(); ++rank) {
         const auto& state = states[rank];
         if (!state)
             continue;
-        epoch = state->epoch;
         isRestarted = isRestarted || (m_lives[rank] != 0 && state->life != 0 && m_lives[rank] != state->life);
         m_lives[rank] = state->life;
     }
-    if (epoch == m_epoch && !isRestarted)
+    if (epoch == m_epoch && m_group == m_formedGroup && !isRestarted)
         return;
+    m_formedGroup = m_group;
     logEvent(log_event::GroupChanged, "group=" + m_group + " epoch=" + std::to_string(epoch));
     m_epoch = epoch;
     m_map.reset();
@@ -342,24 +385,20 @@
 {
     // Most ranks know the map in use, so that only what changes has to travel: a whole one is 62 x 4.5 KB at 63 ranks.
     wire::rank_prepare prepare;
-    prepare.term = m_term;
-    prepare.epoch = m_epoch;
     prepare.version = version;
     prepare.baseVersion = m_mapVersion;
     prepare.changes = changedRows(*m_map, map);
-    auto answers = askAll(prepare, m_options.prepareLimit, true);
+    auto answers = orderAll(prepare, m_options.prepareLimit, true);
     const bool isBaseMissing
         = std::any_of(answers.begin(), answers.end(), [](const auto& answer) { return answer && answer->lacksBase; });
     if (isBaseMissing && !isDeposed()) {
         prepare.changes.clear();
         prepare.map = map;
-        answers = askAll(prepare, m_options.prepareLimit, true);
+        answers = orderAll(prepare, m_options.prepareLimit, true);
     }
     pass_number step = 0;
     for (const auto& answer : answers) {
-        if (answer && answer->group != m_group)
-            continue;
-        if (!answer || answer->preparedVersion != version || answer->epoch != m_epoch) {
+        if (!answer || answer->preparedVersion != version || !isOfFormation(*answer)) {
             logEvent(log_event::MapChangeFailed,
                 "step=prepare version=" + std::to_string(version) + " why=\""
                     + (answer ? "rank " + std::to_string(answer->rank) + " has not got it" : toString(answer.error()))
@@ -387,23 +426,23 @@
     return std::clamp(passes, leastPassesAhead, mostPassesAhead);
 }
 
-rank_channel* map_leader::holder()
+const map_leader::member* map_leader::holder() const
 {
-    return m_holders.empty() ? nullptr : m_holders[m_holder % m_holders.size()].get();
+    return m_members.empty() ? nullptr : &m_members[m_holder % m_members.size()];
 }
 
-result<wire::rank_state> map_leader::holdAt(rank_channel& channel, pass_number step)
+result<wire::rank_state> map_leader::holdAt(const member& holder, pass_number step)
 {
     const auto limit = clock_type::now() + holdLimit;
     result<wire::rank_state> state = fail(error_kind::TimedOut, "the engine did not confirm the hold", "");
     while (clock_type::now() < limit && !isDeposed()) {
         // Unanswered or refused: the report tells whether it was carried out.
-        (void)channel.hold(m_epoch, step, std::min(limit, clock_type::now() + holdAnswerLimit));
-        state = channel.ask(wire::rank_query { .term = m_term, .epoch = m_epoch }, limit);
-        if (!state || state->epoch != m_epoch || state->heldStep != 0 || state->step >= step)
+        (void)holder.channel->hold(m_epoch, step, std::min(limit, clock_type::now() + holdAnswerLimit));
+        state = holder.channel->ask(wire::rank_query { .scope = scopeOf(holder.rank) }, limit);
+        if (!state || !isOfFormation(*state) || state->heldStep != 0 || state->step >= step)
             break;
     }
-    if (state)
+    if (state && state->group == m_group)
         noteTerm(*state);
     return state;
 }
@@ -415,17 +454,16 @@
 // it, and nobody can let the group go on until it wakes (4.1 s in one play, with all streams of the group lost).
 std::optional<pass_number> map_leader::holdAhead(pass_number step)
 {
-    auto* rank = holder();
-    for (int tries = 0; rank && tries < holdTries && !isDeposed(); ++tries) {
-        const auto current
-            = m_own.answer(wire::rank_query { .term = m_term, .epoch = m_epoch }, clock_type::now() + holdLimit);
+    const auto* found = holder();
+    for (int tries = 0; found && tries < holdTries && !isDeposed(); ++tries) {
+        const auto current = m_own.answer(wire::rank_query { .scope = scopeOf(m_rank) }, clock_type::now() + holdLimit);
         if (current)
             step = std::max(step, current->step);
         const auto wanted = step + passesAhead();
-        const auto state = holdAt(*rank, wanted);
-        if (state && state->heldStep == wanted && state->epoch == m_epoch)
+        const auto state = holdAt(*found, wanted);
+        if (state && state->heldStep == wanted && isOfFormation(*state))
             return wanted;
-        if (!state || state->epoch != m_epoch || state->heldStep != 0)
+        if (!state || !isOfFormation(*state) || state->heldStep != 0)
             break;
         step = std::max(step, state->step);
     }
@@ -437,22 +475,21 @@
 // The own rank comes last: an old leader that others no longer obey must not arm it alone.
 bool map_leader::armAll(const armed_switch& target)
 {
-    const wire::rank_arm arm { .term = m_term, .epoch = m_epoch, .version = target.version, .step = target.step };
+    wire::rank_arm arm { .scope = {}, .version = target.version, .step = target.step };
     const auto isArmed = [&](const result<wire::rank_state>& state) {
-        if (state && state->group != m_group)
-            return true;
-        return state && state->epoch == m_epoch && state->term == m_term && !state->isArmUncertain
+        return state && isOfFormation(*state) && state->term == m_term && !state->isArmUncertain
             && (state->mapVersion == target.version
                 || (state->armedVersion == target.version && state->armedStep == target.step));
     };
     const auto begunAt = clock_type::now();
-    const auto answers = askAll(arm, m_options.armLimit, false);
-    const bool allArmed = std::all_of(answers.begin(), answers.end(), isArmed);
+    const auto answers = orderAll(arm, m_options.armLimit, false);
+    const bool allArmed = m_isComplete && std::all_of(answers.begin(), answers.end(), isArmed);
     if (!allArmed || isDeposed()) {
         noteArming(clock_type::now() - begunAt);
         logEvent(log_event::MapChangeFailed, "step=arm " + describe(target));
         return false;
     }
+    arm.scope = scopeOf(m_rank);
     const bool isOwnArmed = isArmed(m_own.answer(arm, clock_type::now() + m_options.armLimit));
     noteArming(clock_type::now() - begunAt);
     return isOwnArmed && !isDeposed();
@@ -460,14 +497,14 @@
 
 void map_leader::disarmAll(engine_map_version version)
 {
-    (void)askAll(wire::rank_disarm { .term = m_term, .epoch = m_epoch, .version = version }, m_options.armLimit, true);
+    (void)orderAll(wire::rank_disarm { .scope = {}, .version = version }, m_options.armLimit, true);
 }
 
 void map_leader::releaseAll(pass_number step)
 {
     if (isDeposed())
         return;
-    (void)askAll(wire::rank_release { .term = m_term, .epoch = m_epoch, .step = step }, releaseLimit, true);
+    (void)orderAll(wire::rank_release { .scope = {}, .step = step }, releaseLimit, true);
 }
 
 } // namespace coltsfootbend
--- a/coltsfootbend/group/map_leader.h
+++ b/coltsfootbend/group/map_leader.h
@@ -26,7 +26,8 @@
     virtual ~rank_channel() = default;
     // Fails when the rank cannot be asked.
     virtual result<wire::rank_state> ask(const wire::body&, time_point deadline) = 0;
-    // Orders the rank's engine, from this VM, not to begin pass `step`. Fails like `rank_engine::hold`.
+    // Orders the rank's engine, from this VM, not to begin pass `step`. Fails like `rank_engine::hold`. The engine
+    // knows no group: only for ranks that have just told of the leader's own formation.
     virtual result<void> hold(group_epoch, pass_number step, time_point deadline) = 0;
 };
 
@@ -56,20 +57,35 @@
 
     map_leader(fiber_runtime&, map_participant& own, const options&, std::minstd_rand::result_type seed);
 
-    // The other ranks of the group; may be called with more, of other groups. Takes effect at the next round.
+    // The other ranks of the group; may be called with more, of other groups, which are asked and never ordered. Takes
+    // effect at the next round.
     void setOthers(std::vector<std::shared_ptr<rank_channel>> others) { m_others = std::move(others); }
 
     // Does one round as leader with `term`. Returns after which time the next one is due.
     duration lead(leader_term term);
 
+    // True when all ranks of the group answered the last round.
+    bool isComplete() const { return m_isComplete; }
+
 private:
+    // Another rank that has told of the leader's own formation in this round.
+    struct member {
+        rank_number rank = 0;
+        std::shared_ptr<rank_channel> channel;
+    };
+
     using states_by_rank = std::vector<std::optional<wire::rank_state>>;
 
     states_by_rank gather(duration limit);
     // Speaks to all ranks while a long step is under way, so that nobody takes the leader for dead.
     void beat();
-    // Asks all ranks, the own one as well if `includingOwn`, at the same time.
-    std::vector<result<wire::rank_state>> askAll(const wire::body&, duration limit, bool includingOwn);
+    // What every message to a rank of the own formation names.
+    wire::order_scope scopeOf(rank_number) const;
+    // Asks `channels` at the same time. The answers are in their order.
+    std::vector<result<wire::rank_state>> askAll(const std::vector<std::shared_ptr<rank_channel>>& channels,
+        const std::vector<wire::body>& asked, duration limit);
+    // Orders all members, and the own rank first if `includingOwn`, at the same time.
+    template <typename Order> std::vector<result<wire::rank_state>> orderAll(Order, duration limit, bool includingOwn);
     void noteTerm(const wire::rank_state&);
     void learn(const states_by_rank&);
     void noteWaiting(const group_resolution&, const states_by_rank&);
@@ -84,9 +100,9 @@
     std::optional<pass_number> prepareAll(engine_map_version version, const group_map& map);
     std::optional<pass_number> holdAhead(pass_number step);
     // Holds the pass `step` at the rank of `channel`. Returns the rank's state afterwards.
-    result<wire::rank_state> holdAt(rank_channel& channel, pass_number step);
+    result<wire::rank_state> holdAt(const member&, pass_number step);
     // The rank at which passes are held: never the own one.
-    rank_channel* holder();
+    const member* holder() const;
     // True when a second look at all ranks shows the same.
     bool isConfirmed(const group_resolution&);
     bool armAll(const armed_switch&);
@@ -94,6 +110,7 @@
     void releaseAll(pass_number step);
     pass_number passesAhead() const;
     void noteArming(duration took);
+    bool isOfFormation(const wire::rank_state& state) const { return state.group == m_group && state.epoch == m_epoch; }
     bool isDeposed() const { return m_own.term() != m_term; }
 
     fiber_runtime& m_runtime;
@@ -101,15 +118,19 @@
     const options m_options;
     const map_planner m_planner;
     std::minstd_rand m_random;
+    const std::shared_ptr<rank_channel> m_ownChannel;
     std::vector<std::shared_ptr<rank_channel>> m_others;
-    // The other ranks that answered last, from the one after the own on; and which of them holds passes.
-    std::vector<std::shared_ptr<rank_channel>> m_holders;
+    // From the rank after the own on; and which of them holds passes.
+    std::vector<member> m_members;
     std::size_t m_holder = 0;
+    bool m_isComplete = false;
     demand_estimator m_demand;
     leader_term m_term = 0;
     group_epoch m_epoch = 0;
     std::vector<std::uint64_t> m_lives; // Of the engines, by rank; 0 where not told.
     std::string m_group;
+    rank_number m_rank = 0; // The own one.
+    std::string m_formedGroup; // Of the map and the lives that are known.
     bool m_wantsMap = true;
     // Why nothing can be done at the moment; empty when something can.
     std::string m_waitReason;
--- a/coltsfootbend/group/map_participant.cpp
+++ b/coltsfootbend/group/map_participant.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace coltsfootbend {
 
@@ -19,6 +20,21 @@
     return state.rank % every == 0;
 }
 
+const wire::order_scope* scopeOf(const wire::body& asked)
+{
+    if (const auto* message = std::get_if<wire::rank_query>(&asked))
+        return &message->scope;
+    if (const auto* message = std::get_if<wire::rank_prepare>(&asked))
+        return &message->scope;
+    if (const auto* message = std::get_if<wire::rank_arm>(&asked))
+        return &message->scope;
+    if (const auto* message = std::get_if<wire::rank_disarm>(&asked))
+        return &message->scope;
+    if (const auto* message = std::get_if<wire::rank_release>(&asked))
+        return &message->scope;
+    return nullptr;
+}
+
 } // namespace
 
 bool map_participant::obeys(leader_term term)
@@ -54,12 +70,36 @@
     return {};
 }
 
+// A term names its leader by rank, so in another group it would name somebody else: with it a rank that had joined was
+// taken for the leader of its new group, and both groups had a leader of one term.
+void map_participant::enterGroup(const std::string& group)
+{
+    if (group == m_group)
+        return;
+    if (!m_group.empty()) {
+        m_term = 0;
+        m_heardAt = clock_type::now();
+        m_knownMaps.clear();
+        m_isArmed = false;
+        m_isPrepared = false;
+        m_preparedTerm = 0;
+    }
+    m_group = group;
+}
+
+void map_participant::observe(const rank_report& report)
+{
+    if (report.group && enterLife(report.life))
+        enterGroup(report.group->name);
+}
+
 result<wire::rank_state> map_participant::stateOf(const rank_report& report)
 {
     if (const auto entered = enterLife(report.life); !entered)
         return tl::unexpected(entered.error());
     if (!report.group)
         return fail(error_kind::NotFound, "the engine belongs to no group", "Nothing: it needs no expert maps");
+    enterGroup(report.group->name);
     const auto& group = *report.group;
     wire::rank_state state;
     state.life = report.life.number();
@@ -138,8 +178,16 @@
 
 result<wire::rank_state> map_participant::answer(const wire::body& asked, time_point deadline)
 {
+    const auto* scope = scopeOf(asked);
+    if (!scope)
+        return fail(error_kind::BadInput, "not a message to a rank", "Check the version of the sender");
+    // Only a fresh report tells of which formation the rank is.
+    auto now = look(deadline);
+    if (!now || !isAddressed(asked, *now) || !obeys(scope->term))
+        return now;
+    now->term = m_term;
     if (const auto* message = std::get_if<wire::rank_query>(&asked))
-        return query(*message, deadline);
+        return query(*message, std::move(*now), deadline);
     if (const auto* message = std::get_if<wire::rank_prepare>(&asked))
         return prepare(*message, deadline);
     if (const auto* message = std::get_if<wire::rank_arm>(&asked))
@@ -148,19 +196,32 @@
         return disarm(*message, deadline);
     if (const auto* message = std::get_if<wire::rank_release>(&asked))
         return release(*message, deadline);
-    return fail(error_kind::BadInput, "not a message to a rank", "Check the version of the sender");
+    return now;
 }
 
-result<wire::rank_state> map_participant::query(const wire::rank_query& asked, time_point deadline)
+// A leader that asks may not have heard of the rank's latest formation; one that orders has.
+bool map_participant::isAddressed(const wire::body& asked, const wire::rank_state& state) const
 {
-    const bool isMine = obeys(asked.term);
-    auto state = look(deadline);
-    if (!state || !isMine)
-        return state;
-    if (isDemandSource(*state, asked.demandSources))
-        addDemand(*state, deadline);
+    const auto& scope = *scopeOf(asked);
+    if (scope.group != state.group)
+        return false;
+    if (std::holds_alternative<wire::rank_query>(asked))
+        return true;
+    return scope.epoch == state.epoch && (scope.life == 0 || state.life == 0 || scope.life == state.life);
+}
+
+group_formation map_participant::formationOf(const wire::order_scope& scope) const
+{
+    return { scope.group, scope.epoch, m_life };
+}
+
+result<wire::rank_state> map_participant::query(
+    const wire::rank_query& asked, wire::rank_state state, time_point deadline)
+{
+    if (isDemandSource(state, asked.demandSources))
+        addDemand(state, deadline);
     if (asked.wantsMap) {
-        if (auto added = addMap(*state, deadline); !added)
+        if (auto added = addMap(state, deadline); !added)
             return tl::unexpected(added.error());
     }
     return state;
@@ -168,10 +229,11 @@
 
 std::optional<group_map> map_participant::offeredMap(const wire::rank_prepare& asked)
 {
+    const auto formation = formationOf(asked.scope);
     group_map map = asked.map;
     if (map.empty()) {
         const auto base = std::find_if(m_knownMaps.begin(), m_knownMaps.end(),
-            [&](const known_map& known) { return known.epoch == asked.epoch && known.version == asked.baseVersion; });
+            [&](const known_map& known) { return known.formation == formation && known.version == asked.baseVersion; });
         if (base == m_knownMaps.end())
             return std::nullopt;
         map = base->map;
@@ -181,15 +243,13 @@
             map[row.set][row.rank] = row.experts;
         }
     }
-    m_knownMaps.insert(m_knownMaps.begin(), { asked.epoch, asked.version, map });
+    m_knownMaps.insert(m_knownMaps.begin(), { formation, asked.version, map });
     m_knownMaps.resize(std::min(m_knownMaps.size(), keptMaps));
     return map;
 }
 
 result<wire::rank_state> map_participant::prepare(const wire::rank_prepare& asked, time_point deadline)
 {
-    if (!obeys(asked.term))
-        return look(deadline);
     const auto map = offeredMap(asked);
     if (!map) {
         auto state = look(deadline);
@@ -198,36 +258,32 @@
         return state;
     }
     m_preparedVersion = asked.version;
-    m_preparedTerm = asked.term;
+    m_preparedTerm = asked.scope.term;
     m_isPrepared = true;
-    const auto done
-        = m_orders.prepare(asked.epoch, asked.version, *map, deadline, [&] { return m_term == asked.term; });
+    const auto done = m_orders.prepare(
+        formationOf(asked.scope), asked.version, *map, deadline, [&] { return m_term == asked.scope.term; });
     return done ? stateOf(*done) : look(deadline);
 }
 
 result<wire::rank_state> map_participant::arm(const wire::rank_arm& asked, time_point deadline)
 {
-    if (!obeys(asked.term))
-        return look(deadline);
     m_isArmed = true;
-    const auto done
-        = m_orders.arm(asked.epoch, { asked.version, asked.step }, deadline, [&] { return m_term == asked.term; });
+    const auto done = m_orders.arm(
+        formationOf(asked.scope), { asked.version, asked.step }, deadline, [&] { return m_term == asked.scope.term; });
     return done ? stateOf(*done) : look(deadline);
 }
 
 result<wire::rank_state> map_participant::disarm(const wire::rank_disarm& asked, time_point deadline)
 {
-    if (!obeys(asked.term))
-        return look(deadline);
-    const auto done = m_orders.disarm(asked.epoch, asked.version, deadline, [&] { return m_term == asked.term; });
+    const auto done = m_orders.disarm(
+        formationOf(asked.scope), asked.version, deadline, [&] { return m_term == asked.scope.term; });
     return done ? stateOf(*done) : look(deadline);
 }
 
 result<wire::rank_state> map_participant::release(const wire::rank_release& asked, time_point deadline)
 {
-    if (!obeys(asked.term))
-        return look(deadline);
-    const auto done = m_orders.release(asked.epoch, asked.step, deadline, [&] { return m_term == asked.term; });
+    const auto done
+        = m_orders.release(formationOf(asked.scope), asked.step, deadline, [&] { return m_term == asked.scope.term; });
     m_isArmed = false;
     return done ? stateOf(*done) : look(deadline);
 }
--- a/coltsfootbend/group/map_participant.h
+++ b/coltsfootbend/group/map_participant.h
@@ -24,12 +24,18 @@
     {
     }
 
-    // Answers one of the `rank_` messages with the state of the rank afterwards, and with the highest term seen: when
-    // that is above the asker's, nothing was done. Fails when the engine does not tell its state, and with `BadInput`
-    // for any other message.
+    // Answers one of the `rank_` messages with the state of the rank afterwards, and with the highest term seen.
+    // Nothing was done when that is above the asker's, or when the state is not of the formation that the message
+    // names. Fails when the engine does not tell its state, and with `BadInput` for any other message.
     result<wire::rank_state> answer(const wire::body& asked, time_point deadline);
 
+    // What the engine has just told, also when nobody asks.
+    void observe(const rank_report&);
+
+    // Of the group that the engine belongs to; none in a group that it has just joined.
     leader_term term() const { return m_term; }
+    // The group that the engine belongs to; empty while that is not known.
+    const std::string& group() const { return m_group; }
     // When a leader was last heard.
     time_point heardAt() const { return m_heardAt; }
     // True while a switch is ordered that the leader has yet to let happen.
@@ -42,7 +48,7 @@
     void yield(leader_term term) { (void)obeys(term); }
 
 private:
-    result<wire::rank_state> query(const wire::rank_query&, time_point deadline);
+    result<wire::rank_state> query(const wire::rank_query&, wire::rank_state, time_point deadline);
     result<wire::rank_state> prepare(const wire::rank_prepare&, time_point deadline);
     result<wire::rank_state> arm(const wire::rank_arm&, time_point deadline);
     result<wire::rank_state> disarm(const wire::rank_disarm&, time_point deadline);
@@ -50,6 +56,10 @@
     // The whole map that is offered; none when it builds on one that is not known here.
     std::optional<group_map> offeredMap(const wire::rank_prepare&);
     bool obeys(leader_term term);
+    bool isAddressed(const wire::body&, const wire::rank_state&) const;
+    group_formation formationOf(const wire::order_scope&) const;
+    // Forgets what belongs to another group.
+    void enterGroup(const std::string& group);
     // Forgets what belongs to a former life of the engine. Fails with `Stale` when `life` itself is a former one.
     result<void> enterLife(engine_life life);
     result<wire::rank_state> stateOf(const rank_report&);
@@ -59,6 +69,7 @@
 
     rank_engine& m_engine;
     rank_orders m_orders;
+    std::string m_group;
     leader_term m_term = 0;
     time_point m_heardAt {};
     bool m_isArmed = false;
@@ -71,7 +82,7 @@
     engine_life m_lastCountsLife;
     // The maps that were offered last, newest first.
     struct known_map {
-        group_epoch epoch = 0;
+        group_formation formation;
         engine_map_version version = 0;
         group_map map;
     };
--- a/coltsfootbend/group/map_participant_test.cpp
+++ b/coltsfootbend/group/map_participant_test.cpp
@@ -53,9 +53,12 @@
     }).join();
 }
 
+// Of the formation in which `told_engine` is.
+wire::order_scope scope(leader_term term) { return { .term = term, .group = "g", .epoch = 1 }; }
+
 std::vector<std::uint32_t> askDemand(map_participant& participant, leader_term term)
 {
-    const wire::rank_query query { .term = term, .epoch = 1, .demandSources = 4 };
+    const wire::rank_query query { .scope = scope(term), .demandSources = 4 };
     return participant.answer(query, clock_type::now() + 1s)->demand;
 }
 
@@ -84,7 +87,7 @@
     withParticipant([](map_participant& participant, told_engine& engine) {
         const auto newer = termAfter(0, 3);
         (void)askDemand(participant, newer);
-        const wire::rank_arm arm { .term = newer - 1, .epoch = 1, .version = 7, .step = 100 };
+        const wire::rank_arm arm { .scope = scope(newer - 1), .version = 7, .step = 100 };
         const auto state = participant.answer(arm, clock_type::now() + 1s);
         ASSERT_TRUE(state);
         EXPECT_EQ(state->term, newer);
@@ -92,12 +95,67 @@
     });
 }
 
+// Two groups formed anew at the same moment had both reached epoch 2. A rank that had changed sides was armed by the
+// leader of the group that it had left, and the next pass of the other began with two maps.
+TEST(MapParticipant, AnOrderForAnotherGroupEpochOrLifeIsNotCarriedOut)
+{
+    withParticipant([](map_participant& participant, told_engine& engine) {
+        engine.told.life = engine_life(5);
+        auto otherGroup = scope(1);
+        otherGroup.group = "h";
+        auto otherEpoch = scope(1);
+        otherEpoch.epoch = 2;
+        auto otherLife = scope(1);
+        otherLife.life = 4;
+        for (const auto& wrong : { otherGroup, otherEpoch, otherLife }) {
+            const auto state = participant.answer(
+                wire::rank_arm { .scope = wrong, .version = 7, .step = 100 }, clock_type::now() + 60ms);
+            ASSERT_TRUE(state) << "the leader is told of which formation the rank is";
+            EXPECT_EQ(state->group, "g");
+            EXPECT_EQ(state->armedVersion, 0U);
+            wire::rank_prepare prepare { .scope = wrong, .version = 7, .map = { { { 0 }, { 1 }, { 2 }, { 3 } } } };
+            (void)participant.answer(prepare, clock_type::now() + 60ms);
+        }
+        EXPECT_EQ(engine.orders, 0);
+        auto right = scope(1);
+        right.life = 5;
+        (void)participant.answer(
+            wire::rank_arm { .scope = right, .version = 7, .step = 100 }, clock_type::now() + 60ms);
+        EXPECT_GT(engine.orders, 0);
+    });
+}
+
+TEST(MapParticipant, TheLeaderOfAnotherGroupIsAnsweredAndNotObeyed)
+{
+    withParticipant([](map_participant& participant, told_engine&) {
+        auto other = scope(termAfter(0, 3));
+        other.group = "h";
+        const auto state = participant.answer(wire::rank_query { .scope = other }, clock_type::now() + 1s);
+        ASSERT_TRUE(state);
+        EXPECT_EQ(state->group, "g");
+        EXPECT_EQ(participant.term(), 0U);
+    });
+}
+
+// Its term would name whoever has that rank in the new group.
+TEST(MapParticipant, ARankThatJoinsAnotherGroupForgetsItsTerm)
+{
+    withParticipant([](map_participant& participant, told_engine& engine) {
+        (void)askDemand(participant, termAfter(0, 3));
+        EXPECT_EQ(leaderOf(participant.term()), 3U);
+        engine.told.group = group_membership { "h", 1, 3, 4, true };
+        participant.observe(engine.told);
+        EXPECT_EQ(participant.group(), "h");
+        EXPECT_EQ(participant.term(), 0U);
+    });
+}
+
 TEST(MapParticipant, ASwitchThatIsNotConfirmedIsToldAsUncertain)
 {
     withParticipant([](map_participant& participant, told_engine&) {
-        const wire::rank_arm arm { .term = 1, .epoch = 1, .version = 7, .step = 100 };
+        const wire::rank_arm arm { .scope = scope(1), .version = 7, .step = 100 };
         (void)participant.answer(arm, clock_type::now() + 60ms);
-        const auto state = participant.answer(wire::rank_query { .term = 1, .epoch = 1 }, clock_type::now() + 1s);
+        const auto state = participant.answer(wire::rank_query { .scope = scope(1) }, clock_type::now() + 1s);
         ASSERT_TRUE(state);
         EXPECT_EQ(state->armedVersion, 7U);
         EXPECT_TRUE(state->isArmUncertain);
@@ -108,10 +166,10 @@
 {
     withParticipant([](map_participant& participant, told_engine& engine) {
         engine.told.life = engine_life(1);
-        const wire::rank_arm arm { .term = 1, .epoch = 1, .version = 7, .step = 100 };
+        const wire::rank_arm arm { .scope = scope(1), .version = 7, .step = 100 };
         (void)participant.answer(arm, clock_type::now() + 60ms);
         engine.told.life = engine_life(2);
-        const wire::rank_query query { .term = 1, .epoch = 1 };
+        const wire::rank_query query { .scope = scope(1) };
         auto state = participant.answer(query, clock_type::now() + 1s);
         ASSERT_TRUE(state);
         EXPECT_EQ(state->armedVersion, 0U);
@@ -138,8 +196,7 @@
 {
     withParticipant([](map_participant& participant, told_engine& engine) {
         wire::rank_prepare changes;
-        changes.term = 1;
-        changes.epoch = 1;
+        changes.scope = scope(1);
         changes.version = 9;
         changes.baseVersion = 8;
         changes.changes = { { 0, 1, { 5 } } };
--- a/coltsfootbend/group/rank_engine.h
+++ b/coltsfootbend/group/rank_engine.h
@@ -35,6 +35,15 @@
     bool isOpen = false;
 };
 
+// One forming of a group, as one rank lives in it. What was ordered in another one holds no more.
+struct group_formation {
+    std::string group;
+    group_epoch epoch = 0;
+    engine_life life;
+
+    bool operator==(const group_formation&) const = default;
+};
+
 struct armed_switch {
     engine_map_version version = 0;
     pass_number step = 0;
--- a/coltsfootbend/group/rank_orders.cpp
+++ b/coltsfootbend/group/rank_orders.cpp
@@ -6,10 +6,13 @@
 
 namespace {
 
-// An order says nothing about another epoch, or about a group that is not whole.
-bool isInEpoch(const rank_report& report, group_epoch epoch)
+// An order says nothing about another formation, or about a group that is not whole. On the wire it names its epoch and
+// not its group: that it reaches no other group rests on the report that was read just before, for an engine that joins
+// another group is broken and formed anew first, which takes longer than an order.
+bool isIn(const rank_report& report, const group_formation& formation)
 {
-    return report.group && report.group->isOpen && report.group->epoch == epoch;
+    return report.group && report.group->isOpen
+        && group_formation { report.group->name, report.group->epoch, report.life } == formation;
 }
 
 tl::unexpected<error> ruledOut(const std::string& why)
@@ -70,13 +73,13 @@
     return fail(error_kind::Denied, "another agent leads now", "Nothing: it finishes what was begun");
 }
 
-result<rank_report> rank_orders::prepare(group_epoch epoch, engine_map_version version, const group_map& map,
-    time_point deadline, const is_current& isCurrent)
+result<rank_report> rank_orders::prepare(const group_formation& formation, engine_map_version version,
+    const group_map& map, time_point deadline, const is_current& isCurrent)
 {
-    enterEpoch(epoch);
+    enterEpoch(formation.epoch);
     m_highest = std::max(m_highest, version);
     const auto judge = [&](const rank_report& report) {
-        if (!isInEpoch(report, epoch))
+        if (!isIn(report, formation))
             return confirmation::Impossible;
         if (report.prepared == version || report.mapVersion == version)
             return confirmation::Confirmed;
@@ -87,7 +90,7 @@
         // A version is taken once only, so an accepted order is waited for and not repeated.
         if (isAccepted)
             return {};
-        auto done = m_engine.prepare(epoch, version, map, limit);
+        auto done = m_engine.prepare(formation.epoch, version, map, limit);
         isAccepted = done || done.error().kind == error_kind::Stale;
         // Either it was carried out before, unanswered, or it never will be: the copy limit decides.
         return isAccepted ? result<void> {} : done;
@@ -97,11 +100,11 @@
 }
 
 result<rank_report> rank_orders::arm(
-    group_epoch epoch, const armed_switch& target, time_point deadline, const is_current& isCurrent)
+    const group_formation& formation, const armed_switch& target, time_point deadline, const is_current& isCurrent)
 {
-    enterEpoch(epoch);
+    enterEpoch(formation.epoch);
     const auto judge = [&](const rank_report& report) {
-        if (!isInEpoch(report, epoch))
+        if (!isIn(report, formation))
             return confirmation::Impossible;
         const bool isArmed
             = report.armed && report.armed->version == target.version && report.armed->step == target.step;
@@ -110,7 +113,7 @@
         return report.step >= target.step ? confirmation::Impossible : confirmation::Pending;
     };
     m_uncertain = target;
-    auto done = untilConfirmed([&](time_point limit) { return m_engine.arm(epoch, target, limit); }, judge,
+    auto done = untilConfirmed([&](time_point limit) { return m_engine.arm(formation.epoch, target, limit); }, judge,
         m_options.repeatAfter, deadline, isCurrent);
     // Confirmed, or the pass has begun, after which an engine refuses it: in both cases the report is right from now
     // on.
@@ -120,29 +123,29 @@
 }
 
 result<rank_report> rank_orders::disarm(
-    group_epoch epoch, engine_map_version version, time_point deadline, const is_current& isCurrent)
+    const group_formation& formation, engine_map_version version, time_point deadline, const is_current& isCurrent)
 {
-    enterEpoch(epoch);
+    enterEpoch(formation.epoch);
     const auto judge = [&](const rank_report& report) {
         const bool isArmed = report.armed && report.armed->version == version;
-        return isInEpoch(report, epoch) && isArmed ? confirmation::Pending : confirmation::Confirmed;
+        return isIn(report, formation) && isArmed ? confirmation::Pending : confirmation::Confirmed;
     };
-    return untilConfirmed([&](time_point limit) { return m_engine.disarm(epoch, version, limit); }, judge,
+    return untilConfirmed([&](time_point limit) { return m_engine.disarm(formation.epoch, version, limit); }, judge,
         m_options.repeatAfter, deadline, isCurrent);
 }
 
 result<rank_report> rank_orders::release(
-    group_epoch epoch, pass_number step, time_point deadline, const is_current& isCurrent)
+    const group_formation& formation, pass_number step, time_point deadline, const is_current& isCurrent)
 {
-    enterEpoch(epoch);
+    enterEpoch(formation.epoch);
     const auto judge = [&](const rank_report& report) {
-        // Another epoch holds nothing.
-        return isInEpoch(report, epoch) && report.held == step ? confirmation::Pending : confirmation::Confirmed;
+        // Another formation holds nothing.
+        return isIn(report, formation) && report.held == step ? confirmation::Pending : confirmation::Confirmed;
     };
     if (const auto report = m_engine.report(std::min(deadline, clock_type::now() + m_options.reportLimit));
         report && judge(*report) == confirmation::Confirmed)
         return *report; // Most ranks hold nothing.
-    return untilConfirmed([&](time_point limit) { return m_engine.release(epoch, step, limit); }, judge,
+    return untilConfirmed([&](time_point limit) { return m_engine.release(formation.epoch, step, limit); }, judge,
         m_options.repeatAfter, deadline, isCurrent);
 }
 
--- a/coltsfootbend/group/rank_orders.h
+++ b/coltsfootbend/group/rank_orders.h
@@ -5,7 +5,7 @@
 // to order: see `group/map_leader.h`.
 //
 //     rank_orders orders(runtime, engine);
-//     auto done = orders.arm(epoch, { version, step }, deadline, [&] { return term == currentTerm; });
+//     auto done = orders.arm(formation, { version, step }, deadline, [&] { return term == currentTerm; });
 
 #include "coltsfootbend/group/rank_engine.h"
 #include "coltsfootbend/net/fiber_runtime.h"
@@ -42,13 +42,14 @@
     {
     }
 
-    // Each returns the report that confirms it. Fail with `Stale` when the engine's state rules it out (another epoch,
-    // a broken group, the pass has begun), with `TimedOut` at `deadline`, with `Denied` when no longer current.
+    // Each returns the report that confirms it. Fail with `Stale` when the engine's state rules it out (another
+    // formation, a broken group, the pass has begun), with `TimedOut` at `deadline`, with `Denied` when no longer
+    // current.
     result<rank_report> prepare(
-        group_epoch, engine_map_version, const group_map&, time_point deadline, const is_current&);
-    result<rank_report> arm(group_epoch, const armed_switch&, time_point deadline, const is_current&);
-    result<rank_report> disarm(group_epoch, engine_map_version, time_point deadline, const is_current&);
-    result<rank_report> release(group_epoch, pass_number step, time_point deadline, const is_current&);
+        const group_formation&, engine_map_version, const group_map&, time_point deadline, const is_current&);
+    result<rank_report> arm(const group_formation&, const armed_switch&, time_point deadline, const is_current&);
+    result<rank_report> disarm(const group_formation&, engine_map_version, time_point deadline, const is_current&);
+    result<rank_report> release(const group_formation&, pass_number step, time_point deadline, const is_current&);
 
     // The engine was started anew, so that nothing that it was ordered before can still be carried out.
     void forget();
@@ -70,6 +71,8 @@
     fiber_runtime& m_runtime;
     rank_engine& m_engine;
     const options m_options;
+    // An order names an epoch only, so one that is late may be carried out in another group whose epoch counts alike:
+    // what was ordered is remembered by epoch, whatever the group.
     group_epoch m_epoch = 0;
     std::optional<armed_switch> m_uncertain;
     engine_map_version m_highest = 0;
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -37,6 +37,8 @@
 constexpr std::chrono::milliseconds followCycle { 50 };
 // An agent that did not answer is left alone for this long, and its engine is asked from here.
 constexpr std::chrono::milliseconds agentPause { 1000 };
+// A rank of another group is asked this often whether it has joined this one, while ranks are missing here.
+constexpr std::chrono::milliseconds otherGroupPause { 500 };
 
 } // namespace
 
@@ -63,10 +65,14 @@
         }
         if (const auto* state = std::get_if<wire::rank_state>(&reply->content)) {
             m_group = state->group;
+            m_hasNoGroup = false;
+            m_groupToldAt = clock_type::now();
             return *state;
         }
         const auto* told = std::get_if<wire::problem>(&reply->content);
         m_hasNoGroup = told && told->kind == static_cast<std::uint32_t>(error_kind::NotFound);
+        if (m_hasNoGroup)
+            m_groupToldAt = clock_type::now();
         return fail(error_kind::Unavailable, told ? told->message : "the agent gave no state", "Look at its log");
     }
 
@@ -75,8 +81,14 @@
         return m_engine->hold(epoch, step, deadline);
     }
 
-    // False once the rank is known to belong to another group, or to none.
-    bool mayBelongTo(const std::string& group) const { return !m_hasNoGroup && (m_group.empty() || m_group == group); }
+    // False while the rank is known to belong to another group, or to none. Where ranks of `group` are missing it may
+    // have joined since, and is asked again after a while.
+    bool mayBelongTo(const std::string& group, bool isComplete, time_point now) const
+    {
+        const bool isAskedAgain = !isComplete && now >= m_groupToldAt + otherGroupPause;
+        const bool mayBeOfGroup = !m_hasNoGroup && (m_group.empty() || m_group == group);
+        return mayBeOfGroup || isAskedAgain;
+    }
 
 private:
     result<wire::rank_state> askEngine(const wire::body& asked, time_point deadline)
@@ -96,6 +108,7 @@
     map_participant m_direct;
     time_point m_agentSilentUntil {};
     std::string m_group;
+    time_point m_groupToldAt {};
     bool m_hasNoGroup = false;
 };
 
@@ -190,6 +203,7 @@
             continue;
         }
         m_group = report->group;
+        m_participant.observe(*report);
         tellLoad(*report);
     }
 }
@@ -334,7 +348,7 @@
             channel = std::make_shared<agent_channel>(m_runtime, m_peers->client(),
                 endpoint { server.address.ip, m_settings.peers.port }, m_engineAt(server.address));
         }
-        if (channel->mayBelongTo(m_group->name))
+        if (channel->mayBelongTo(m_group->name, m_leader->isComplete(), clock_type::now()))
             others.push_back(channel);
     }
     m_leader->setOthers(std::move(others));
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -71,10 +71,8 @@
 {
     return std::tie(value.configurationRevision, value.configuration, value.serversRevision, value.servers);
 }
-static auto fieldsOf(rank_query& value)
-{
-    return std::tie(value.term, value.epoch, value.demandSources, value.wantsMap);
-}
+static auto fieldsOf(order_scope& value) { return std::tie(value.term, value.group, value.epoch, value.life); }
+static auto fieldsOf(rank_query& value) { return std::tie(value.scope, value.demandSources, value.wantsMap); }
 static auto fieldsOf(rank_state& value)
 {
     return std::tie(value.term, value.group, value.epoch, value.rank, value.ranks, value.isOpen, value.step,
@@ -85,11 +83,11 @@
 static auto fieldsOf(rank_row& value) { return std::tie(value.set, value.rank, value.experts); }
 static auto fieldsOf(rank_prepare& value)
 {
-    return std::tie(value.term, value.epoch, value.version, value.map, value.baseVersion, value.changes);
+    return std::tie(value.scope, value.version, value.map, value.baseVersion, value.changes);
 }
-static auto fieldsOf(rank_arm& value) { return std::tie(value.term, value.epoch, value.version, value.step); }
-static auto fieldsOf(rank_release& value) { return std::tie(value.term, value.epoch, value.step); }
-static auto fieldsOf(rank_disarm& value) { return std::tie(value.term, value.epoch, value.version); }
+static auto fieldsOf(rank_arm& value) { return std::tie(value.scope, value.version, value.step); }
+static auto fieldsOf(rank_release& value) { return std::tie(value.scope, value.step); }
+static auto fieldsOf(rank_disarm& value) { return std::tie(value.scope, value.version); }
 static auto fieldsOf(store_confirmation& value) { return std::tie(value.revision, value.ageMs); }
 static auto fieldsOf(deployment_knowledge& value)
 {
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -152,11 +152,20 @@
     std::vector<stored_row> servers;
 };
 
+// Whom a leader's message concerns: the rank obeys only if all of it holds. Groups that are formed anew may take each
+// other's members while their epochs count alike, so that no part of it suffices alone.
+struct order_scope {
+    std::uint64_t term
+        = 0; // A higher one is another leader; agents obey the highest that they have seen in their group.
+    std::string group;
+    std::uint64_t epoch = 0;
+    std::uint64_t life = 0; // Of the rank's engine, as the leader knows it; 0 where it was not told.
+};
+
 // The leading rank agent of a group to the others: asks for the state of a rank, and for how often its requests chose
 // each expert since the last answer to this term.
 struct rank_query {
-    std::uint64_t term = 0; // A higher one is another leader; agents obey the highest that they have seen.
-    std::uint64_t epoch = 0;
+    order_scope scope;
     std::uint32_t demandSources = 0; // Of how many ranks, evenly spread, the counts are wanted; 0 for none.
     bool wantsMap = false;
 };
@@ -191,30 +200,26 @@
 };
 // One step of a map change for the addressed rank. The answer is `rank_state` once the step is confirmed or failed.
 struct rank_prepare {
-    std::uint64_t term = 0;
-    std::uint64_t epoch = 0;
+    order_scope scope;
     std::uint64_t version = 0;
     std::vector<std::vector<std::vector<std::uint32_t>>> map; // Experts, by set and rank; empty for changes to another.
     std::uint64_t baseVersion = 0; // The map that `changes` apply to.
     std::vector<rank_row> changes;
 };
 struct rank_arm {
-    std::uint64_t term = 0;
-    std::uint64_t epoch = 0;
+    order_scope scope;
     std::uint64_t version = 0;
     std::uint64_t step = 0;
 };
 
 // A prepared map that not every rank can take any more.
 struct rank_disarm {
-    std::uint64_t term = 0;
-    std::uint64_t epoch = 0;
+    order_scope scope;
     std::uint64_t version = 0;
 };
 // Lets the group begin pass `step`, at which the addressed rank holds it.
 struct rank_release {
-    std::uint64_t term = 0;
-    std::uint64_t epoch = 0;
+    order_scope scope;
     std::uint64_t step = 0;
 };
 
