--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Fault soaks with real processes: `scripts/soak.sh FIRST LAST [SECONDS [AT_ONCE]]` plays the seeds FIRST to LAST, AT_ONCE at a
-# time, each with faults for SECONDS. `scripts/soak.sh cases - SECONDS` plays those that failed once (scripts/soak-cases.txt).
+# time, each with faults for SECONDS, with two groups of three engines whose members change. `scripts/soak.sh cases - SECONDS`
+# plays those that failed once (scripts/soak-cases.txt), in the world in which they did: one group of four.
 # Prints one line a seed, keeps the logs of those that failed, and fails if any did.
 set -u
 cd "$(dirname "$0")/.."
@@ -8,15 +9,17 @@
 at_once=${4:-4}
 if [ "${1:-}" = cases ]; then
   seeds=$(grep -oE '^[0-9]+' scripts/soak-cases.txt)
+  world=''
 else
   seeds=$(seq "${1:?first seed}" "${2:?last seed}")
+  world='--groups 2 --ranks 3'
 fi
 dir=$(mktemp -d "${TMPDIR:-/tmp}/coltsfootbend-soak.XXXXXX")
-export dir seconds
+export dir seconds world
 # Copies, so that a build meanwhile harms nothing.
 cp build/bin/coltsfootbend build/bin/coltsfootbend_soak "$dir/" || exit 1
 play() {
-  "$dir/coltsfootbend_soak" --seed "$1" --seconds "$seconds" --directory "$dir/$1" \
+  "$dir/coltsfootbend_soak" $world --seed "$1" --seconds "$seconds" --directory "$dir/$1" \
     --program "$dir/coltsfootbend" >"$dir/$1.out" 2>&1
   code=$?
   grep -E '^(soak|violation):' "$dir/$1.out"
