--- a/coltsfootbend/gateway/deployment_watch_test.cpp
+++ b/coltsfootbend/gateway/deployment_watch_test.cpp
@@ -421,6 +421,23 @@
     });
 }
 
+// An agent that had lost the store itself, and then followed gateways, kept that loss until its own next call, which
+// never came; a directory that believes the store away gives up no server that is gone.
+TEST(DeploymentWatch, AnAgentThatLeavesTheStoreToGatewaysForgetsThatItHadLostIt)
+{
+    onRuntime([](fiber_runtime& runtime, model_processes& processes) {
+        const endpoint gatewayAddress { "127.0.0.1", 27370 };
+        auto& gateway = start(runtime, processes, gatewayAddress, {});
+        auto& agent = start(runtime, processes, { "127.0.0.1", 27371 }, deployment_watch::options::forAgents());
+        runtime.sleepFor(100ms);
+        agent.store.isRefusing = true;
+        runtime.sleepFor(500ms);
+        EXPECT_FALSE(agent.watch->storeAnswers());
+        tellAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 1500ms);
+        EXPECT_TRUE(agent.watch->storeAnswers());
+    });
+}
+
 TEST(DeploymentWatch, WhatIsKnownNeverGoesBack)
 {
     onRuntime([](fiber_runtime& runtime, model_processes& processes) {
