--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -155,8 +155,7 @@
 // Whom a leader's message concerns: the rank obeys only if all of it holds. Groups that are formed anew may take each
 // other's members while their epochs count alike, so that no part of it suffices alone.
 struct order_scope {
-    std::uint64_t term
-        = 0; // A higher one is another leader; agents obey the highest that they have seen in their group.
+    std::uint64_t term = 0; // Agents obey the highest that they have seen in their group.
     std::string group;
     std::uint64_t epoch = 0;
     std::uint64_t life = 0; // Of the rank's engine, as the leader knows it; 0 where it was not told.
