--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -1,7 +1,6 @@
 #include "coltsfootbend/group/map_leader.h"
 
 #include "coltsfootbend/base/log_event.h"
-#include "coltsfootbend/net/fiber_signal.h"
 
 #include <algorithm>
 #include <cmath>
@@ -44,27 +43,6 @@
     return rows;
 }
 
-// The own rank, asked like the others.
-class own_channel final : public rank_channel {
-public:
-    explicit own_channel(map_participant& own)
-        : m_own(own)
-    {
-    }
-
-    result<wire::rank_state> ask(const wire::body& asked, time_point deadline) override
-    {
-        return m_own.answer(asked, deadline);
-    }
-    result<void> hold(group_epoch, pass_number, time_point) override
-    {
-        return fail(error_kind::Denied, "passes are never held at the leader's own rank", "Choose another rank");
-    }
-
-private:
-    map_participant& m_own;
-};
-
 } // namespace
 
 map_leader::map_leader(
@@ -74,7 +52,7 @@
     , m_options(options)
     , m_planner(options.planner)
     , m_random(seed)
-    , m_ownChannel(std::make_shared<own_channel>(own))
+    , m_ownChannel(std::make_shared<own_rank_channel>(own))
     , m_demand(options.sets, options.experts)
 {
 }
@@ -90,39 +68,10 @@
     return { .term = m_term, .group = m_group, .epoch = m_epoch, .life = rank < m_lives.size() ? m_lives[rank] : 0 };
 }
 
-std::vector<result<wire::rank_state>> map_leader::askAll(
-    const std::vector<std::shared_ptr<rank_channel>>& channels, const std::vector<wire::body>& asked, duration limit)
+std::vector<result<wire::rank_state>> map_leader::askAll(const std::vector<rank_question>& questions, duration limit)
 {
-    // The answers outlive this call's fibers: a slow rank may answer after the others were given up.
-    struct round {
-        explicit round(fiber_runtime& runtime)
-            : done(runtime)
-        {
-        }
-        std::vector<result<wire::rank_state>> answers;
-        std::size_t open = 0;
-        fiber_signal done;
-    };
-    auto current = std::make_shared<round>(m_runtime);
-    const auto deadline = clock_type::now() + limit;
-    current->open = channels.size();
-    current->answers.assign(channels.size(), fail(error_kind::TimedOut, "the rank did not answer", ""));
-    for (std::size_t i = 0; i < channels.size(); ++i) {
-        m_runtime.spawn([current, i, channel = channels[i], asked = asked[i], deadline] {
-            current->answers[i] = channel->ask(asked, deadline);
-            --current->open;
-            current->done.notify();
-        });
-    }
-    auto beatAt = clock_type::now() + m_options.beatEvery;
-    while (current->open > 0 && clock_type::now() < deadline) {
-        (void)current->done.waitUntil(std::min(deadline, beatAt));
-        if (clock_type::now() >= beatAt) {
-            beat();
-            beatAt = clock_type::now() + m_options.beatEvery;
-        }
-    }
-    auto answers = current->answers;
+    auto answers = askRanks(
+        m_runtime, questions, clock_type::now() + limit, { .every = m_options.beatEvery, .beat = [this] { beat(); } });
     for (const auto& answer : answers) {
         if (answer && answer->group == m_group)
             noteTerm(*answer);
@@ -135,19 +84,16 @@
 template <typename Order>
 std::vector<result<wire::rank_state>> map_leader::orderAll(Order order, duration limit, bool includingOwn)
 {
-    std::vector<std::shared_ptr<rank_channel>> channels;
-    std::vector<wire::body> orders;
+    std::vector<rank_question> orders;
     if (includingOwn) {
         order.scope = scopeOf(m_rank);
-        channels.push_back(m_ownChannel);
-        orders.push_back(order);
+        orders.push_back({ m_ownChannel, order });
     }
     for (const auto& member : m_members) {
         order.scope = scopeOf(member.rank);
-        channels.push_back(member.channel);
-        orders.push_back(order);
+        orders.push_back({ member.channel, order });
     }
-    return askAll(channels, orders, limit);
+    return askAll(orders, limit);
 }
 
 void map_leader::beat()
@@ -174,8 +120,10 @@
     m_rank = own->rank;
     states_by_rank states(own->ranks);
     states[own->rank] = *own;
-    const auto others = m_others; // They may be replaced meanwhile.
-    const auto answers = askAll(others, std::vector<wire::body>(others.size(), query), limit);
+    std::vector<rank_question> questions; // The channels may be replaced meanwhile.
+    for (const auto& channel : m_others)
+        questions.push_back({ channel, query });
+    const auto answers = askAll(questions, limit);
     std::map<rank_number, member> reached;
     for (std::size_t i = 0; i < answers.size(); ++i) {
         const auto& answer = answers[i];
@@ -183,7 +131,7 @@
             continue;
         states[answer->rank] = *answer;
         if (answer->epoch == own->epoch)
-            reached[(answer->rank + own->ranks - own->rank) % own->ranks] = { answer->rank, others[i] };
+            reached[(answer->rank + own->ranks - own->rank) % own->ranks] = { answer->rank, questions[i].channel };
     }
     m_members.clear();
     for (auto& [distance, member] : reached)
--- a/coltsfootbend/group/map_leader.h
+++ b/coltsfootbend/group/map_leader.h
@@ -10,7 +10,7 @@
 
 #include "coltsfootbend/group/demand_estimator.h"
 #include "coltsfootbend/group/group_state.h"
-#include "coltsfootbend/group/map_participant.h"
+#include "coltsfootbend/group/rank_channel.h"
 
 #include <functional>
 #include <memory>
@@ -20,17 +20,6 @@
 
 namespace coltsfootbend {
 
-// How the leader reaches another rank.
-class rank_channel {
-public:
-    virtual ~rank_channel() = default;
-    // Fails when the rank cannot be asked.
-    virtual result<wire::rank_state> ask(const wire::body&, time_point deadline) = 0;
-    // Orders the rank's engine, from this VM, not to begin pass `step`. Fails like `rank_engine::hold`. The engine
-    // knows no group: only for ranks that have just told of the leader's own formation.
-    virtual result<void> hold(group_epoch, pass_number step, time_point deadline) = 0;
-};
-
 class map_leader {
 public:
     struct options {
@@ -81,9 +70,8 @@
     void beat();
     // What every message to a rank of the own formation names.
     wire::order_scope scopeOf(rank_number) const;
-    // Asks `channels` at the same time. The answers are in their order.
-    std::vector<result<wire::rank_state>> askAll(const std::vector<std::shared_ptr<rank_channel>>& channels,
-        const std::vector<wire::body>& asked, duration limit);
+    // Asks all at the same time, and takes note of newer leaders.
+    std::vector<result<wire::rank_state>> askAll(const std::vector<rank_question>&, duration limit);
     // Orders all members, and the own rank first if `includingOwn`, at the same time.
     template <typename Order> std::vector<result<wire::rank_state>> orderAll(Order, duration limit, bool includingOwn);
     void noteTerm(const wire::rank_state&);
--- a/coltsfootbend/group/map_leader_test.cpp
+++ b/coltsfootbend/group/map_leader_test.cpp
@@ -209,6 +209,29 @@
     }
 }
 
+// One agent's loop: leads while its term says so, and takes over from a leader that is silent. It stands still now and
+// then where `pauseShare` is given.
+void runAgent(fiber_runtime& runtime, model_agent& agent, time_point until, model_group& group, double pauseShare)
+{
+    while (clock_type::now() < until) {
+        if (clock_type::now() < agent.pausedUntil) {
+            runtime.sleepFor(2ms);
+            continue;
+        }
+        if (pauseShare > 0 && group.chance(pauseShare))
+            agent.pausedUntil = clock_type::now() + 350ms;
+        const auto rank = agent.engine.place().rank();
+        const auto silence = 150ms + rank * 60ms;
+        const auto term = agent.participant->term();
+        if (term != 0 && leaderOf(term) == rank)
+            runtime.sleepFor(std::max<duration>(agent.leader->lead(term), 1ms));
+        else if (clock_type::now() > agent.participant->heardAt() + silence)
+            (void)agent.participant->claim(rank);
+        else
+            runtime.sleepFor(10ms);
+    }
+}
+
 // Runs a group for `length`. `pauses`: the agent that leads stands still, time and again, and another takes over.
 trial_result play(
     const trial_faults& faults, bool pauses, unsigned seed, duration length, const freeze_moment& freezeAt = {})
@@ -231,22 +254,7 @@
                 }
                 agent->leader->setOthers(std::move(others));
                 runtime.spawn([&runtime, &agent = *agent, until, pauses, group] {
-                    while (clock_type::now() < until) {
-                        if (clock_type::now() < agent.pausedUntil) {
-                            runtime.sleepFor(2ms);
-                            continue;
-                        }
-                        if (pauses && group->chance(0.02))
-                            agent.pausedUntil = clock_type::now() + 350ms;
-                        const auto silence = 150ms + agent.rank * 60ms;
-                        const auto term = agent.participant->term();
-                        if (term != 0 && leaderOf(term) == agent.rank)
-                            runtime.sleepFor(std::max<duration>(agent.leader->lead(term), 1ms));
-                        else if (clock_type::now() > agent.participant->heardAt() + silence)
-                            (void)agent.participant->claim(agent.rank);
-                        else
-                            runtime.sleepFor(10ms);
-                    }
+                    runAgent(runtime, agent, until, *group, pauses ? 0.02 : 0);
                 });
             }
             if (freezeAt) {
@@ -267,22 +275,6 @@
     return outcome;
 }
 
-// One agent's loop: leads while its term says so, and takes over from a leader that is silent.
-void runAgent(fiber_runtime& runtime, model_agent& agent, time_point until)
-{
-    while (clock_type::now() < until) {
-        const auto rank = agent.engine.place().rank();
-        const auto silence = 150ms + rank * 60ms;
-        const auto term = agent.participant->term();
-        if (term != 0 && leaderOf(term) == rank)
-            runtime.sleepFor(std::max<duration>(agent.leader->lead(term), 1ms));
-        else if (clock_type::now() > agent.participant->heardAt() + silence)
-            (void)agent.participant->claim(rank);
-        else
-            runtime.sleepFor(10ms);
-    }
-}
-
 // Two groups of one service. From time to time both are formed anew at the same moment, so that their epochs count
 // alike, and the engines of one rank change places.
 trial_result playTwoGroups(const trial_faults& faults, unsigned seed, duration length)
@@ -313,7 +305,9 @@
                         others.push_back(std::make_shared<model_channel>(runtime, *groups[0], faults, *agent, *other));
                 }
                 agent->leader->setOthers(std::move(others));
-                runtime.spawn([&runtime, &agent = *agent, until] { runAgent(runtime, agent, until); });
+                runtime.spawn([&runtime, &agent = *agent, until, group = groups[0]] {
+                    runAgent(runtime, agent, until, *group, 0);
+                });
             }
             auto formAt = clock_type::now() + faults.epochLength;
             for (rank_number moved = 0; clock_type::now() < until;) {
