Crashed servers are found out, and named with the requests that they had

The logs of the incident could not tell whether one request crashes servers or servers end by themselves: no line said which attempts are the same request, nor whether a server had ended or only broken off. A connection that breaks while a server has a request now leads to one look at the server's port: where nobody listens any more, and the server had not announced its leaving, E305 names the server and all requests of this gateway that were there. E505 has the same fingerprint beside the attempt's id. No decision rests on it yet.

--- a/coltsfootbend/base/log_event.h
+++ b/coltsfootbend/base/log_event.h
@@ -32,6 +32,7 @@
     WorkerLeaving = 302,
     BackendListed = 303,
     GroupCondition = 304,
+    BackendCrashed = 305,
     LedgerHandedOver = 400,
     LedgerRestored = 401,
     LedgerIncomplete = 402,
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -416,7 +416,9 @@
         isOverdue ? backend_outcome::Abandoned : (isSilent ? backend_outcome::Silent : backend_outcome::Broken));
     logEvent(log_event::RequestFailed,
         label() + " backend=" + picked.server.id.text() + " events=" + std::to_string(m_events.events()) + " why=\""
-            + toString(why) + "\"");
+            + toString(why) + "\"" + " request=" + shortName(fingerprint()));
+    if (why.kind == error_kind::Lost)
+        m_context.crashes.lost(picked.server, fingerprint());
     m_events.dropPending();
     m_mayHaveRun = true;
     if (m_route->mayRepeat() && !isOverdue && mayTryAgain())
@@ -488,6 +490,20 @@
 
 retry_budget& exchange::budget() { return m_context.budgets.at(m_deployment); }
 
+const request_fingerprint& exchange::fingerprint()
+{
+    if (m_fingerprint.empty()) {
+        const auto host = findHeader(m_request.headers, "Host").value_or("");
+        // Customers may have several keys; on open routes there is none to go by.
+        m_fingerprint = fingerprintOf({ .method = m_request.method,
+            .host = host,
+            .target = m_request.target,
+            .caller = m_customer ? m_customer->id.text() : "",
+            .body = m_request.body });
+    }
+    return m_fingerprint;
+}
+
 std::string exchange::label() const
 {
     return "id=" + (m_facts.requestId.empty() ? "-" : m_facts.requestId) + " route=" + (m_route ? m_route->name : "-")
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -9,6 +9,7 @@
 #include "coltsfootbend/gateway/backend_connection.h"
 #include "coltsfootbend/gateway/backend_picker.h"
 #include "coltsfootbend/gateway/catalogue.h"
+#include "coltsfootbend/gateway/crash_detector.h"
 #include "coltsfootbend/gateway/event_stream.h"
 #include "coltsfootbend/gateway/request_dialect.h"
 #include "coltsfootbend/gateway/silence_guard.h"
@@ -35,6 +36,7 @@
     // One for each deployment: what may be sent again.
     std::map<deployment_id, retry_budget> budgets;
     patience_tracker patience;
+    crash_detector crashes;
     catalogue_ptr catalogue;
 };
 
@@ -78,6 +80,8 @@
     time_point standingPatience(time_point lastSignOfLife) const;
     std::uint32_t priority() const;
     retry_budget& budget();
+    // What makes a repetition of this request the same one. Worked out when first asked for.
+    const request_fingerprint& fingerprint();
     std::string label() const;
 
     gateway_context& m_context;
@@ -91,6 +95,7 @@
     deployment_id m_deployment;
     time_point m_deadline {};
     bool m_returning = false;
+    request_fingerprint m_fingerprint;
     bool m_held = false; // Here, for a slot or for its group.
 
     // Shared with the watcher of the caller's connection, which may outlive this.
--- a/coltsfootbend/gateway/exchange_test.cpp
+++ b/coltsfootbend/gateway/exchange_test.cpp
@@ -131,6 +131,8 @@
               .guard = {},
               .budgets = {},
               .patience = {},
+              .crashes = crash_detector(
+                  runtime, [](const backend_server&) { return false; }, [](const backend_crash&) {}),
               .catalogue = {} })
     {
         context->budgets.emplace(service, retry_budget({}));
@@ -203,7 +205,7 @@
             work(current);
             isDone = true;
             current.context->connections.sweep([](const backend_id&) { return false; });
-            runtime.sleepFor(20ms);
+            runtime.sleepFor(100ms); // For all other fibers to end, those that look into crashes too.
             runtime.stop();
         });
         runtime.run();
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -62,6 +62,9 @@
         .guard = {},
         .budgets = {},
         .patience = {},
+        .crashes = crash_detector(
+            m_runtime, [this](const backend_server& server) { return isLeaving(server); },
+            [this](const backend_crash&) { m_metrics->count("backend_crashes_total"); }),
         .catalogue = {} });
     m_watch->onCatalogue([this](const catalogue_ptr& next) {
         m_hasNews = true;
@@ -115,6 +118,12 @@
         [this] { return m_leaving; }, &m_idle);
 }
 
+bool gateway_service::isLeaving(const backend_server& server) const
+{
+    const auto* known = m_watch->directory().find(server.id);
+    return !known || known->isLeaving;
+}
+
 bool gateway_service::isReady() const { return m_watch->catalogue() && m_watch->knowsServers() && !m_leaving; }
 
 void gateway_service::serveHealth(const http_request& request, http_responder& responder) const
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -34,6 +34,8 @@
     void applyServers();
     void applyBudgets();
     result<void> listen();
+    // Announced that it leaves, or is not registered any more.
+    bool isLeaving(const backend_server&) const;
     void serveCaller(const byte_stream_ptr&);
     void serveHealth(const http_request&, http_responder&) const;
     void subscribeLoop();
