--- a/coltsfootbend/net/net_test.cpp
+++ b/coltsfootbend/net/net_test.cpp
@@ -155,17 +155,18 @@
 TEST(Http, AnAnswerThatIsReadyAtOnceReachesACallerThatIsWatched)
 {
     onRuntime([](fiber_runtime& runtime) {
-        const auto server
-            = listenHttp(runtime, { "127.0.0.1", 0 }, {}, [](const http_request&, http_responder& responder) {
-                  responder.watch([] {});
-                  (void)responder.send({ { 503, {} }, "not now" });
-              });
+        const auto server = listenHttp(
+            runtime, { "127.0.0.1", 0 }, { .idleLimit = 100ms }, [](const http_request&, http_responder& responder) {
+                responder.watch([] {});
+                (void)responder.send({ { 503, {} }, "not now" });
+            });
         ASSERT_TRUE(server);
         http_client client(runtime);
         const auto answer = client.send({ "127.0.0.1", (*server)->port() },
             { .method = "GET", .target = "/", .headers = {}, .body = {} }, clock_type::now() + 1s);
         ASSERT_TRUE(answer) << toString(answer.error());
         EXPECT_EQ(answer->head.status, 503);
+        (*server)->close();
     });
 }
 
