A request that crashes backend servers is kept from them, at every gateway

Callers saw the whole service down for seconds again and again: a request that crashes whatever begins it was sent on to the next server 2 ms after it had crashed one, and came again as a new attempt at other gateways, each of which knew failed servers and no request. Ruled out: servers that end by themselves (they ended in pairs across data centres right after groups opened, and the users' record counts eight under one request), and repeats within an attempt (two sends at most in every story).

Change, quarantine/ and gateway/request_quarantine: attempts are the same request by method, host, target, customer and body. Whoever was at a server that crashed is a suspect; three crashes that nobody else explains quarantine a request, and it is answered 503, not run, before each sending. One that was at two is sent to one server an attempt. A good end clears it. Records are facts that are only ever added, so all VMs reach the same verdict in any order and nobody has to agree: gateways push them to rank agents, whose digests (8 bytes in the news of load, ten a second) let everybody else fetch what they lack. What was at two crashes or more is kept in the store, for the case that all VMs end at once.

Model: 99 gateways and 129 agents know a crash after one round of news; with 3 in 10 messages lost, all of 8 within a second.

--- a/coltsfootbend/base/log_event.cpp
+++ b/coltsfootbend/base/log_event.cpp
@@ -69,6 +69,7 @@
     case log_event::StorePollDeaf:
     case log_event::WorkerSuspected:
     case log_event::BackendCrashed:
+    case log_event::RequestQuarantine:
     case log_event::LedgerIncomplete:
     case log_event::RequestUnknown:
     case log_event::RequestFailed:
--- a/coltsfootbend/base/log_event.h
+++ b/coltsfootbend/base/log_event.h
@@ -33,6 +33,7 @@
     BackendListed = 303,
     GroupCondition = 304,
     BackendCrashed = 305,
+    RequestQuarantine = 306,
     LedgerHandedOver = 400,
     LedgerRestored = 401,
     LedgerIncomplete = 402,
--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -138,6 +138,8 @@
             std::make_unique<platform::store_client>(m_runtime, *m_settings.deploymentStore),
             std::make_unique<platform::table_decoder>(), std::move(options)));
         if (m_settings.gateway) {
+            m_kernel.add(std::make_unique<crash_archive>(
+                m_runtime, std::make_unique<platform::store_client>(m_runtime, *m_settings.deploymentStore)));
             auto gateway = std::make_unique<gateway_service>(
                 m_runtime, m_settings, std::make_unique<platform::request_headers>());
             m_onReload.emplace_back([service = gateway.get()] { service->applySettings(); });
--- a/coltsfootbend/gateway/crash_detector.cpp
+++ b/coltsfootbend/gateway/crash_detector.cpp
@@ -40,6 +40,9 @@
 
 void crash_detector::lost(const backend_server& server, const request_fingerprint& request)
 {
+    // As it was known when it broke off: what crashes loses its registration as well, a little later.
+    if (m_state->isExpected(server))
+        return;
     auto& found = m_state->inquiries[server.instance()];
     found.requests.insert(request);
     if (found.requests.size() > 1)
@@ -56,7 +59,7 @@
     const auto address = state->inquiries.at(instance).server.address;
     const auto port = probePort(runtime, address, clock_type::now() + probeLimit);
     const auto found = state->inquiries.extract(instance).mapped();
-    if (port != port_state::Refused || state->isExpected(found.server))
+    if (port != port_state::Refused)
         return;
     const backend_crash crash { .server = found.server, .requests = found.requests };
     logEvent(log_event::BackendCrashed, describe(crash));
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -139,6 +139,11 @@
             finishWithoutServer();
             return;
         }
+        // Looked at before each sending: the verdict may fall while the request is held here.
+        if (const auto until = quarantinedUntil(now)) {
+            refuseQuarantined(now, *until);
+            return;
+        }
         const auto picked = m_context.picker.pick(pickRequest(), now);
         const auto next = picked ? attempt(*picked) : refuse(picked.error());
         if (next == next_step::Finished)
@@ -146,6 +151,24 @@
     }
 }
 
+std::optional<time_point> exchange::quarantinedUntil(time_point now)
+{
+    return m_context.quarantine.isActive() ? m_context.quarantine.refusedUntil(fingerprint(), now) : std::nullopt;
+}
+
+void exchange::refuseQuarantined(time_point now, time_point until)
+{
+    if (m_begun || m_mayHaveRun || m_serverFailure) {
+        finishWithoutServer();
+        return;
+    }
+    m_context.metrics.count("refused_total", { { "reason", "quarantined" } });
+    answer(statusUnavailable,
+        { error_kind::Denied, "not run: servers have crashed under this request each time",
+            "Change the request, or come back after the time in Retry-After" },
+        until - now);
+}
+
 pick_request exchange::pickRequest() const
 {
     return { .deployment = m_deployment,
@@ -329,6 +352,8 @@
         finishWithoutServer();
         return next_step::Finished;
     }
+    if (isSuccess(head.status))
+        clearSuspicion();
     budget().recordSuccess();
     m_context.metrics.observe("answer_seconds", toMilliseconds(clock_type::now() - m_arrivedAt) / 1000);
     logEvent(log_event::RequestAnswered,
@@ -388,6 +413,7 @@
     if (connection.isReusable())
         m_context.connections.keep(picked.server, m_caller->connection, m_context.dialect.readBackend(head).keptFor);
     settle(picked, backend_outcome::Answered, latency);
+    clearSuspicion();
     budget().recordSuccess();
     logEvent(log_event::RequestAnswered,
         label() + " backend=" + picked.server.id.text() + " events=" + std::to_string(m_events.events()));
@@ -417,11 +443,12 @@
     logEvent(log_event::RequestFailed,
         label() + " backend=" + picked.server.id.text() + " events=" + std::to_string(m_events.events()) + " why=\""
             + toString(why) + "\"" + " request=" + shortName(fingerprint()));
+    const bool maySendOn = m_context.quarantine.maySendOn(fingerprint());
     if (why.kind == error_kind::Lost)
-        m_context.crashes.lost(picked.server, fingerprint());
+        m_context.quarantine.lost(picked.server, fingerprint());
     m_events.dropPending();
     m_mayHaveRun = true;
-    if (m_route->mayRepeat() && !isOverdue && mayTryAgain())
+    if (m_route->mayRepeat() && !isOverdue && maySendOn && mayTryAgain())
         return next_step::TryAgain;
     finishWithoutServer();
     return next_step::Finished;
@@ -490,6 +517,12 @@
 
 retry_budget& exchange::budget() { return m_context.budgets.at(m_deployment); }
 
+void exchange::clearSuspicion()
+{
+    if (m_context.quarantine.isActive())
+        m_context.quarantine.answered(fingerprint());
+}
+
 const request_fingerprint& exchange::fingerprint()
 {
     if (m_fingerprint.empty()) {
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -9,9 +9,9 @@
 #include "coltsfootbend/gateway/backend_connection.h"
 #include "coltsfootbend/gateway/backend_picker.h"
 #include "coltsfootbend/gateway/catalogue.h"
-#include "coltsfootbend/gateway/crash_detector.h"
 #include "coltsfootbend/gateway/event_stream.h"
 #include "coltsfootbend/gateway/request_dialect.h"
+#include "coltsfootbend/gateway/request_quarantine.h"
 #include "coltsfootbend/gateway/silence_guard.h"
 #include "coltsfootbend/gateway/waiting_policy.h"
 #include "coltsfootbend/limits/patience_tracker.h"
@@ -36,7 +36,7 @@
     // One for each deployment: what may be sent again.
     std::map<deployment_id, retry_budget> budgets;
     patience_tracker patience;
-    crash_detector crashes;
+    request_quarantine& quarantine;
     catalogue_ptr catalogue;
 };
 
@@ -56,6 +56,9 @@
     bool admit();
     void loop();
     next_step refuse(const pick_refused&);
+    // Until when this request is kept from servers, which it crashes; none for almost all.
+    std::optional<time_point> quarantinedUntil(time_point now);
+    void refuseQuarantined(time_point now, time_point until);
     next_step attempt(const picked_backend&);
     next_step receive(const picked_backend&, backend_connection&, time_point sentAt);
     next_step relayWhole(const picked_backend&, backend_connection&, const http_head&, time_point sentAt);
@@ -80,6 +83,7 @@
     time_point standingPatience(time_point lastSignOfLife) const;
     std::uint32_t priority() const;
     retry_budget& budget();
+    void clearSuspicion();
     // What makes a repetition of this request the same one. Worked out when first asked for.
     const request_fingerprint& fingerprint();
     std::string label() const;
--- a/coltsfootbend/gateway/exchange_test.cpp
+++ b/coltsfootbend/gateway/exchange_test.cpp
@@ -123,6 +123,8 @@
 public:
     explicit trial(fiber_runtime& runtime)
         : runtime(runtime)
+        , m_quarantine(
+              runtime, [](const backend_server&) { return false; }, [](const std::vector<crash_record>&) {})
         , context(new gateway_context { .runtime = runtime,
               .dialect = m_dialect,
               .metrics = m_metrics,
@@ -131,8 +133,7 @@
               .guard = {},
               .budgets = {},
               .patience = {},
-              .crashes = crash_detector(
-                  runtime, [](const backend_server&) { return false; }, [](const backend_crash&) {}),
+              .quarantine = m_quarantine,
               .catalogue = {} })
     {
         context->budgets.emplace(service, retry_budget({}));
@@ -166,6 +167,7 @@
 private:
     platform::request_headers m_dialect;
     metrics_service m_metrics;
+    request_quarantine m_quarantine;
 
 public:
     std::unique_ptr<gateway_context> context;
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -40,6 +40,9 @@
     : m_runtime(runtime)
     , m_settings(settings)
     , m_dialect(std::move(dialect))
+    , m_quarantine(
+          runtime, [this](const backend_server& server) { return isLeaving(server); },
+          [this](const std::vector<crash_record>& records) { publishCrashes(records); })
     , m_gateways(assumedGateways)
 {
 }
@@ -62,9 +65,7 @@
         .guard = {},
         .budgets = {},
         .patience = {},
-        .crashes = crash_detector(
-            m_runtime, [this](const backend_server& server) { return isLeaving(server); },
-            [this](const backend_crash&) { m_metrics->count("backend_crashes_total"); }),
+        .quarantine = m_quarantine,
         .catalogue = {} });
     m_watch->onCatalogue([this](const catalogue_ptr& next) {
         m_hasNews = true;
@@ -82,6 +83,15 @@
     if (!news)
         return tl::unexpected(news.error());
     m_news = std::move(*news);
+    m_crashChannel = std::make_unique<datagram_crash_channel>(m_settings.vm, *m_news);
+    m_gossip = std::make_unique<crash_gossip>(m_quarantine.history(), *m_crashChannel);
+    m_archive = kernel.find<crash_archive>("crash_archive");
+    if (m_archive) {
+        m_archive->onRestored([this](const std::vector<crash_record>& records) {
+            m_quarantine.history().add(records, clock_type::now());
+            m_quarantine.review();
+        });
+    }
     m_runtime.spawn([this] { subscribeLoop(); });
     m_runtime.spawn([this] { receiveLoop(); });
     m_runtime.spawn([this] { maintainLoop(); });
@@ -191,15 +201,8 @@
             .senderLife = {},
             .version = {},
             .content = wire::load_subscribe { m_watch->knowledge() } });
-        std::set<std::string> hosts;
-        for (const auto& [id, server] : m_watch->directory().servers()) {
-            const auto* deployment
-                = m_context->catalogue ? m_context->catalogue->findDeployment(server.deployment) : nullptr;
-            if (deployment && deployment->engine)
-                hosts.insert(server.address.ip);
-        }
-        for (const auto& host : hosts)
-            m_news->send({ host, m_settings.peers.port }, bytes);
+        for (const auto& agent : agents())
+            m_news->send(agent, bytes);
         const auto nextAt = clock_type::now() + subscribeEvery;
         m_hasNews = false;
         while (clock_type::now() < nextAt && !m_hasNews)
@@ -207,40 +210,83 @@
     }
 }
 
+std::vector<endpoint> gateway_service::agents() const
+{
+    std::set<std::string> hosts;
+    for (const auto& [id, server] : m_watch->directory().servers()) {
+        const auto* deployment
+            = m_context->catalogue ? m_context->catalogue->findDeployment(server.deployment) : nullptr;
+        if (deployment && deployment->engine)
+            hosts.insert(server.address.ip);
+    }
+    std::vector<endpoint> found;
+    for (const auto& host : hosts)
+        found.push_back({ host, m_settings.peers.port });
+    return found;
+}
+
 void gateway_service::receiveLoop()
 {
     while (auto got = m_news->receive()) {
         wire::message_decoder decoder(got->bytes.size() + 1);
         decoder.feed(got->bytes);
         const auto message = decoder.next();
-        const auto* news = message && *message ? std::get_if<wire::load_news>(&(*message)->content) : nullptr;
-        if (!news) {
+        const auto* content = message && *message ? &(*message)->content : nullptr;
+        if (const auto* news = content ? std::get_if<wire::load_news>(content) : nullptr)
+            hearLoad(got->sender, *news);
+        else if (const auto* crashes = content ? std::get_if<wire::crash_report>(content) : nullptr)
+            hearCrashes(got->sender, *crashes);
+        else
             m_metrics->count("datagrams_unreadable_total");
-            continue;
-        }
-        m_watch->meetPeer(got->sender);
-        hearOfStore(*news);
-        if (const auto informed = parseEndpoint(news->newsAt))
-            m_watch->hearOfNews(*informed);
-        const auto engine = parseEndpoint(news->engine);
-        if (!engine)
-            continue;
-        m_context->picker.report(*engine,
-            { .life = backend_life(news->life),
-                .running = news->running,
-                .waiting = news->waiting,
-                .pace = news->pace,
-                .group = news->group,
-                .epoch = news->epoch,
-                .step = news->step,
-                .ranks = news->ranks,
-                .isOpen = news->isOpen },
-            clock_type::now());
-        if (news->subscribers > 0 && news->subscribers != m_gateways && m_context->catalogue) {
-            m_gateways = news->subscribers;
-            m_context->picker.setGateways(m_gateways);
-            applyBudgets();
-        }
+    }
+}
+
+void gateway_service::hearLoad(const endpoint& sender, const wire::load_news& news)
+{
+    const auto now = clock_type::now();
+    m_watch->meetPeer(sender);
+    hearOfStore(news);
+    m_gossip->hearDigest(sender, news.crashes, now);
+    if (const auto informed = parseEndpoint(news.newsAt))
+        m_watch->hearOfNews(*informed);
+    const auto engine = parseEndpoint(news.engine);
+    if (!engine)
+        return;
+    m_context->picker.report(*engine,
+        { .life = backend_life(news.life),
+            .running = news.running,
+            .waiting = news.waiting,
+            .pace = news.pace,
+            .group = news.group,
+            .epoch = news.epoch,
+            .step = news.step,
+            .ranks = news.ranks,
+            .isOpen = news.isOpen },
+        now);
+    if (news.subscribers > 0 && news.subscribers != m_gateways && m_context->catalogue) {
+        m_gateways = news.subscribers;
+        m_context->picker.setGateways(m_gateways);
+        applyBudgets();
+    }
+}
+
+void gateway_service::hearCrashes(const endpoint& sender, const wire::crash_report& report)
+{
+    m_gossip->hear(sender, report, clock_type::now());
+    m_quarantine.review();
+}
+
+void gateway_service::publishCrashes(const std::vector<crash_record>& records)
+{
+    // A request that was at one crash only is forgotten if all VMs end at once: most of them are innocent.
+    constexpr std::size_t crashesToKeep = 2;
+    m_gossip->tell(records, agents(), clock_type::now());
+    if (!m_archive)
+        return;
+    for (const auto& record : records) {
+        const auto all = m_quarantine.history().recordsOf(record.request);
+        if (all.size() >= crashesToKeep)
+            m_archive->keep(all);
     }
 }
 
@@ -292,6 +338,8 @@
 {
     while (!m_stopped) {
         m_runtime.sleepFor(maintainEvery);
+        m_quarantine.history().expire(clock_type::now());
+        m_quarantine.review();
         m_context->connections.sweep([this](const backend_id& id) {
             const auto* server = m_watch->directory().find(id);
             return server && !server->isLeaving;
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -8,7 +8,10 @@
 
 #include "coltsfootbend/gateway/deployment_watch.h"
 #include "coltsfootbend/gateway/exchange.h"
+#include "coltsfootbend/gateway/request_quarantine.h"
 #include "coltsfootbend/net/datagram.h"
+#include "coltsfootbend/quarantine/crash_archive.h"
+#include "coltsfootbend/quarantine/datagram_crash_channel.h"
 #include "coltsfootbend/settings/settings.h"
 
 namespace coltsfootbend {
@@ -40,6 +43,12 @@
     void serveHealth(const http_request&, http_responder&) const;
     void subscribeLoop();
     void receiveLoop();
+    void hearLoad(const endpoint& sender, const wire::load_news&);
+    void hearCrashes(const endpoint& sender, const wire::crash_report&);
+    // Tells the agents, who tell the others, and has the store keep what is serious.
+    void publishCrashes(const std::vector<crash_record>&);
+    // Where the agents beside the engines listen.
+    std::vector<endpoint> agents() const;
     // When other gateways have heard of the store, and who asks it for all.
     void hearOfStore(const wire::load_news&);
     void maintainLoop();
@@ -52,10 +61,14 @@
     const std::unique_ptr<request_dialect> m_dialect;
     deployment_watch* m_watch = nullptr;
     metrics_service* m_metrics = nullptr;
+    request_quarantine m_quarantine;
+    crash_archive* m_archive = nullptr; // Null where nothing is kept.
     std::unique_ptr<gateway_context> m_context;
     http_server_options m_serverOptions;
     idle_connections m_idle;
     std::unique_ptr<datagram_socket> m_news;
+    std::unique_ptr<datagram_crash_channel> m_crashChannel;
+    std::unique_ptr<crash_gossip> m_gossip;
     std::shared_ptr<listener> m_callers;
     std::shared_ptr<listener> m_health;
     std::size_t m_running = 0; // Requests under way.
--- /dev/null
+++ b/coltsfootbend/gateway/request_quarantine.cpp
@@ -0,0 +1,86 @@
+#include "coltsfootbend/gateway/request_quarantine.h"
+
+#include "coltsfootbend/base/log_event.h"
+
+#include <string>
+#include <utility>
+
+namespace coltsfootbend {
+
+namespace {
+
+// Whoever was at so many crashes is tried by one server an attempt: the next one may be the proof.
+constexpr std::size_t crashesToBeCareful = 2;
+
+server_life lifeOf(const backend_server& server)
+{
+    const auto& id = server.id.text();
+    return server_life(server.life.isNone() ? id : id + "@" + std::to_string(server.life.number()));
+}
+
+} // namespace
+
+request_quarantine::request_quarantine(fiber_runtime& runtime, std::function<bool(const backend_server&)> isExpected,
+    std::function<void(const std::vector<crash_record>&)> publish)
+    : m_detector(runtime, std::move(isExpected), [this](const backend_crash& crash) { noteCrash(crash); })
+    , m_publish(std::move(publish))
+{
+}
+
+std::optional<time_point> request_quarantine::refusedUntil(const request_fingerprint& request, time_point now) const
+{
+    return m_history.quarantinedUntil(request, now);
+}
+
+bool request_quarantine::maySendOn(const request_fingerprint& request) const
+{
+    return m_history.crashes(request) < crashesToBeCareful;
+}
+
+void request_quarantine::lost(const backend_server& server, const request_fingerprint& request)
+{
+    m_detector.lost(server, request);
+}
+
+void request_quarantine::noteCrash(const backend_crash& crash)
+{
+    const auto now = clock_type::now();
+    std::vector<crash_record> records;
+    for (const auto& request : crash.requests)
+        records.push_back({ .request = request, .server = lifeOf(crash.server), .at = now });
+    const auto news = m_history.add(records, now);
+    review();
+    m_publish(news);
+}
+
+void request_quarantine::answered(const request_fingerprint& request)
+{
+    const auto cleared = m_history.clear(request);
+    if (cleared.empty())
+        return;
+    review();
+    m_publish(cleared);
+}
+
+void request_quarantine::review()
+{
+    auto quarantined = m_history.quarantined();
+    if (quarantined == m_logged)
+        return;
+    const auto log = [this](const request_fingerprint& request, const char* state) {
+        logEvent(log_event::RequestQuarantine,
+            "request=" + shortName(request) + " quarantined=" + state
+                + " crashes=" + std::to_string(m_history.crashes(request)));
+    };
+    for (const auto& request : quarantined) {
+        if (!m_logged.contains(request))
+            log(request, "yes");
+    }
+    for (const auto& request : m_logged) {
+        if (!quarantined.contains(request))
+            log(request, "no");
+    }
+    m_logged = std::move(quarantined);
+}
+
+} // namespace coltsfootbend
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -70,6 +70,8 @@
     if (!news)
         return tl::unexpected(news.error());
     m_news = std::move(*news);
+    m_crashChannel = std::make_unique<datagram_crash_channel>(m_settings.vm, *m_news);
+    m_gossip = std::make_unique<crash_gossip>(m_crashes, *m_crashChannel);
     m_runtime.spawn([this] { newsLoop(); });
     m_runtime.spawn([this] { receiveLoop(); });
     m_runtime.spawn([this] { leadLoop(); });
@@ -110,24 +112,30 @@
         wire::message_decoder decoder(got->bytes.size() + 1);
         decoder.feed(got->bytes);
         const auto message = decoder.next();
-        const auto* subscription
-            = message && *message ? std::get_if<wire::load_subscribe>(&(*message)->content) : nullptr;
-        if (!subscription) {
+        const auto* content = message && *message ? &(*message)->content : nullptr;
+        if (const auto* subscription = content ? std::get_if<wire::load_subscribe>(content) : nullptr)
+            hearGateway(got->sender, *subscription);
+        else if (const auto* crashes = content ? std::get_if<wire::crash_report>(content) : nullptr)
+            m_gossip->hear(got->sender, *crashes, clock_type::now());
+        else
             m_metrics->count("datagrams_unreadable_total");
-            continue;
-        }
-        const auto now = clock_type::now();
-        m_subscribers.hear(got->sender, subscription->knows, now + subscriptionLength, now);
-        m_watch->hearGateway(got->sender, subscription->knows);
     }
 }
 
+void rank_service::hearGateway(const endpoint& sender, const wire::load_subscribe& subscription)
+{
+    const auto now = clock_type::now();
+    m_subscribers.hear(sender, subscription.knows, now + subscriptionLength, now);
+    m_watch->hearGateway(sender, subscription.knows);
+}
+
 void rank_service::newsLoop()
 {
     while (!m_stopped) {
         m_runtime.sleepFor(newsEvery);
         const auto now = clock_type::now();
         m_subscribers.expire(now);
+        m_crashes.expire(now);
         const auto report = m_engine->report(now + reportLimit);
         if (!report) {
             m_metrics->count("engine_reports_failed_total");
@@ -156,6 +164,7 @@
     news.servers = m_subscribers.servers(now);
     if (const auto* checker = m_subscribers.checker())
         news.checker = toString(*checker);
+    news.crashes = m_crashes.digest();
     if (report.group) {
         news.group = report.group->name;
         news.epoch = report.group->epoch;
--- a/coltsfootbend/group/rank_service.h
+++ b/coltsfootbend/group/rank_service.h
@@ -13,6 +13,7 @@
 #include "coltsfootbend/group/relay_peers.h"
 #include "coltsfootbend/metrics/metrics.h"
 #include "coltsfootbend/net/datagram.h"
+#include "coltsfootbend/quarantine/datagram_crash_channel.h"
 #include "coltsfootbend/settings/settings.h"
 
 #include <functional>
@@ -40,6 +41,7 @@
     void answerPeers();
     void newsLoop();
     void receiveLoop();
+    void hearGateway(const endpoint& sender, const wire::load_subscribe&);
     void tellLoad(const rank_report&);
     void leadLoop();
     // Leads, or waits for who does. Returns when to look again.
@@ -62,6 +64,10 @@
     metrics_service* m_metrics = nullptr;
     peer_service* m_peers = nullptr;
     std::unique_ptr<datagram_socket> m_news;
+    // What gateways tell each other by way of agents.
+    crash_history m_crashes;
+    std::unique_ptr<datagram_crash_channel> m_crashChannel;
+    std::unique_ptr<crash_gossip> m_gossip;
     load_subscribers m_subscribers { std::random_device {}() };
     std::optional<group_membership> m_group; // By the last report.
     std::map<endpoint, std::shared_ptr<agent_channel>> m_channels; // By the engine's address.
--- /dev/null
+++ b/coltsfootbend/quarantine/crash_archive.cpp
@@ -0,0 +1,121 @@
+#include "coltsfootbend/quarantine/crash_archive.h"
+
+#include "coltsfootbend/base/log_event.h"
+
+#include <algorithm>
+
+namespace coltsfootbend {
+
+namespace {
+
+constexpr std::chrono::milliseconds lookEvery { 200 };
+constexpr std::chrono::milliseconds callLimit { 1500 };
+constexpr std::chrono::seconds pauseAfterFailure { 2 };
+// What one call to the store may hold.
+constexpr std::size_t rowsPerCall = 100;
+// Beyond this the store has been away for long, and gossip has what matters.
+constexpr std::size_t mostWaiting = 1000;
+
+using system_time = std::chrono::system_clock;
+
+void logFailure(const char* call, const error& why)
+{
+    logEvent(log_event::StoreCallFailed, std::string("table=crashes call=") + call + " why=\"" + toString(why) + "\"");
+}
+
+kept_crash toRow(const crash_record& record)
+{
+    const auto age = clock_type::now() - record.at;
+    return { .request = record.request,
+        .server = record.server,
+        .at = system_time::now() - std::chrono::duration_cast<system_time::duration>(age) };
+}
+
+crash_record toRecord(const kept_crash& row)
+{
+    const auto age = std::max(system_time::now() - row.at, system_time::duration::zero());
+    return { .request = row.request, .server = row.server, .at = clock_type::now() - age };
+}
+
+} // namespace
+
+crash_archive::crash_archive(fiber_runtime& runtime, std::unique_ptr<crash_store> store, const options& options)
+    : m_runtime(runtime)
+    , m_store(std::move(store))
+    , m_options(options)
+{
+}
+
+result<void> crash_archive::start(kernel&)
+{
+    m_runtime.spawn([this] { run(); });
+    return {};
+}
+
+void crash_archive::keep(const std::vector<crash_record>& records)
+{
+    for (const auto& record : records) {
+        if (m_waiting.size() < mostWaiting)
+            m_waiting.insert_or_assign({ record.request, record.server }, record);
+    }
+}
+
+void crash_archive::run()
+{
+    while (!m_stopped) {
+        const bool isDone = (m_hasRead || readOnce()) && writeOnce();
+        m_runtime.sleepFor(isDone ? duration(lookEvery) : duration(pauseAfterFailure));
+    }
+}
+
+// Rows that are older than they are kept for are removed by whoever reads them next.
+bool crash_archive::readOnce()
+{
+    const auto rows = m_store->readCrashes(clock_type::now() + callLimit);
+    if (!rows) {
+        logFailure("read", rows.error());
+        return false;
+    }
+    m_hasRead = true;
+    std::vector<crash_record> restored;
+    for (const auto& row : *rows) {
+        auto record = toRecord(row);
+        if (record.at + m_options.keptFor > clock_type::now()) {
+            restored.push_back(std::move(record));
+            continue;
+        }
+        record.isCleared = true;
+        keep({ record });
+    }
+    if (m_restored)
+        m_restored(restored);
+    return true;
+}
+
+std::vector<crash_record> crash_archive::takeBatch()
+{
+    std::vector<crash_record> batch;
+    while (!m_waiting.empty() && batch.size() < rowsPerCall)
+        batch.push_back(m_waiting.extract(m_waiting.begin()).mapped());
+    return batch;
+}
+
+bool crash_archive::writeOnce()
+{
+    const auto batch = takeBatch();
+    if (batch.empty())
+        return true;
+    std::vector<kept_crash> written;
+    std::vector<kept_crash> removed;
+    for (const auto& record : batch)
+        (record.isCleared ? removed : written).push_back(toRow(record));
+    const auto done = m_store->changeCrashes(written, removed, clock_type::now() + callLimit);
+    if (done)
+        return true;
+    logFailure("write", done.error());
+    for (const auto& record : batch)
+        m_waiting.emplace(row_key { record.request, record.server }, record); // Unless there is newer news of it.
+    return false;
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/quarantine/crash_archive_test.cpp
@@ -0,0 +1,153 @@
+#include "coltsfootbend/quarantine/crash_archive.h"
+
+#include <gtest/gtest.h>
+#include <set>
+#include <thread>
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+
+using row_names = std::set<std::string>;
+
+// The store; it may refuse calls.
+struct model_rows {
+    std::map<std::string, kept_crash> rows;
+    bool isRefusing = false;
+    int calls = 0;
+};
+
+class model_crash_store final : public crash_store {
+public:
+    explicit model_crash_store(model_rows& model)
+        : m_model(model)
+    {
+    }
+
+    result<std::vector<kept_crash>> readCrashes(time_point) override
+    {
+        ++m_model.calls;
+        if (m_model.isRefusing)
+            return fail(error_kind::Unavailable, "refused");
+        std::vector<kept_crash> all;
+        for (const auto& [name, row] : m_model.rows)
+            all.push_back(row);
+        return all;
+    }
+
+    result<void> changeCrashes(
+        const std::vector<kept_crash>& written, const std::vector<kept_crash>& removed, time_point) override
+    {
+        ++m_model.calls;
+        if (m_model.isRefusing)
+            return fail(error_kind::Unavailable, "refused");
+        for (const auto& row : written)
+            m_model.rows[nameOf(row)] = row;
+        for (const auto& row : removed)
+            m_model.rows.erase(nameOf(row));
+        return {};
+    }
+
+    static std::string nameOf(const kept_crash& row) { return row.request.text() + "." + row.server.text(); }
+
+private:
+    model_rows& m_model;
+};
+
+class crash_archive_test : public testing::Test {
+protected:
+    void play(const std::function<void(fiber_runtime&, crash_archive&)>& work)
+    {
+        std::thread([&] {
+            fiber_runtime runtime;
+            kernel kernel;
+            crash_archive archive(runtime, std::make_unique<model_crash_store>(m_model));
+            archive.onRestored([this](const std::vector<crash_record>& records) { m_restored = records; });
+            runtime.spawn([&] {
+                (void)archive.start(kernel);
+                work(runtime, archive);
+                archive.stop();
+                runtime.sleepFor(300ms);
+                runtime.stop();
+            });
+            runtime.run();
+        }).join();
+    }
+
+    row_names names() const
+    {
+        row_names found;
+        for (const auto& [name, row] : m_model.rows)
+            found.insert(name);
+        return found;
+    }
+
+    model_rows m_model;
+    std::vector<crash_record> m_restored;
+    const crash_record m_first {
+        .request = request_fingerprint("r"), .server = server_life("1"), .at = clock_type::now() - 5s
+    };
+    const crash_record m_second {
+        .request = request_fingerprint("r"), .server = server_life("2"), .at = clock_type::now()
+    };
+};
+
+TEST_F(crash_archive_test, WhatOneLifeKeptTheNextOneKnows)
+{
+    play([&](fiber_runtime& runtime, crash_archive& archive) {
+        archive.keep({ m_first, m_second });
+        runtime.sleepFor(600ms);
+    });
+    play([](fiber_runtime& runtime, crash_archive&) { runtime.sleepFor(100ms); });
+    ASSERT_EQ(m_restored.size(), 2U);
+    EXPECT_EQ(m_restored.front().server, m_first.server);
+    EXPECT_LT(std::abs(toMilliseconds(m_restored.front().at - m_first.at)), 1000);
+}
+
+TEST_F(crash_archive_test, WhatIsClearedIsRemoved)
+{
+    play([&](fiber_runtime& runtime, crash_archive& archive) {
+        archive.keep({ m_first, m_second });
+        runtime.sleepFor(600ms);
+        EXPECT_EQ(names(), (row_names { "r.1", "r.2" }));
+        auto cleared = m_first;
+        cleared.isCleared = true;
+        archive.keep({ cleared });
+        runtime.sleepFor(600ms);
+    });
+    EXPECT_EQ(names(), (row_names { "r.2" }));
+}
+
+TEST_F(crash_archive_test, WhatAStoreRefusedIsWrittenWhenItIsBack)
+{
+    m_model.isRefusing = true;
+    play([&](fiber_runtime& runtime, crash_archive& archive) {
+        archive.keep({ m_first });
+        runtime.sleepFor(500ms);
+        EXPECT_TRUE(m_model.rows.empty());
+        m_model.isRefusing = false;
+        runtime.sleepFor(2500ms);
+    });
+    EXPECT_EQ(names(), (row_names { "r.1" }));
+}
+
+TEST_F(crash_archive_test, RowsOfLongAgoAreRemovedAndNotTold)
+{
+    const kept_crash old {
+        .request = request_fingerprint("r"), .server = server_life("0"), .at = std::chrono::system_clock::now() - 2h
+    };
+    m_model.rows[model_crash_store::nameOf(old)] = old;
+    play([](fiber_runtime& runtime, crash_archive&) { runtime.sleepFor(500ms); });
+    EXPECT_TRUE(m_restored.empty());
+    EXPECT_TRUE(m_model.rows.empty());
+}
+
+TEST_F(crash_archive_test, CallsTheStoreOnceWhenThereIsNothingToKeep)
+{
+    play([](fiber_runtime& runtime, crash_archive&) { runtime.sleepFor(1s); });
+    EXPECT_EQ(m_model.calls, 1);
+}
+
+} // namespace
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/quarantine/crash_gossip.cpp
@@ -0,0 +1,76 @@
+#include "coltsfootbend/quarantine/crash_gossip.h"
+
+#include <algorithm>
+
+namespace coltsfootbend {
+
+namespace {
+
+// So that a message is no longer than one packet: each entry is about 60 bytes.
+constexpr std::size_t entriesPerMessage = 20;
+// An exchange with one process is usually enough, and what it brings has arrived by then.
+constexpr std::chrono::milliseconds exchangeEvery { 200 };
+
+// Ages, since the clocks of VMs differ.
+wire::crash_entry toEntry(const crash_record& record, time_point now)
+{
+    return { .request = record.request.text(),
+        .server = record.server.text(),
+        .ageMs = static_cast<std::uint64_t>(remaining(record.at, now).count()),
+        .isCleared = record.isCleared };
+}
+
+crash_record toRecord(const wire::crash_entry& entry, time_point now)
+{
+    // Beyond any time for which crashes are kept, and short of what a time can hold.
+    constexpr std::uint64_t longestAgeMs = 86'400'000;
+    return { .request = request_fingerprint(entry.request),
+        .server = server_life(entry.server),
+        .at = now - std::chrono::milliseconds(std::min(entry.ageMs, longestAgeMs)),
+        .isCleared = entry.isCleared };
+}
+
+} // namespace
+
+void crash_gossip::tell(
+    const std::vector<crash_record>& records, const std::vector<endpoint>& receivers, time_point now)
+{
+    wire::crash_report report;
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        report.entries.push_back(toEntry(records[i], now));
+        if (report.entries.size() < entriesPerMessage && i + 1 < records.size())
+            continue;
+        for (const auto& receiver : receivers)
+            m_channel.send(receiver, report);
+        report.entries.clear();
+    }
+}
+
+void crash_gossip::hear(const endpoint& sender, const wire::crash_report& report, time_point now)
+{
+    std::vector<crash_record> records;
+    records.reserve(report.entries.size());
+    for (const auto& entry : report.entries)
+        records.push_back(toRecord(entry, now));
+    m_history.add(records, now);
+    if (report.wantsAll)
+        tellAll(sender, false, now);
+}
+
+void crash_gossip::hearDigest(const endpoint& sender, std::uint64_t digest, time_point now)
+{
+    // A full history drops some of what it is told, and so would never come to equal another one.
+    if (digest == m_history.digest() || m_history.isFull() || now < m_nextExchangeAt)
+        return;
+    m_nextExchangeAt = now + exchangeEvery;
+    tellAll(sender, true, now);
+}
+
+void crash_gossip::tellAll(const endpoint& receiver, bool wantsAll, time_point now)
+{
+    tell(m_history.records(), { receiver }, now);
+    if (wantsAll)
+        m_channel.send(receiver, { .entries = {}, .wantsAll = true });
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/quarantine/crash_gossip_test.cpp
@@ -0,0 +1,184 @@
+#include "coltsfootbend/quarantine/crash_gossip.h"
+
+#include <algorithm>
+#include <deque>
+#include <gtest/gtest.h>
+#include <memory>
+#include <random>
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point start = time_point {} + 24h;
+
+// Gateways and agents that send each other datagrams, some of which are lost. Gateways know agents only.
+class crash_gossip_test : public testing::Test {
+protected:
+    struct node final : crash_channel {
+        node(crash_gossip_test& network, endpoint address)
+            : network(network)
+            , address(std::move(address))
+        {
+        }
+        void send(const endpoint& receiver, const wire::crash_report& report) override
+        {
+            network.m_underWay.push_back({ address, receiver, report });
+        }
+
+        crash_gossip_test& network;
+        const endpoint address;
+        crash_history history;
+        crash_gossip gossip { history, *this };
+        bool isCutOff = false;
+    };
+    struct letter {
+        endpoint from;
+        endpoint to;
+        wire::crash_report report;
+    };
+
+    void build(int gateways, int agents)
+    {
+        for (int i = 0; i < gateways; ++i)
+            m_gateways.push_back(add(i));
+        for (int i = 0; i < agents; ++i)
+            m_agents.push_back(add(1000 + i));
+    }
+
+    endpoint add(int number)
+    {
+        const endpoint address { "10.0.0.1", static_cast<std::uint16_t>(number + 1) };
+        m_nodes[address] = std::make_unique<node>(*this, address);
+        return address;
+    }
+
+    node& at(const endpoint& address) { return *m_nodes.at(address); }
+
+    // Agents tell all gateways their digests, as they do ten times a second.
+    void round()
+    {
+        m_now += 100ms;
+        deliver();
+        for (const auto& gateway : m_gateways) {
+            auto inAnyOrder = m_agents;
+            std::shuffle(inAnyOrder.begin(), inAnyOrder.end(), m_random);
+            for (const auto& agent : inAnyOrder) {
+                if (!isLost() && !at(agent).isCutOff && !at(gateway).isCutOff)
+                    at(gateway).gossip.hearDigest(agent, at(agent).history.digest(), m_now);
+            }
+        }
+        deliver();
+    }
+
+    void deliver()
+    {
+        while (!m_underWay.empty()) {
+            const auto next = m_underWay.front();
+            m_underWay.pop_front();
+            if (!isLost() && !at(next.from).isCutOff && !at(next.to).isCutOff)
+                at(next.to).gossip.hear(next.from, next.report, m_now);
+        }
+    }
+
+    bool isLost() { return std::uniform_real_distribution<double>(0, 1)(m_random) < m_loss; }
+
+    void crash(const endpoint& gateway, const std::string& request, int server)
+    {
+        const auto news = at(gateway).history.add(
+            { { .request = request_fingerprint(request), .server = server_life(std::to_string(server)), .at = m_now } },
+            m_now);
+        at(gateway).gossip.tell(news, m_agents, m_now);
+    }
+
+    bool areAllAlike() const
+    {
+        return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto& entry) {
+            return entry.second->history.digest() == m_nodes.begin()->second->history.digest();
+        });
+    }
+
+    time_point m_now = start;
+    double m_loss = 0;
+    std::minstd_rand m_random { 7 };
+    std::map<endpoint, std::unique_ptr<node>> m_nodes;
+    std::vector<endpoint> m_gateways;
+    std::vector<endpoint> m_agents;
+    std::deque<letter> m_underWay;
+};
+
+TEST_F(crash_gossip_test, ACrashIsKnownEverywhereWithinARoundOfNews)
+{
+    build(99, 129);
+    crash(m_gateways.front(), "r", 1);
+    round();
+    EXPECT_TRUE(areAllAlike());
+    EXPECT_EQ(at(m_gateways.back()).history.crashes(request_fingerprint("r")), 1U);
+}
+
+TEST_F(crash_gossip_test, ThreeCrashesAtThreeGatewaysQuarantineARequestAtAllThoughMessagesAreLost)
+{
+    build(8, 12);
+    m_loss = 0.3;
+    for (int i = 0; i < 3; ++i)
+        crash(m_gateways[static_cast<std::size_t>(i)], "r", i);
+    for (int i = 0; i < 10; ++i)
+        round();
+    for (const auto& gateway : m_gateways)
+        EXPECT_TRUE(at(gateway).history.isQuarantined(request_fingerprint("r"), m_now + 1s));
+}
+
+TEST_F(crash_gossip_test, AVmThatStartsWithNothingLearnsAllAndTakesNothingAway)
+{
+    build(3, 4);
+    for (int i = 0; i < 100; ++i)
+        crash(m_gateways.front(), "r" + std::to_string(i), i);
+    round();
+    m_gateways.push_back(add(50));
+    m_agents.push_back(add(1050));
+    for (int i = 0; i < 5; ++i)
+        round();
+    EXPECT_TRUE(areAllAlike());
+    EXPECT_EQ(at(m_gateways.back()).history.records().size(), 100U);
+}
+
+TEST_F(crash_gossip_test, BothSidesOfACutKnowAllSoonAfterItsEnd)
+{
+    build(4, 6);
+    at(m_gateways.front()).isCutOff = true;
+    crash(m_gateways.front(), "r", 1);
+    crash(m_gateways.back(), "r", 2);
+    for (int i = 0; i < 3; ++i)
+        round();
+    at(m_gateways.front()).isCutOff = false;
+    for (int i = 0; i < 10; ++i)
+        round();
+    for (const auto& gateway : m_gateways)
+        EXPECT_EQ(at(gateway).history.crashes(request_fingerprint("r")), 2U) << "within a second";
+}
+
+TEST_F(crash_gossip_test, NothingIsSentWhileAllKnowTheSame)
+{
+    build(8, 12);
+    crash(m_gateways.front(), "r", 1);
+    for (int i = 0; i < 5; ++i)
+        round();
+    at(m_agents.front()).gossip.hearDigest(m_gateways.front(), at(m_gateways.front()).history.digest(), m_now);
+    EXPECT_TRUE(m_underWay.empty());
+}
+
+TEST_F(crash_gossip_test, NoMessageIsLongerThanAPacket)
+{
+    build(1, 1);
+    for (int i = 0; i < 200; ++i)
+        crash(m_gateways.front(), std::string(32, 'f') + std::to_string(i), i);
+    deliver();
+    at(m_agents.front()).gossip.hear(m_gateways.front(), { .entries = {}, .wantsAll = true }, m_now);
+    ASSERT_FALSE(m_underWay.empty());
+    for (const auto& letter : m_underWay)
+        EXPECT_LE(letter.report.entries.size(), 20U);
+}
+
+} // namespace
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/quarantine/crash_history.cpp
@@ -0,0 +1,237 @@
+#include "coltsfootbend/quarantine/crash_history.h"
+
+#include "coltsfootbend/base/hash.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace coltsfootbend {
+
+namespace {
+
+std::size_t sharedCrashes(const std::set<server_life>& one, const std::set<server_life>& other)
+{
+    return static_cast<std::size_t>(
+        std::count_if(one.begin(), one.end(), [&](const auto& server) { return other.contains(server); }));
+}
+
+} // namespace
+
+std::vector<crash_record> crash_history::add(const std::vector<crash_record>& records, time_point now)
+{
+    std::vector<crash_record> news;
+    std::copy_if(records.begin(), records.end(), std::back_inserter(news),
+        [&](const auto& record) { return addOne(record, now); });
+    if (!news.empty())
+        judge();
+    return news;
+}
+
+bool crash_history::addOne(const crash_record& record, time_point now)
+{
+    if (record.at + m_options.quarantineKeptFor <= now)
+        return false;
+    const auto known = m_suspects.find(record.request);
+    const bool isNew = known == m_suspects.end() || !known->second.crashes.contains(record.server);
+    if (!isNew && (!record.isCleared || known->second.crashes.at(record.server).isCleared))
+        return false;
+    if (isNew && isFull())
+        makeRoom();
+    auto& crash = m_suspects[record.request].crashes[record.server];
+    if (isNew) {
+        crash = { .at = std::min(record.at, now), .heardAt = now };
+        ++m_records;
+    }
+    crash.isCleared = crash.isCleared || record.isCleared;
+    return true;
+}
+
+// Whoever was at fewest crashes goes first, of those the oldest: nothing was proved against them.
+void crash_history::makeRoom()
+{
+    const auto least = std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto& one, const auto& other) {
+        return std::pair(one.second.unexplained, one.second.keptUntil)
+            < std::pair(other.second.unexplained, other.second.keptUntil);
+    });
+    m_records -= least->second.crashes.size();
+    m_suspects.erase(least);
+}
+
+std::vector<crash_record> crash_history::clear(const request_fingerprint& request)
+{
+    const auto known = m_suspects.find(request);
+    if (known == m_suspects.end())
+        return {};
+    bool isNews = false;
+    for (auto& [server, crash] : known->second.crashes) {
+        isNews = isNews || !crash.isCleared;
+        crash.isCleared = true;
+    }
+    if (!isNews)
+        return {};
+    judge();
+    return recordsOf(request);
+}
+
+void crash_history::expire(time_point now)
+{
+    const auto before = m_suspects.size();
+    std::erase_if(m_suspects, [&](const auto& entry) {
+        if (now < entry.second.keptUntil)
+            return false;
+        m_records -= entry.second.crashes.size();
+        return true;
+    });
+    if (m_suspects.size() != before)
+        judge();
+}
+
+// Blames as few requests as explain the crashes: whoever was at most of them, and then whoever was at most of the rest.
+// A request that was often beside one that crashes servers is thereby left with the few crashes that it alone was at.
+void crash_history::judge()
+{
+    for (auto& [request, suspect] : m_suspects) {
+        suspect.quarantinedFrom.reset();
+        suspect.unexplained = 0;
+    }
+    auto open = openSuspicions();
+    while (const auto worst = mostSuspected(open)) {
+        const auto crashes = open.at(*worst);
+        const auto rivalling = rivals(open, *worst);
+        if (!rivalling.empty() && crashes.size() < m_options.crashesThatNeedNoProof) {
+            // One of them is to blame. The next crash tells which.
+            for (const auto& rival : rivalling) {
+                m_suspects.at(rival).unexplained = crashes.size();
+                open.erase(rival);
+            }
+            m_suspects.at(*worst).unexplained = crashes.size();
+            open.erase(*worst);
+            continue;
+        }
+        quarantine(*worst, crashes);
+        open.erase(*worst);
+        for (auto& [request, left] : open)
+            std::erase_if(left, [&](const auto& server) { return crashes.contains(server); });
+    }
+    for (const auto& [request, left] : open)
+        m_suspects.at(request).unexplained = left.size();
+    updateLimits();
+    updateDigest();
+}
+
+crash_history::suspicions crash_history::openSuspicions() const
+{
+    suspicions open;
+    for (const auto& [request, suspect] : m_suspects) {
+        for (const auto& [server, crash] : suspect.crashes) {
+            if (!crash.isCleared)
+                open[request].insert(server);
+        }
+    }
+    return open;
+}
+
+std::optional<request_fingerprint> crash_history::mostSuspected(const suspicions& open) const
+{
+    const auto most = std::max_element(open.begin(), open.end(),
+        [](const auto& one, const auto& other) { return one.second.size() < other.second.size(); });
+    if (most == open.end() || most->second.size() < m_options.crashesToQuarantine)
+        return std::nullopt;
+    return most->first;
+}
+
+std::vector<request_fingerprint> crash_history::rivals(const suspicions& open, const request_fingerprint& request)
+{
+    const auto& crashes = open.at(request);
+    std::vector<request_fingerprint> found;
+    for (const auto& [other, others] : open) {
+        if (other != request && others.size() == crashes.size() && sharedCrashes(others, crashes) > 1)
+            found.push_back(other);
+    }
+    return found;
+}
+
+void crash_history::quarantine(const request_fingerprint& request, const crash_set& crashes)
+{
+    auto& suspect = m_suspects.at(request);
+    std::vector<time_point> heardAt;
+    for (const auto& server : crashes)
+        heardAt.push_back(suspect.crashes.at(server).heardAt);
+    std::sort(heardAt.begin(), heardAt.end());
+    suspect.unexplained = crashes.size();
+    suspect.quarantinedFrom = heardAt[m_options.crashesToQuarantine - 1] + m_options.settle;
+}
+
+void crash_history::updateLimits()
+{
+    for (auto& [request, suspect] : m_suspects) {
+        time_point last {};
+        for (const auto& [server, crash] : suspect.crashes)
+            last = std::max(last, crash.at);
+        suspect.keptUntil = last + (suspect.quarantinedFrom ? m_options.quarantineKeptFor : m_options.suspectKeptFor);
+    }
+}
+
+void crash_history::updateDigest()
+{
+    m_digest = 0;
+    for (const auto& record : records())
+        m_digest ^= stableHash(
+            record.request.text() + "/" + record.server.text(), static_cast<std::uint64_t>(record.isCleared));
+}
+
+std::size_t crash_history::crashes(const request_fingerprint& request) const
+{
+    const auto known = m_suspects.find(request);
+    return known == m_suspects.end() ? 0 : known->second.unexplained;
+}
+
+bool crash_history::isQuarantined(const request_fingerprint& request, time_point now) const
+{
+    return quarantinedUntil(request, now).has_value();
+}
+
+std::optional<time_point> crash_history::quarantinedUntil(const request_fingerprint& request, time_point now) const
+{
+    const auto known = m_suspects.find(request);
+    if (known == m_suspects.end())
+        return std::nullopt;
+    const auto& suspect = known->second;
+    if (!suspect.quarantinedFrom || now < *suspect.quarantinedFrom || now >= suspect.keptUntil)
+        return std::nullopt;
+    return suspect.keptUntil;
+}
+
+std::set<request_fingerprint> crash_history::quarantined() const
+{
+    std::set<request_fingerprint> found;
+    for (const auto& [request, suspect] : m_suspects) {
+        if (suspect.quarantinedFrom)
+            found.insert(request);
+    }
+    return found;
+}
+
+std::vector<crash_record> crash_history::records() const
+{
+    std::vector<crash_record> all;
+    all.reserve(m_records);
+    for (const auto& [request, suspect] : m_suspects) {
+        auto some = recordsOf(request);
+        std::move(some.begin(), some.end(), std::back_inserter(all));
+    }
+    return all;
+}
+
+std::vector<crash_record> crash_history::recordsOf(const request_fingerprint& request) const
+{
+    std::vector<crash_record> found;
+    const auto known = m_suspects.find(request);
+    if (known == m_suspects.end())
+        return found;
+    for (const auto& [server, crash] : known->second.crashes)
+        found.push_back({ .request = request, .server = server, .at = crash.at, .isCleared = crash.isCleared });
+    return found;
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/quarantine/datagram_crash_channel.h
@@ -0,0 +1,35 @@
+#pragma once
+
+// Sends what is known of crashes as datagrams.
+//
+//     datagram_crash_channel channel(settings.vm, *socket);
+//     crash_gossip gossip(history, channel);
+
+#include "coltsfootbend/net/datagram.h"
+#include "coltsfootbend/quarantine/crash_gossip.h"
+#include "coltsfootbend/wire/codec.h"
+
+#include <utility>
+
+namespace coltsfootbend {
+
+class datagram_crash_channel final : public crash_channel {
+public:
+    datagram_crash_channel(vm_id sender, datagram_socket& socket)
+        : m_sender(std::move(sender))
+        , m_socket(socket)
+    {
+    }
+
+    void send(const endpoint& receiver, const wire::crash_report& report) override
+    {
+        m_socket.send(
+            receiver, wire::encode({ .sender = m_sender, .senderLife = {}, .version = {}, .content = report }));
+    }
+
+private:
+    const vm_id m_sender;
+    datagram_socket& m_socket;
+};
+
+} // namespace coltsfootbend
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -111,8 +111,10 @@
 {
     return std::tie(value.engine, value.running, value.waiting, value.usedTokens, value.totalTokens, value.pace,
         value.group, value.epoch, value.step, value.isOpen, value.subscribers, value.ranks, value.newsAt, value.life,
-        value.configuration, value.servers, value.checker);
+        value.configuration, value.servers, value.checker, value.crashes);
 }
+static auto fieldsOf(crash_entry& value) { return std::tie(value.request, value.server, value.ageMs, value.isCleared); }
+static auto fieldsOf(crash_report& value) { return std::tie(value.entries, value.wantsAll); }
 static auto fieldsOf(problem& value) { return std::tie(value.kind, value.message, value.remedy); }
 
 } // namespace wire
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -302,6 +302,20 @@
     store_confirmation configuration;
     store_confirmation servers;
     std::string checker; // The gateway that asks the store for all; empty for none.
+    std::uint64_t crashes = 0; // Digest of what this agent knows of requests under which servers crashed.
+};
+
+// A request was at a backend server when that crashed; see `quarantine/crash_history.h`.
+struct crash_entry {
+    std::string request; // Its fingerprint.
+    std::string server; // The life of the server.
+    std::uint64_t ageMs = 0;
+    bool isCleared = false;
+};
+// Between gateways and rank agents, as a datagram: crashes that the sender knows of, perhaps in several parts.
+struct crash_report {
+    std::vector<crash_entry> entries;
+    bool wantsAll = false; // The receiver is to tell all that it knows in turn.
 };
 
 struct problem {
@@ -313,7 +327,7 @@
 using body = std::variant<dispatch, head, bytes, end, refused, failed, other_life, revoke, revoke_reply, join, cancel,
     claim, claim_reply, close, load, announce, acknowledge, config_request, config_reply, config_notice, problem, drain,
     deployment_request, deployment_reply, rank_query, rank_state, rank_prepare, rank_arm, load_subscribe, load_news,
-    rank_release, rank_disarm, relayed_order, relayed_answers>;
+    rank_release, rank_disarm, relayed_order, relayed_answers, crash_report>;
 
 // What every message carries besides its body.
 struct message {
