A server counts as crashed only if an agent near it finds it gone too

Cause: a port that refuses one VM was taken for proof. Ruled out: servers that refuse while their queue is long (one look after the other for 4 s at the same servers: some gateways always saw them open, others always refused). A gateway now asks the agent beside the server, between which two no partition can be, then two more of its data centre; without an answer nothing is proved.

Tests: CrashWitness.*; the second one fails without the change.

--- a/coltsfootbend/gateway/crash_detector.cpp
+++ b/coltsfootbend/gateway/crash_detector.cpp
@@ -1,7 +1,6 @@
 #include "coltsfootbend/gateway/crash_detector.h"
 
 #include "coltsfootbend/base/log_event.h"
-#include "coltsfootbend/net/port_probe.h"
 
 #include <string>
 #include <utility>
@@ -12,8 +11,6 @@
 
 // The connections of a crashed server break one after the other.
 constexpr std::chrono::milliseconds gatherFor { 30 };
-// Several round trips between the farthest data centres.
-constexpr std::chrono::milliseconds probeLimit { 300 };
 
 std::string describe(const backend_crash& crash)
 {
@@ -29,13 +26,12 @@
 
 } // namespace
 
-crash_detector::crash_detector(fiber_runtime& runtime, std::function<bool(const backend_server&)> isExpected,
-    std::function<void(const backend_crash&)> report)
+crash_detector::crash_detector(fiber_runtime& runtime, crash_witness& witness,
+    std::function<bool(const backend_server&)> isExpected, std::function<void(const backend_crash&)> report)
     : m_runtime(runtime)
-    , m_state(std::make_shared<shared_state>())
+    , m_state(new shared_state {
+          .witness = witness, .inquiries = {}, .isExpected = std::move(isExpected), .report = std::move(report) })
 {
-    m_state->isExpected = std::move(isExpected);
-    m_state->report = std::move(report);
 }
 
 void crash_detector::lost(const backend_server& server, const request_fingerprint& request)
@@ -56,10 +52,9 @@
     fiber_runtime& runtime, const std::shared_ptr<shared_state>& state, const backend_instance& instance)
 {
     runtime.sleepFor(gatherFor);
-    const auto address = state->inquiries.at(instance).server.address;
-    const auto port = probePort(runtime, address, clock_type::now() + probeLimit);
+    const bool hasEnded = state->witness.hasEnded(state->inquiries.at(instance).server);
     const auto found = state->inquiries.extract(instance).mapped();
-    if (port != port_state::Refused)
+    if (!hasEnded)
         return;
     const backend_crash crash { .server = found.server, .requests = found.requests };
     logEvent(log_event::BackendCrashed, describe(crash));
--- a/coltsfootbend/gateway/crash_detector.h
+++ b/coltsfootbend/gateway/crash_detector.h
@@ -1,14 +1,14 @@
 #pragma once
 
 // Finds out under which requests a backend server has crashed. A connection that breaks may mean a fault of the
-// network, of the answer, or of another rank of the group; the server itself has crashed only if nobody listens at its
-// port right after. All requests that were lost with it are named, for nobody can tell from here which one it was. Not
-// for servers that fall silent, and not for judging requests: see `quarantine/crash_history.h`.
+// network, of the answer, or of another rank of the group, so that a witness has to say whether the server has ended.
+// All requests that were lost with it are named, for nobody can tell from here which one it was. Not for servers that
+// fall silent, and not for judging requests: see `quarantine/crash_history.h`.
 //
-//     crash_detector detector(runtime, isLeaving, [](const backend_crash& crash) { ... });
+//     crash_detector detector(runtime, witness, isLeaving, [](const backend_crash& crash) { ... });
 //     detector.lost(server, fingerprint);
 
-#include "coltsfootbend/gateway/backend_directory.h"
+#include "coltsfootbend/gateway/crash_witness.h"
 #include "coltsfootbend/quarantine/request_fingerprint.h"
 
 #include <functional>
@@ -26,7 +26,7 @@
 class crash_detector {
 public:
     // `isExpected` holds for servers that leave as planned: what they cut off at their end is no sign of a crash.
-    crash_detector(fiber_runtime&, std::function<bool(const backend_server&)> isExpected,
+    crash_detector(fiber_runtime&, crash_witness&, std::function<bool(const backend_server&)> isExpected,
         std::function<void(const backend_crash&)> report);
 
     // The exchange with `server` broke while it had the request. Reports soon, from a fiber of its own, if it crashed.
@@ -38,6 +38,7 @@
         std::set<request_fingerprint> requests;
     };
     struct shared_state {
+        crash_witness& witness;
         std::map<backend_instance, inquiry> inquiries; // Each with a fiber that looks into it.
         std::function<bool(const backend_server&)> isExpected;
         std::function<void(const backend_crash&)> report;
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -31,6 +31,8 @@
 // A caller that was refused before is late already, so it stands behind those that can still be served in time.
 constexpr std::uint32_t returningPenalty = 3;
 constexpr std::uint32_t maxUnreachable = 3;
+// No request has begun to run within this time, so that a server that is gone by then did not crash under it.
+constexpr std::chrono::milliseconds soonestCrash { 10 };
 constexpr std::size_t maxWholeBody = std::size_t { 16 } * 1024 * 1024;
 constexpr std::chrono::milliseconds unreadyRetryAfter { 1000 };
 
@@ -278,6 +280,7 @@
         .priority = priority(),
         .resumeAfter = m_events.lastId() };
     ++m_sent;
+    m_sentAt = now;
     m_excluded.push_back(server.instance());
     m_caller->connection = *connection;
     m_context.picker.sent(server.instance(), now);
@@ -444,7 +447,8 @@
         label() + " backend=" + picked.server.id.text() + " events=" + std::to_string(m_events.events()) + " why=\""
             + toString(why) + "\"" + " request=" + shortName(fingerprint()));
     const bool maySendOn = m_context.quarantine.maySendOn(fingerprint());
-    if (why.kind == error_kind::Lost)
+    // Where servers crash together, a request that leaves one may reach the next at its very end.
+    if (why.kind == error_kind::Lost && clock_type::now() >= m_sentAt + soonestCrash)
         m_context.quarantine.lost(picked.server, fingerprint());
     m_events.dropPending();
     m_mayHaveRun = true;
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -116,6 +116,7 @@
     std::optional<duration> m_retryAfter; // Of the last refusal by the picker.
     std::optional<http_response> m_serverFailure; // A server's own error, passed on when nobody else can do better.
     event_splitter m_events;
+    time_point m_sentAt {}; // To the last server.
     bool m_begun = false; // The caller has the head of a stream.
     time_point m_lastEventAt {};
 };
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -40,9 +40,6 @@
     : m_runtime(runtime)
     , m_settings(settings)
     , m_dialect(std::move(dialect))
-    , m_quarantine(
-          runtime, [this](const backend_server& server) { return isLeaving(server); },
-          [this](const std::vector<crash_record>& records) { publishCrashes(records); })
     , m_gateways(assumedGateways)
 {
 }
@@ -57,6 +54,14 @@
         return tl::unexpected(watch ? metrics.error() : watch.error());
     m_watch = *watch;
     m_metrics = *metrics;
+    auto peers = kernel.require<peer_service>("peers");
+    if (!peers)
+        return tl::unexpected(peers.error());
+    m_witness = std::make_unique<peer_crash_witness>(
+        m_runtime, (*peers)->client(), [this](const backend_server& server) { return agentsNear(server); });
+    m_quarantine = std::make_unique<request_quarantine>(
+        m_runtime, *m_witness, [this](const backend_server& server) { return isLeaving(server); },
+        [this](const std::vector<crash_record>& records) { publishCrashes(records); });
     m_context = std::make_unique<gateway_context>(gateway_context { .runtime = m_runtime,
         .dialect = *m_dialect,
         .metrics = *m_metrics,
@@ -65,7 +70,7 @@
         .guard = {},
         .budgets = {},
         .patience = {},
-        .quarantine = m_quarantine,
+        .quarantine = *m_quarantine,
         .catalogue = {} });
     m_watch->onCatalogue([this](const catalogue_ptr& next) {
         m_hasNews = true;
@@ -84,12 +89,12 @@
         return tl::unexpected(news.error());
     m_news = std::move(*news);
     m_crashChannel = std::make_unique<datagram_crash_channel>(m_settings.vm, *m_news);
-    m_gossip = std::make_unique<crash_gossip>(m_quarantine.history(), *m_crashChannel);
+    m_gossip = std::make_unique<crash_gossip>(m_quarantine->history(), *m_crashChannel);
     m_archive = kernel.find<crash_archive>("crash_archive");
     if (m_archive) {
         m_archive->onRestored([this](const std::vector<crash_record>& records) {
-            m_quarantine.history().add(records, clock_type::now());
-            m_quarantine.review();
+            m_quarantine->history().add(records, clock_type::now());
+            m_quarantine->review();
         });
     }
     m_runtime.spawn([this] { subscribeLoop(); });
@@ -214,9 +219,7 @@
 {
     std::set<std::string> hosts;
     for (const auto& [id, server] : m_watch->directory().servers()) {
-        const auto* deployment
-            = m_context->catalogue ? m_context->catalogue->findDeployment(server.deployment) : nullptr;
-        if (deployment && deployment->engine)
+        if (hasAgent(server))
             hosts.insert(server.address.ip);
     }
     std::vector<endpoint> found;
@@ -225,6 +228,25 @@
     return found;
 }
 
+std::vector<endpoint> gateway_service::agentsNear(const backend_server& server)
+{
+    std::vector<endpoint> found;
+    for (const auto& [id, other] : m_watch->directory().servers()) {
+        if (hasAgent(other) && other.dataCentre == server.dataCentre && other.address.ip != server.address.ip)
+            found.push_back({ other.address.ip, m_settings.peers.port });
+    }
+    std::shuffle(found.begin(), found.end(), m_random);
+    if (hasAgent(server))
+        found.insert(found.begin(), { server.address.ip, m_settings.peers.port });
+    return found;
+}
+
+bool gateway_service::hasAgent(const backend_server& server) const
+{
+    const auto* deployment = m_context->catalogue ? m_context->catalogue->findDeployment(server.deployment) : nullptr;
+    return deployment && deployment->engine;
+}
+
 void gateway_service::receiveLoop()
 {
     while (auto got = m_news->receive()) {
@@ -273,7 +295,7 @@
 void gateway_service::hearCrashes(const endpoint& sender, const wire::crash_report& report)
 {
     m_gossip->hear(sender, report, clock_type::now());
-    m_quarantine.review();
+    m_quarantine->review();
 }
 
 void gateway_service::publishCrashes(const std::vector<crash_record>& records)
@@ -284,7 +306,7 @@
     if (!m_archive)
         return;
     for (const auto& record : records) {
-        const auto all = m_quarantine.history().recordsOf(record.request);
+        const auto all = m_quarantine->history().recordsOf(record.request);
         if (all.size() >= crashesToKeep)
             m_archive->keep(all);
     }
@@ -338,8 +360,8 @@
 {
     while (!m_stopped) {
         m_runtime.sleepFor(maintainEvery);
-        m_quarantine.history().expire(clock_type::now());
-        m_quarantine.review();
+        m_quarantine->history().expire(clock_type::now());
+        m_quarantine->review();
         m_context->connections.sweep([this](const backend_id& id) {
             const auto* server = m_watch->directory().find(id);
             return server && !server->isLeaving;
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -14,6 +14,8 @@
 #include "coltsfootbend/quarantine/datagram_crash_channel.h"
 #include "coltsfootbend/settings/settings.h"
 
+#include <random>
+
 namespace coltsfootbend {
 
 class gateway_service final : public service {
@@ -49,6 +51,10 @@
     void publishCrashes(const std::vector<crash_record>&);
     // Where the agents beside the engines listen.
     std::vector<endpoint> agents() const;
+    // Engines have an agent beside them.
+    bool hasAgent(const backend_server&) const;
+    // The agent beside `server`, if it has one, and then others of its data centre.
+    std::vector<endpoint> agentsNear(const backend_server& server);
     // When other gateways have heard of the store, and who asks it for all.
     void hearOfStore(const wire::load_news&);
     void maintainLoop();
@@ -61,7 +67,8 @@
     const std::unique_ptr<request_dialect> m_dialect;
     deployment_watch* m_watch = nullptr;
     metrics_service* m_metrics = nullptr;
-    request_quarantine m_quarantine;
+    std::unique_ptr<peer_crash_witness> m_witness;
+    std::unique_ptr<request_quarantine> m_quarantine;
     crash_archive* m_archive = nullptr; // Null where nothing is kept.
     std::unique_ptr<gateway_context> m_context;
     http_server_options m_serverOptions;
@@ -82,6 +89,7 @@
     bool m_stopped = false;
     std::map<std::string, group_condition> m_loggedGroups; // By deployment and group.
     mutable bool m_saidReady = false;
+    std::minstd_rand m_random { std::random_device {}() };
 };
 
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/request_quarantine.cpp
+++ b/coltsfootbend/gateway/request_quarantine.cpp
@@ -20,9 +20,10 @@
 
 } // namespace
 
-request_quarantine::request_quarantine(fiber_runtime& runtime, std::function<bool(const backend_server&)> isExpected,
+request_quarantine::request_quarantine(fiber_runtime& runtime, crash_witness& witness,
+    std::function<bool(const backend_server&)> isExpected,
     std::function<void(const std::vector<crash_record>&)> publish)
-    : m_detector(runtime, std::move(isExpected), [this](const backend_crash& crash) { noteCrash(crash); })
+    : m_detector(runtime, witness, std::move(isExpected), [this](const backend_crash& crash) { noteCrash(crash); })
     , m_publish(std::move(publish))
 {
 }
--- a/coltsfootbend/gateway/request_quarantine.h
+++ b/coltsfootbend/gateway/request_quarantine.h
@@ -20,7 +20,7 @@
 class request_quarantine {
 public:
     // `isExpected`: as for the detector. `publish` is handed what this gateway has found itself.
-    request_quarantine(fiber_runtime&, std::function<bool(const backend_server&)> isExpected,
+    request_quarantine(fiber_runtime&, crash_witness&, std::function<bool(const backend_server&)> isExpected,
         std::function<void(const std::vector<crash_record>&)> publish);
     request_quarantine(const request_quarantine&) = delete;
     request_quarantine& operator=(const request_quarantine&) = delete;
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -2,6 +2,7 @@
 
 #include "coltsfootbend/base/log_event.h"
 #include "coltsfootbend/group/agent_channel.h"
+#include "coltsfootbend/net/port_probe.h"
 
 #include <algorithm>
 #include <cmath>
@@ -20,6 +21,8 @@
 constexpr std::chrono::milliseconds prepareAnswerLimit { 2500 };
 constexpr std::chrono::milliseconds armAnswerLimit { 800 };
 constexpr std::chrono::milliseconds queryAnswerLimit { 250 };
+// Within a data centre; less than the asker waits.
+constexpr std::chrono::milliseconds portLookLimit { 200 };
 
 // A leader speaks several times a second. The ranks wait for each other in turn, so that one of them takes over.
 constexpr std::chrono::milliseconds leaderSilence { 1200 };
@@ -90,6 +93,9 @@
     m_peers->on<wire::rank_query>([answer](peer_stream& stream, const wire::message&, const wire::rank_query& asked) {
         answer(stream, asked, queryAnswerLimit);
     });
+    m_peers->on<wire::port_inquiry>([this](peer_stream& stream, const wire::message&, const wire::port_inquiry& asked) {
+        (void)stream.send(lookAt(asked), true);
+    });
     m_peers->on<wire::rank_prepare>(
         [answer](peer_stream& stream, const wire::message&, const wire::rank_prepare& asked) {
             answer(stream, asked, prepareAnswerLimit - orderSlack);
@@ -106,6 +112,19 @@
         });
 }
 
+// Only of servers: an agent looks at no other address for anybody.
+wire::port_finding rank_service::lookAt(const wire::port_inquiry& asked)
+{
+    const auto address = parseEndpoint(asked.address);
+    const auto& servers = m_watch->directory().servers();
+    const auto isServer = [&](const auto& entry) { return address && entry.second.address == *address; };
+    if (!address
+        || (*address != m_settings.rankAgent->engine && std::none_of(servers.begin(), servers.end(), isServer)))
+        return {};
+    const auto port = probePort(m_runtime, *address, clock_type::now() + portLookLimit);
+    return { .isKnown = port != port_state::Unknown, .isRefused = port == port_state::Refused };
+}
+
 void rank_service::receiveLoop()
 {
     while (auto got = m_news->receive()) {
--- a/coltsfootbend/group/rank_service.h
+++ b/coltsfootbend/group/rank_service.h
@@ -39,6 +39,8 @@
 
 private:
     void answerPeers();
+    // Whether anybody listens at a backend server's address.
+    wire::port_finding lookAt(const wire::port_inquiry&);
     void newsLoop();
     void receiveLoop();
     void hearGateway(const endpoint& sender, const wire::load_subscribe&);
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -114,6 +114,8 @@
         value.configuration, value.servers, value.checker, value.crashes);
 }
 static auto fieldsOf(crash_entry& value) { return std::tie(value.request, value.server, value.ageMs, value.isCleared); }
+static auto fieldsOf(port_inquiry& value) { return std::tie(value.address); }
+static auto fieldsOf(port_finding& value) { return std::tie(value.isKnown, value.isRefused); }
 static auto fieldsOf(crash_report& value) { return std::tie(value.entries, value.wantsAll); }
 static auto fieldsOf(problem& value) { return std::tie(value.kind, value.message, value.remedy); }
 
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -318,6 +318,15 @@
     bool wantsAll = false; // The receiver is to tell all that it knows in turn.
 };
 
+// Gateway to rank agent: does anybody listen at this address, which is that of a backend server?
+struct port_inquiry {
+    std::string address;
+};
+struct port_finding {
+    bool isKnown = false; // False where the agent cannot tell; the rest says nothing then.
+    bool isRefused = false;
+};
+
 struct problem {
     std::uint32_t kind = 0;
     std::string message;
@@ -327,7 +336,7 @@
 using body = std::variant<dispatch, head, bytes, end, refused, failed, other_life, revoke, revoke_reply, join, cancel,
     claim, claim_reply, close, load, announce, acknowledge, config_request, config_reply, config_notice, problem, drain,
     deployment_request, deployment_reply, rank_query, rank_state, rank_prepare, rank_arm, load_subscribe, load_news,
-    rank_release, rank_disarm, relayed_order, relayed_answers, crash_report>;
+    rank_release, rank_disarm, relayed_order, relayed_answers, crash_report, port_inquiry, port_finding>;
 
 // What every message carries besides its body.
 struct message {
