--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -50,18 +50,17 @@
 {
     auto watch = kernel.require<deployment_watch>("deployment");
     auto metrics = kernel.require<metrics_service>("metrics");
-    if (!watch || !metrics)
-        return tl::unexpected(watch ? metrics.error() : watch.error());
+    auto peers = kernel.require<peer_service>("peers");
+    if (!watch || !metrics || !peers)
+        return tl::unexpected(!watch ? watch.error() : (!metrics ? metrics.error() : peers.error()));
     m_watch = *watch;
     m_metrics = *metrics;
-    auto peers = kernel.require<peer_service>("peers");
-    if (!peers)
-        return tl::unexpected(peers.error());
-    m_witness = std::make_unique<peer_crash_witness>(
-        m_runtime, (*peers)->client(), [this](const backend_server& server) { return agentsNear(server); });
-    m_quarantine = std::make_unique<request_quarantine>(
-        m_runtime, *m_witness, [this](const backend_server& server) { return isLeaving(server); },
-        [this](const std::vector<crash_record>& records) { publishCrashes(records); });
+    auto news = datagram_socket::open(m_runtime, m_settings.peers);
+    if (!news)
+        return tl::unexpected(news.error());
+    m_news = std::move(*news);
+    m_quarantine = std::make_unique<quarantine_network>(
+        m_runtime, m_settings, *m_watch, (*peers)->client(), kernel.find<crash_archive>("crash_archive"), *m_news);
     m_context = std::make_unique<gateway_context>(gateway_context { .runtime = m_runtime,
         .dialect = *m_dialect,
         .metrics = *m_metrics,
@@ -70,7 +69,7 @@
         .guard = {},
         .budgets = {},
         .patience = {},
-        .quarantine = *m_quarantine,
+        .quarantine = m_quarantine->requests(),
         .catalogue = {} });
     m_watch->onCatalogue([this](const catalogue_ptr& next) {
         m_hasNews = true;
@@ -84,19 +83,6 @@
     m_metrics->gauge("requests_running", [this] { return static_cast<double>(m_running); });
     m_metrics->gauge("configuration_version",
         [this] { return m_context->catalogue ? static_cast<double>(m_context->catalogue->version().number()) : 0.0; });
-    auto news = datagram_socket::open(m_runtime, m_settings.peers);
-    if (!news)
-        return tl::unexpected(news.error());
-    m_news = std::move(*news);
-    m_crashChannel = std::make_unique<datagram_crash_channel>(m_settings.vm, *m_news);
-    m_gossip = std::make_unique<crash_gossip>(m_quarantine->history(), *m_crashChannel);
-    m_archive = kernel.find<crash_archive>("crash_archive");
-    if (m_archive) {
-        m_archive->onRestored([this](const std::vector<crash_record>& records) {
-            m_quarantine->history().add(records, clock_type::now());
-            m_quarantine->review();
-        });
-    }
     m_runtime.spawn([this] { subscribeLoop(); });
     m_runtime.spawn([this] { receiveLoop(); });
     m_runtime.spawn([this] { maintainLoop(); });
@@ -133,12 +119,6 @@
         [this] { return m_leaving; }, &m_idle);
 }
 
-bool gateway_service::isLeaving(const backend_server& server) const
-{
-    const auto* known = m_watch->directory().find(server.id);
-    return !known || known->isLeaving;
-}
-
 bool gateway_service::isReady() const { return m_watch->catalogue() && m_watch->knowsServers() && !m_leaving; }
 
 void gateway_service::serveHealth(const http_request& request, http_responder& responder) const
@@ -206,7 +186,7 @@
             .senderLife = {},
             .version = {},
             .content = wire::load_subscribe { m_watch->knowledge() } });
-        for (const auto& agent : agents())
+        for (const auto& agent : m_quarantine->agents())
             m_news->send(agent, bytes);
         const auto nextAt = clock_type::now() + subscribeEvery;
         m_hasNews = false;
@@ -215,38 +195,6 @@
     }
 }
 
-std::vector<endpoint> gateway_service::agents() const
-{
-    std::set<std::string> hosts;
-    for (const auto& [id, server] : m_watch->directory().servers()) {
-        if (hasAgent(server))
-            hosts.insert(server.address.ip);
-    }
-    std::vector<endpoint> found;
-    for (const auto& host : hosts)
-        found.push_back({ host, m_settings.peers.port });
-    return found;
-}
-
-std::vector<endpoint> gateway_service::agentsNear(const backend_server& server)
-{
-    std::vector<endpoint> found;
-    for (const auto& [id, other] : m_watch->directory().servers()) {
-        if (hasAgent(other) && other.dataCentre == server.dataCentre && other.address.ip != server.address.ip)
-            found.push_back({ other.address.ip, m_settings.peers.port });
-    }
-    std::shuffle(found.begin(), found.end(), m_random);
-    if (hasAgent(server))
-        found.insert(found.begin(), { server.address.ip, m_settings.peers.port });
-    return found;
-}
-
-bool gateway_service::hasAgent(const backend_server& server) const
-{
-    const auto* deployment = m_context->catalogue ? m_context->catalogue->findDeployment(server.deployment) : nullptr;
-    return deployment && deployment->engine;
-}
-
 void gateway_service::receiveLoop()
 {
     while (auto got = m_news->receive()) {
@@ -257,7 +205,7 @@
         if (const auto* news = content ? std::get_if<wire::load_news>(content) : nullptr)
             hearLoad(got->sender, *news);
         else if (const auto* crashes = content ? std::get_if<wire::crash_report>(content) : nullptr)
-            hearCrashes(got->sender, *crashes);
+            m_quarantine->hear(got->sender, *crashes);
         else
             m_metrics->count("datagrams_unreadable_total");
     }
@@ -268,7 +216,7 @@
     const auto now = clock_type::now();
     m_watch->meetPeer(sender);
     hearOfStore(news);
-    m_gossip->hearDigest(sender, news.crashes, now);
+    m_quarantine->hearDigest(sender, news.crashes);
     if (const auto informed = parseEndpoint(news.newsAt))
         m_watch->hearOfNews(*informed);
     const auto engine = parseEndpoint(news.engine);
@@ -292,26 +240,6 @@
     }
 }
 
-void gateway_service::hearCrashes(const endpoint& sender, const wire::crash_report& report)
-{
-    m_gossip->hear(sender, report, clock_type::now());
-    m_quarantine->review();
-}
-
-void gateway_service::publishCrashes(const std::vector<crash_record>& records)
-{
-    // A request that was at one crash only is forgotten if all VMs end at once: most of them are innocent.
-    constexpr std::size_t crashesToKeep = 2;
-    m_gossip->tell(records, agents(), clock_type::now());
-    if (!m_archive)
-        return;
-    for (const auto& record : records) {
-        const auto all = m_quarantine->history().recordsOf(record.request);
-        if (all.size() >= crashesToKeep)
-            m_archive->keep(all);
-    }
-}
-
 void gateway_service::hearOfStore(const wire::load_news& news)
 {
     const auto now = clock_type::now();
@@ -360,8 +288,7 @@
 {
     while (!m_stopped) {
         m_runtime.sleepFor(maintainEvery);
-        m_quarantine->history().expire(clock_type::now());
-        m_quarantine->review();
+        m_quarantine->expire();
         m_context->connections.sweep([this](const backend_id& id) {
             const auto* server = m_watch->directory().find(id);
             return server && !server->isLeaving;
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -8,14 +8,10 @@
 
 #include "coltsfootbend/gateway/deployment_watch.h"
 #include "coltsfootbend/gateway/exchange.h"
-#include "coltsfootbend/gateway/request_quarantine.h"
+#include "coltsfootbend/gateway/quarantine_network.h"
 #include "coltsfootbend/net/datagram.h"
-#include "coltsfootbend/quarantine/crash_archive.h"
-#include "coltsfootbend/quarantine/datagram_crash_channel.h"
 #include "coltsfootbend/settings/settings.h"
 
-#include <random>
-
 namespace coltsfootbend {
 
 class gateway_service final : public service {
@@ -39,22 +35,11 @@
     void applyServers();
     void applyBudgets();
     result<void> listen();
-    // Announced that it leaves, or is not registered any more.
-    bool isLeaving(const backend_server&) const;
     void serveCaller(const byte_stream_ptr&);
     void serveHealth(const http_request&, http_responder&) const;
     void subscribeLoop();
     void receiveLoop();
     void hearLoad(const endpoint& sender, const wire::load_news&);
-    void hearCrashes(const endpoint& sender, const wire::crash_report&);
-    // Tells the agents, who tell the others, and has the store keep what is serious.
-    void publishCrashes(const std::vector<crash_record>&);
-    // Where the agents beside the engines listen.
-    std::vector<endpoint> agents() const;
-    // Engines have an agent beside them.
-    bool hasAgent(const backend_server&) const;
-    // The agent beside `server`, if it has one, and then others of its data centre.
-    std::vector<endpoint> agentsNear(const backend_server& server);
     // When other gateways have heard of the store, and who asks it for all.
     void hearOfStore(const wire::load_news&);
     void maintainLoop();
@@ -67,15 +52,11 @@
     const std::unique_ptr<request_dialect> m_dialect;
     deployment_watch* m_watch = nullptr;
     metrics_service* m_metrics = nullptr;
-    std::unique_ptr<peer_crash_witness> m_witness;
-    std::unique_ptr<request_quarantine> m_quarantine;
-    crash_archive* m_archive = nullptr; // Null where nothing is kept.
+    std::unique_ptr<quarantine_network> m_quarantine;
     std::unique_ptr<gateway_context> m_context;
     http_server_options m_serverOptions;
     idle_connections m_idle;
     std::unique_ptr<datagram_socket> m_news;
-    std::unique_ptr<datagram_crash_channel> m_crashChannel;
-    std::unique_ptr<crash_gossip> m_gossip;
     std::shared_ptr<listener> m_callers;
     std::shared_ptr<listener> m_health;
     std::size_t m_running = 0; // Requests under way.
@@ -89,7 +70,6 @@
     bool m_stopped = false;
     std::map<std::string, group_condition> m_loggedGroups; // By deployment and group.
     mutable bool m_saidReady = false;
-    std::minstd_rand m_random { std::random_device {}() };
 };
 
 } // namespace coltsfootbend
