--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -119,7 +119,8 @@
     {
         m_watch = std::make_shared<watch_state>(m_runtime);
         m_runtime.spawn([stream = m_stream, watch = m_watch, gone = std::move(gone)] {
-            // A wait that begins after `cancelWait` would end only with the caller, and hold its answer back until then.
+            // A wait that begins after `cancelWait` would end only with the caller, and hold its answer back until
+            // then.
             const bool closed = !watch->stopped && stream->waitForClose();
             if (closed && !watch->stopped)
                 gone();
