--- a/coltsfootbend/gateway/quarantine_network.cpp
+++ b/coltsfootbend/gateway/quarantine_network.cpp
@@ -9,6 +9,9 @@
 
 // A request that was at one crash only is forgotten if all VMs end at once: most of these are innocent.
 constexpr std::size_t crashesToKeep = 2;
+// Enough that some are reached by everybody, few enough that a crash costs a gateway the same at any number of agents.
+// The others hear of it by way of the digests.
+constexpr std::size_t agentsToTell = 16;
 
 } // namespace
 
@@ -51,7 +54,10 @@
 
 void quarantine_network::publish(const std::vector<crash_record>& records)
 {
-    m_gossip.tell(records, agents(), clock_type::now());
+    auto receivers = agents();
+    std::shuffle(receivers.begin(), receivers.end(), m_random);
+    receivers.resize(std::min(receivers.size(), agentsToTell));
+    m_gossip.tell(records, receivers, clock_type::now());
     if (!m_archive)
         return;
     for (const auto& record : records) {
--- a/coltsfootbend/gateway/quarantine_network.h
+++ b/coltsfootbend/gateway/quarantine_network.h
@@ -37,7 +37,7 @@
     std::vector<endpoint> agents() const;
 
 private:
-    // Tells the agents, who tell the others, and has the store keep what is serious.
+    // Tells some agents, by way of whom all others hear, and has the store keep what is serious.
     void publish(const std::vector<crash_record>&);
     // Announced that it leaves, or is not registered any more.
     bool isLeaving(const backend_server&) const;
--- a/coltsfootbend/quarantine/crash_gossip_test.cpp
+++ b/coltsfootbend/quarantine/crash_gossip_test.cpp
@@ -85,11 +85,16 @@
     bool isLost() { return std::uniform_real_distribution<double>(0, 1)(m_random) < m_loss; }
 
     void crash(const endpoint& gateway, const std::string& request, int server)
+    {
+        crash(gateway, request, server, m_agents);
+    }
+
+    void crash(const endpoint& gateway, const std::string& request, int server, const std::vector<endpoint>& told)
     {
         const auto news = at(gateway).history.add(
             { { .request = request_fingerprint(request), .server = server_life(std::to_string(server)), .at = m_now } },
             m_now);
-        at(gateway).gossip.tell(news, m_agents, m_now);
+        at(gateway).gossip.tell(news, told, m_now);
     }
 
     bool areAllAlike() const
@@ -117,6 +122,16 @@
     EXPECT_EQ(at(m_gateways.back()).history.crashes(request_fingerprint("r")), 1U);
 }
 
+TEST_F(crash_gossip_test, ACrashThatAFewAgentsWereToldIsKnownToAllGatewaysWithinASecond)
+{
+    build(99, 129);
+    crash(m_gateways.front(), "r", 1, { m_agents.begin(), m_agents.begin() + 16 });
+    for (int i = 0; i < 10; ++i)
+        round();
+    for (const auto& gateway : m_gateways)
+        EXPECT_EQ(at(gateway).history.crashes(request_fingerprint("r")), 1U);
+}
+
 TEST_F(crash_gossip_test, ThreeCrashesAtThreeGatewaysQuarantineARequestAtAllThoughMessagesAreLost)
 {
     build(8, 12);
