--- a/coltsfootbend/quarantine/crash_gossip_test.cpp
+++ b/coltsfootbend/quarantine/crash_gossip_test.cpp
@@ -49,7 +49,7 @@
 
     endpoint add(int number)
     {
-        const endpoint address { "10.0.0.1", static_cast<std::uint16_t>(number + 1) };
+        endpoint address { "10.0.0.1", static_cast<std::uint16_t>(number + 1) };
         m_nodes[address] = std::make_unique<node>(*this, address);
         return address;
     }
--- a/coltsfootbend/quarantine/crash_history_test.cpp
+++ b/coltsfootbend/quarantine/crash_history_test.cpp
@@ -135,6 +135,7 @@
 {
     std::vector<crash_record> records;
     const auto count = *rc::gen::inRange(1, 60);
+    records.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         const request_fingerprint request("r" + std::to_string(*rc::gen::inRange(0, 8)));
         records.push_back(at(request, *rc::gen::inRange(0, 12)));
@@ -161,6 +162,7 @@
     int fatalCrashes = 0;
     for (int server = 0; !history.quarantined().contains(fatal); ++server) {
         std::vector<crash_record> records;
+        records.reserve(aboard + 1);
         const bool isByItself = draw(4) == 0;
         for (int i = 0; i < aboard; ++i)
             records.push_back(at(request_fingerprint("r" + std::to_string(draw(others))), server));
