Whoever lost the store asks others what they know, and reads what it lacks from one of them

Change: an inquiry of a few bytes goes to three others; one of those who know more is read, one at a time, for 2.5 s instead of 0.8 s. Agents read a configuration as seldom there as from gateways that follow the store, once in 15 s since they last had one from anywhere. What a gateway needs it still reads within the same 0.4 s and one more exchange.

--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -16,7 +16,10 @@
 constexpr std::chrono::milliseconds expireEvery { 100 };
 // Peers asked at once: one may be cut off or as ignorant as this process.
 constexpr std::size_t peersAsked = 3;
-constexpr std::chrono::milliseconds peerAnswerLimit { 800 };
+constexpr std::chrono::milliseconds inquiryLimit { 800 };
+// Of many routes, over the link of an agent that serves others beside. Given up earlier, the reading begins anew and
+// never ends; a peer that has gone silent costs this much of the time within which news must be in force.
+constexpr std::chrono::milliseconds readPeerLimit { 2500 };
 // Older news that the store was heard say nothing any more.
 constexpr std::uint64_t longestToldAgeMs = 60'000;
 
@@ -63,6 +66,10 @@
         [this](peer_stream& stream, const wire::message&, const wire::deployment_request& asked) {
             (void)stream.send(replyTo(asked), true);
         });
+    m_peerService->on<wire::deployment_inquiry>(
+        [this](peer_stream& stream, const wire::message&, const wire::deployment_inquiry&) {
+            (void)stream.send(knowledge(), true);
+        });
     table_follower::owner& owner = *this;
     for (const auto name : { watched_table::Configuration, watched_table::BackendServers }) {
         m_followers[indexOf(name)]
@@ -177,6 +184,7 @@
             changed();
         return;
     }
+    m_configurationReadAt = clock_type::now();
     for (const auto& changed : m_onCatalogue) {
         if (m_catalogue)
             changed(m_catalogue);
@@ -264,10 +272,8 @@
         m_followerHeardAt = now;
     if (!isFollowedByOthers())
         return;
-    const bool hasServers = knowledge.servers.revision > table(watched_table::BackendServers).revision;
-    const bool hasConfiguration = knowledge.configuration.revision > table(watched_table::Configuration).revision
-        && (!m_configurationReadAt || now > *m_configurationReadAt + m_options.configurationFromPeersEvery);
-    if (!hasServers && !hasConfiguration) {
+    const bool withConfiguration = wantsConfiguration(knowledge, now);
+    if (!withConfiguration && !wantsServers(knowledge)) {
         // Others may still be ahead; whoever is says so again within a second.
         m_behindSince.reset();
         return;
@@ -277,9 +283,21 @@
     const bool isNear = knowledge.dataCentre == m_options.home.text();
     if (!isNear && now < *m_behindSince + m_options.otherDataCentreDelay)
         return;
-    if (hasConfiguration)
-        m_configurationReadAt = now;
-    readPeer(peer, hasConfiguration);
+    readPeer(peer, withConfiguration);
+}
+
+bool deployment_watch::wantsServers(const wire::deployment_knowledge& knowledge) const
+{
+    return knowledge.servers.revision > table(watched_table::BackendServers).revision;
+}
+
+bool deployment_watch::wantsConfiguration(const wire::deployment_knowledge& knowledge, time_point now) const
+{
+    if (knowledge.configuration.revision <= table(watched_table::Configuration).revision)
+        return false;
+    if (!m_options.followsPeers || !m_configurationReadAt)
+        return true;
+    return now > *m_configurationReadAt + m_options.configurationFromPeersEvery;
 }
 
 void deployment_watch::hearOfNews(const endpoint& peer)
@@ -295,12 +313,14 @@
 // One at a time: a large configuration fills a small link.
 void deployment_watch::readPeer(const endpoint& peer, bool withConfiguration)
 {
-    if (m_isReadingPeer)
+    if (m_readPeer)
         return;
-    m_isReadingPeer = true;
+    m_readPeer = peer;
+    if (withConfiguration)
+        m_configurationReadAt = clock_type::now();
     m_runtime.spawn([this, peer, withConfiguration] {
         askPeer(peer, withConfiguration);
-        m_isReadingPeer = false;
+        m_readPeer.reset();
     });
 }
 
@@ -314,9 +334,30 @@
             continue;
         std::vector<endpoint> asked;
         std::sample(m_peers.begin(), m_peers.end(), std::back_inserter(asked), peersAsked, m_random);
-        for (const auto& peer : asked)
-            m_runtime.spawn([this, peer] { askPeer(peer); });
+        for (const auto& peer : asked) {
+            if (peer != m_readPeer)
+                m_runtime.spawn([this, peer] { inquire(peer); });
+        }
+    }
+}
+
+// A few bytes: rows that each of several peers sends are sent in vain by all but one of them, and a process that all
+// others read at once has no link left.
+void deployment_watch::inquire(const endpoint& peer)
+{
+    const auto reply = m_peerService->client().ask(peer, wire::deployment_inquiry {}, clock_type::now() + inquiryLimit);
+    if (!reply) {
+        // Another one is asked next time; the loss of the store itself is logged.
+        if (peer != m_readPeer)
+            m_peerService->client().drop(peer);
+        return;
     }
+    const auto* told = std::get_if<wire::deployment_knowledge>(&reply->content);
+    if (!told)
+        return;
+    const bool withConfiguration = wantsConfiguration(*told, clock_type::now());
+    if (withConfiguration || wantsServers(*told))
+        readPeer(peer, withConfiguration);
 }
 
 void deployment_watch::askPeer(const endpoint& peer, bool withConfiguration)
@@ -324,10 +365,9 @@
     constexpr auto none = std::numeric_limits<store_revision>::max();
     const wire::deployment_request request { withConfiguration ? table(watched_table::Configuration).revision : none,
         table(watched_table::BackendServers).revision };
-    const auto reply = m_peerService->client().ask(peer, request, clock_type::now() + peerAnswerLimit);
+    const auto reply = m_peerService->client().ask(peer, request, clock_type::now() + readPeerLimit);
     if (!reply) {
-        // Another one is asked next time; the loss of the store itself is logged.
-        m_peerService->client().drop(peer);
+        m_peerService->client().drop(peer); // Another one is asked next time.
         return;
     }
     const auto* told = std::get_if<wire::deployment_reply>(&reply->content);
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -138,9 +138,14 @@
     void announceChange(watched_table);
     void expireLoop();
     void askPeersLoop();
+    // Asks what the process there knows, and reads what this one lacks of it.
+    void inquire(const endpoint&);
+    // Reads what the process there knows more than this one, unless another one is being read already. Without the
+    // configuration where only the list of servers is wanted.
     void readPeer(const endpoint&, bool withConfiguration);
-    // Without the configuration where only the list of servers is wanted.
-    void askPeer(const endpoint&, bool withConfiguration = true);
+    void askPeer(const endpoint&, bool withConfiguration);
+    bool wantsServers(const wire::deployment_knowledge&) const;
+    bool wantsConfiguration(const wire::deployment_knowledge&, time_point now) const;
     void takeFromPeer(watched_table, store_revision, const std::vector<wire::stored_row>&);
     wire::deployment_reply replyTo(const wire::deployment_request&) const;
 
@@ -159,7 +164,7 @@
     // Since when gateways have known what this process does not.
     std::optional<time_point> m_behindSince;
     std::optional<time_point> m_configurationReadAt;
-    bool m_isReadingPeer = false;
+    std::optional<endpoint> m_readPeer; // While it is being read.
     // Since when others have been said to know more, with no news from the store.
     std::optional<time_point> m_newsHeardAt;
     std::vector<std::function<void(const catalogue_ptr&)>> m_onCatalogue;
--- a/coltsfootbend/gateway/peer_reading_test.cpp
+++ b/coltsfootbend/gateway/peer_reading_test.cpp
@@ -90,6 +90,10 @@
                                       .servers = {} },
                     true);
             });
+        made->on<wire::deployment_inquiry>(
+            [](peer_stream& stream, const wire::message&, const wire::deployment_inquiry&) {
+                (void)stream.send(wire::deployment_knowledge { .configuration = { .revision = 2 } }, true);
+            });
         m_core.add(std::move(made));
         EXPECT_TRUE(m_core.start());
     }
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -65,6 +65,7 @@
 static auto fieldsOf(config_reply& value) { return std::tie(value.base, value.document, value.steps); }
 static auto fieldsOf(config_notice&) { return std::tie(); }
 static auto fieldsOf(drain& value) { return std::tie(value.actor); }
+static auto fieldsOf(deployment_inquiry&) { return std::tie(); }
 static auto fieldsOf(deployment_request& value) { return std::tie(value.configurationRevision, value.serversRevision); }
 static auto fieldsOf(stored_row& value) { return std::tie(value.key, value.value, value.revision); }
 static auto fieldsOf(deployment_reply& value)
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -133,8 +133,10 @@
     std::string actor;
 };
 
-// Any process to one that may know a newer deployment than it, when the store does not serve the asker. Revisions are
-// the store's.
+// Any process to one that may know a newer deployment than it: what does it know? Answered by `deployment_knowledge`,
+// so that the rows themselves are read from one process only.
+struct deployment_inquiry { };
+// To one that knows a newer deployment. Revisions are the store's.
 struct deployment_request {
     std::uint64_t configurationRevision = 0;
     std::uint64_t serversRevision = 0;
@@ -336,7 +338,8 @@
 using body = std::variant<dispatch, head, bytes, end, refused, failed, other_life, revoke, revoke_reply, join, cancel,
     claim, claim_reply, close, load, announce, acknowledge, config_request, config_reply, config_notice, problem, drain,
     deployment_request, deployment_reply, rank_query, rank_state, rank_prepare, rank_arm, load_subscribe, load_news,
-    rank_release, rank_disarm, relayed_order, relayed_answers, crash_report, port_inquiry, port_finding>;
+    rank_release, rank_disarm, relayed_order, relayed_answers, crash_report, port_inquiry, port_finding,
+    deployment_inquiry, deployment_knowledge>;
 
 // What every message carries besides its body.
 struct message {
