Two gateways of each data centre follow the store, and the others rest

Change: agents, who hear all gateways, tell each its duty: two of each data centre by address follow, the first of all checks, the others rest and read what is new from whoever has it. An agent's word alone lets nobody rest: a gateway does only while a call of somebody, younger than 1.8 s, is known to have found nothing newer than it has itself. Weighed: a store in which few may ask by lease (more calls, and away when it is needed); fewer checks (the promise rests on them).

--- a/coltsfootbend/gateway/deployment_trial.h
+++ b/coltsfootbend/gateway/deployment_trial.h
@@ -192,22 +192,31 @@
     return process.version();
 }
 
-// What gateways tell each other through an agent, ten times a second, until `until`.
-inline void talkThroughAgent(
-    fiber_runtime& runtime, const model_processes& gateways, const std::vector<endpoint>& addresses, time_point until)
+// What gateways tell each other through `agent`, ten times a second, until `until`. The first `frozen` of them neither
+// speak nor hear.
+inline void talkThrough(load_subscribers& agent, fiber_runtime& runtime, const model_processes& gateways,
+    const std::vector<endpoint>& addresses, time_point until, std::size_t frozen = 0)
 {
-    load_subscribers agent(1);
     while (clock_type::now() < until) {
         const auto now = clock_type::now();
-        for (std::size_t i = 0; i < gateways.size(); ++i)
+        for (std::size_t i = frozen; i < gateways.size(); ++i)
             agent.hear(addresses[i], gateways[i]->watch->knowledge(), now + std::chrono::seconds(3), now);
-        for (std::size_t i = 0; i < gateways.size(); ++i) {
-            const auto* checker = agent.checker();
-            const auto duty = checker && *checker == addresses[i] ? check_duty::Own : check_duty::Other;
-            gateways[i]->watch->hearConfirmations(agent.configuration(now), agent.servers(now), duty);
+        const auto duties = agent.duties();
+        for (std::size_t i = frozen; i < gateways.size(); ++i) {
+            auto& watch = *gateways[i]->watch;
+            watch.hearConfirmations(agent.configuration(now), agent.servers(now), duties.at(addresses[i]));
+            if (const auto* informed = agent.findInformed(agent.all().at(addresses[i])))
+                watch.hearOfNews(*informed);
         }
         runtime.sleepFor(std::chrono::milliseconds(100));
     }
 }
 
+inline void talkThroughAgent(
+    fiber_runtime& runtime, const model_processes& gateways, const std::vector<endpoint>& addresses, time_point until)
+{
+    load_subscribers agent(1);
+    talkThrough(agent, runtime, gateways, addresses, until);
+}
+
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -220,6 +220,12 @@
     return earliest;
 }
 
+bool deployment_watch::isResting() const
+{
+    return std::any_of(
+        m_followers.begin(), m_followers.end(), [](const auto& follower) { return follower && follower->isResting(); });
+}
+
 void deployment_watch::expireLoop()
 {
     while (!m_stopped) {
@@ -239,7 +245,7 @@
 {
     return { .configuration = confirmation(watched_table::Configuration),
         .servers = confirmation(watched_table::BackendServers),
-        .isServed = knowsServers() && storeAnswers() && !m_options.followsPeers,
+        .isServed = knowsServers() && storeAnswers() && !m_options.followsPeers && !isResting(),
         .dataCentre = m_options.home.text() };
 }
 
@@ -252,7 +258,7 @@
 }
 
 void deployment_watch::hearConfirmations(
-    const wire::store_confirmation& configuration, const wire::store_confirmation& servers, check_duty duty)
+    const wire::store_confirmation& configuration, const wire::store_confirmation& servers, wire::store_duty duty)
 {
     const auto now = clock_type::now();
     const auto hear = [&](watched_table name, const wire::store_confirmation& told) {
@@ -306,7 +312,7 @@
     const auto now = clock_type::now();
     if (!m_newsHeardAt)
         m_newsHeardAt = now;
-    if (lostSince() || now > *m_newsHeardAt + m_options.silentPollAfter)
+    if (lostSince() || isResting() || now > *m_newsHeardAt + m_options.silentPollAfter)
         readPeer(peer, true);
 }
 
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -95,10 +95,10 @@
     // The gateway `peer` is said to know more. It is asked if the store does not serve this process, or has not told it
     // the news after a while: a poll can go silent without an error.
     void hearOfNews(const endpoint& peer);
-    // What other gateways have heard of the store, ages in milliseconds, and who asks it for all. Confirmations older
-    // than a minute say nothing.
+    // What other gateways have heard of the store, ages in milliseconds, and what this one owes them. Confirmations
+    // older than a minute say nothing.
     void hearConfirmations(
-        const wire::store_confirmation& configuration, const wire::store_confirmation& servers, check_duty);
+        const wire::store_confirmation& configuration, const wire::store_confirmation& servers, wire::store_duty);
     // What this process tells others.
     wire::deployment_knowledge knowledge() const;
     const std::set<endpoint>& peers() const { return m_peers; }
@@ -121,6 +121,8 @@
     const table_follower& follower(watched_table name) const { return *m_followers[indexOf(name)]; }
     // Since when the store does not answer about one of the tables.
     std::optional<time_point> lostSince() const;
+    // True while it leaves one of the tables to other gateways.
+    bool isResting() const;
     wire::store_confirmation confirmation(watched_table) const;
 
     store_revision revision(watched_table name) const override { return table(name).revision; }
--- a/coltsfootbend/gateway/deployment_watch_test.cpp
+++ b/coltsfootbend/gateway/deployment_watch_test.cpp
@@ -203,32 +203,6 @@
     });
 }
 
-// A check costs two calls. Each gateway for itself would make six in five seconds; it is one a second for all together.
-TEST(DeploymentWatch, GatewaysAskTheStoreInTurnForAll)
-{
-    onRuntime([](fiber_runtime& runtime, model_processes& processes) {
-        constexpr std::uint16_t firstPort = 27360;
-        constexpr int gateways = 6;
-        std::vector<endpoint> addresses;
-        for (int i = 0; i < gateways; ++i) {
-            addresses.push_back({ "127.0.0.1", static_cast<std::uint16_t>(firstPort + i) });
-            start(runtime, processes, addresses.back(), {});
-        }
-        talkThroughAgent(runtime, processes, addresses, clock_type::now() + 2s);
-        const auto calls = [&] {
-            int sum = 0;
-            for (const auto& process : processes)
-                sum += process->store.calls;
-            return sum;
-        };
-        const int before = calls();
-        talkThroughAgent(runtime, processes, addresses, clock_type::now() + 5s);
-        EXPECT_LE(calls() - before, 2 * 6);
-        for (const auto& process : processes)
-            EXPECT_LT(process->watch->knowledge().configuration.ageMs, 1600U);
-    });
-}
-
 // An agent that had lost the store itself, and then followed gateways, kept that loss until its own next call, which
 // never came; a directory that believes the store away gives up no server that is gone.
 TEST(DeploymentWatch, AnAgentThatLeavesTheStoreToGatewaysForgetsThatItHadLostIt)
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -28,8 +28,8 @@
 constexpr std::chrono::milliseconds leaveMargin { 300 };
 // Until agents say how many gateways there are: careful, for the retry budget is shared by all.
 constexpr std::uint32_t assumedGateways = 48;
-// Agents name who asks the store ten times a second; some may not be heard for a while.
-constexpr std::chrono::milliseconds checkerKnownFor { 1000 };
+// Agents say ten times a second who follows the store; some may not be heard for a while.
+constexpr std::chrono::milliseconds dutyKnownFor { 1000 };
 // What of the shared budget is used: requests are counted differently by those who set it, and gateways come and go.
 constexpr double usedShareOfBudget = 0.7;
 
@@ -243,17 +243,15 @@
 void gateway_service::hearOfStore(const wire::load_news& news)
 {
     const auto now = clock_type::now();
-    if (!news.checker.empty()) {
-        m_checkerNamedUntil = now + checkerKnownFor;
-        if (news.checker == toString(m_settings.peers))
-            m_isCheckerUntil = now + checkerKnownFor;
+    auto current = wire::store_duty::Unknown;
+    // An agent that was just started has heard few gateways, and takes each for one that is needed.
+    for (const auto duty : { wire::store_duty::Follow, wire::store_duty::Check, wire::store_duty::Rest }) {
+        if (news.duty == static_cast<std::uint32_t>(duty))
+            m_dutyUntil[duty] = now + dutyKnownFor;
+        if (now < m_dutyUntil[duty])
+            current = duty;
     }
-    auto duty = check_duty::Unknown;
-    if (now < m_isCheckerUntil)
-        duty = check_duty::Own;
-    else if (now < m_checkerNamedUntil)
-        duty = check_duty::Other;
-    m_watch->hearConfirmations(news.configuration, news.servers, duty);
+    m_watch->hearConfirmations(news.configuration, news.servers, current);
 }
 
 void gateway_service::groupLoop()
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -64,9 +64,8 @@
     bool m_leaving = false;
     // The deployment has changed since the agents were last told of it.
     bool m_hasNews = false;
-    // Agents have named this gateway, or any, as the one that asks the store for all.
-    time_point m_isCheckerUntil {};
-    time_point m_checkerNamedUntil {};
+    // Until when what agents said last of this gateway's part in following the store holds.
+    std::map<wire::store_duty, time_point> m_dutyUntil;
     bool m_stopped = false;
     std::map<std::string, group_condition> m_loggedGroups; // By deployment and group.
     mutable bool m_saidReady = false;
--- a/coltsfootbend/gateway/table_follower.cpp
+++ b/coltsfootbend/gateway/table_follower.cpp
@@ -48,7 +48,7 @@
 void table_follower::follow()
 {
     while (!m_stopped) {
-        if (m_isWhole && m_owner.isFollowedByOthers()) {
+        if (m_isWhole && (m_owner.isFollowedByOthers() || isResting())) {
             regain();
             m_runtime.sleepFor(lookEvery);
             continue;
@@ -188,6 +188,11 @@
             + std::to_string(remaining(sentAt, clock_type::now()).count()) + " why=\"" + toString(done.error()) + "\"");
 }
 
+bool table_follower::isResting() const
+{
+    return m_duty == wire::store_duty::Rest && m_isWhole && clock_type::now() < m_checkAt;
+}
+
 void table_follower::hearConfirmation(store_revision revision, time_point asOf)
 {
     if (m_owner.revision(m_table) >= revision)
@@ -200,13 +205,17 @@
         return;
     m_confirmedAt = asOf;
     switch (m_duty) {
-    case check_duty::Own:
+    case wire::store_duty::Check:
         m_checkAt = asOf + m_options.checkAfter;
         break;
-    case check_duty::Other:
-        m_checkAt = asOf + m_options.checkAfter + m_options.dutyDelay + spread(m_options.dutySpread);
+    case wire::store_duty::Follow:
+        m_checkAt = asOf + m_options.checkAfter + m_options.dutyDelay + spread(m_options.dutySpread / 2);
+        break;
+    case wire::store_duty::Rest: // After those who follow, whose news may spare it the call.
+        m_checkAt = asOf + m_options.checkAfter + m_options.dutyDelay + m_options.dutySpread
+            - spread(m_options.dutySpread / 2);
         break;
-    case check_duty::Unknown:
+    case wire::store_duty::Unknown:
         m_checkAt = asOf + m_options.checkAfter + spread(m_options.dutySpread);
         break;
     }
--- a/coltsfootbend/gateway/table_follower.h
+++ b/coltsfootbend/gateway/table_follower.h
@@ -14,19 +14,13 @@
 #include "coltsfootbend/net/cancellation.h"
 #include "coltsfootbend/net/fiber_runtime.h"
 #include "coltsfootbend/store/watched_store.h"
+#include "coltsfootbend/wire/messages.h"
 
 #include <optional>
 #include <random>
 
 namespace coltsfootbend {
 
-// Who asks the store whether polls can be believed.
-enum class check_duty {
-    Unknown, // No other process is known to ask.
-    Own,
-    Other, // Another process does; this one only if nothing is heard of it.
-};
-
 class table_follower {
 public:
     // Whose copy of the table is kept current.
@@ -92,7 +86,10 @@
     // The store had nothing newer than `revision` at `asOf` (of this process's clock), as another process says. Without
     // effect where this process knows less than that.
     void hearConfirmation(store_revision revision, time_point asOf);
-    void setDuty(check_duty duty) { m_duty = duty; }
+    void setDuty(wire::store_duty duty) { m_duty = duty; }
+    // True while others follow the store for this process, and have lately found that it has nothing newer than what is
+    // known here. Their silence ends it sooner than news have to be in force.
+    bool isResting() const;
     // Others knew what the poll that is out has not told: it is asked anew.
     void distrustPoll();
 
@@ -126,7 +123,7 @@
     const watched_table m_table;
     owner& m_owner;
     const options m_options;
-    check_duty m_duty = check_duty::Unknown;
+    wire::store_duty m_duty = wire::store_duty::Unknown;
     // False until the table was read whole, and after the store has forgotten the changes since.
     bool m_isWhole = false;
     std::optional<time_point> m_lostSince;
--- a/coltsfootbend/group/load_subscribers.cpp
+++ b/coltsfootbend/group/load_subscribers.cpp
@@ -6,6 +6,13 @@
 
 namespace coltsfootbend {
 
+namespace {
+
+// One may be frozen or refused by the store.
+constexpr std::size_t followersPerDataCentre = 2;
+
+} // namespace
+
 void load_subscribers::hear(const endpoint& address, wire::deployment_knowledge knows, time_point until, time_point now)
 {
     m_subscribers[address] = { .until = until, .heardAt = now, .knows = std::move(knows) };
@@ -16,16 +23,26 @@
     std::erase_if(m_subscribers, [now](const auto& entry) { return entry.second.until < now; });
 }
 
-// One that the store serves, so that it is not a step behind as well; of the same data centre if there is one. Another
-// one each time, for the first may be out of reach.
+// One that knows as much as anybody, so that it is not a step behind as well; of the same data centre if there is one.
+// Another one each time, for the first may be out of reach, and those who have read the news help to spread them.
 const endpoint* load_subscribers::findInformed(const subscriber& asker)
 {
+    const auto knowsMore = [&](const subscriber& candidate) {
+        return candidate.knows.configuration.revision > asker.knows.configuration.revision
+            || candidate.knows.servers.revision > asker.knows.servers.revision;
+    };
+    std::uint64_t configuration = 0;
+    std::uint64_t servers = 0;
+    for (const auto& [address, candidate] : m_subscribers) {
+        configuration = std::max(configuration, candidate.knows.configuration.revision);
+        servers = std::max(servers, candidate.knows.servers.revision);
+    }
     std::vector<const endpoint*> near;
     std::vector<const endpoint*> far;
     for (const auto& [address, candidate] : m_subscribers) {
-        const bool knowsMore = candidate.knows.configuration.revision > asker.knows.configuration.revision
-            || candidate.knows.servers.revision > asker.knows.servers.revision;
-        if (!candidate.knows.isServed || !knowsMore)
+        const bool knowsAll
+            = candidate.knows.configuration.revision == configuration && candidate.knows.servers.revision == servers;
+        if (!knowsMore(candidate) || (!candidate.knows.isServed && !knowsAll))
             continue;
         (candidate.knows.dataCentre == asker.knows.dataCentre ? near : far).push_back(&address);
     }
@@ -60,11 +77,32 @@
     return found;
 }
 
-const endpoint* load_subscribers::checker() const
+// Two of each data centre, which may be cut off from the others, the first of all by address as well asks for all. Who
+// rests goes on to do so while one of its data centre is served: the end of a follower is no reason for all to ask.
+std::map<endpoint, wire::store_duty> load_subscribers::duties() const
 {
-    const auto served = std::find_if(
-        m_subscribers.begin(), m_subscribers.end(), [](const auto& entry) { return entry.second.knows.isServed; });
-    return served == m_subscribers.end() ? nullptr : &served->first;
+    std::map<std::string, std::size_t> served;
+    for (const auto& [address, gateway] : m_subscribers)
+        served[gateway.knows.dataCentre] += gateway.knows.isServed ? 1 : 0;
+    std::map<endpoint, wire::store_duty> duties;
+    std::map<std::string, std::size_t> followers;
+    bool hasChecker = false;
+    for (const auto& [address, gateway] : m_subscribers) {
+        const auto& dataCentre = gateway.knows.dataCentre;
+        auto& duty = duties[address];
+        if (!gateway.knows.isServed) {
+            duty = served[dataCentre] > 0 ? wire::store_duty::Rest : wire::store_duty::Follow;
+            continue;
+        }
+        if (followers[dataCentre] == followersPerDataCentre) {
+            duty = wire::store_duty::Rest;
+            continue;
+        }
+        ++followers[dataCentre];
+        duty = hasChecker ? wire::store_duty::Follow : wire::store_duty::Check;
+        hasChecker = true;
+    }
+    return duties;
 }
 
 } // namespace coltsfootbend
--- a/coltsfootbend/group/load_subscribers.h
+++ b/coltsfootbend/group/load_subscribers.h
@@ -1,8 +1,8 @@
 #pragma once
 
 // The gateways that a rank agent tells its engine's load, and what each of them knows of the deployment: who knows more
-// than another, when the store was last heard by any of them, and who asks it for all. Takes the time and decides;
-// sends nothing itself.
+// than another, when the store was last heard by any of them, and who of them follows it for all. Takes the time and
+// decides; sends nothing itself.
 //
 //     subscribers.hear(address, knowledge, now + length, now);
 //     for (const auto& [address, gateway] : subscribers.all()) ...
@@ -41,9 +41,9 @@
     wire::store_confirmation configuration(time_point now) const;
     wire::store_confirmation servers(time_point now) const;
 
-    // The gateway that asks the store for all others, or null. All agents that hear the same gateways name the same
-    // one.
-    const endpoint* checker() const;
+    // Who follows the store, who asks it in between, and who rests. All agents that hear the same gateways say the
+    // same. O(gateways).
+    std::map<endpoint, wire::store_duty> duties() const;
 
 private:
     wire::store_confirmation youngest(
--- a/coltsfootbend/group/load_subscribers_test.cpp
+++ b/coltsfootbend/group/load_subscribers_test.cpp
@@ -34,14 +34,39 @@
 TEST(LoadSubscribers, TheFirstGatewayThatIsServedAsksTheStoreForAll)
 {
     load_subscribers subscribers(1);
-    EXPECT_EQ(subscribers.checker(), nullptr);
+    EXPECT_TRUE(subscribers.duties().empty());
     subscribers.hear(third, knowing(5, 0), start + 9s, start);
     subscribers.hear(second, knowing(5, 0), start + 3s, start);
     subscribers.hear(first, knowing(5, 0, false), start + 9s, start);
-    ASSERT_NE(subscribers.checker(), nullptr);
-    EXPECT_EQ(*subscribers.checker(), second);
+    EXPECT_EQ(subscribers.duties().at(second), wire::store_duty::Check);
+    EXPECT_EQ(subscribers.duties().at(third), wire::store_duty::Follow);
     subscribers.expire(start + 4s);
-    EXPECT_EQ(*subscribers.checker(), third);
+    EXPECT_EQ(subscribers.duties().at(third), wire::store_duty::Check);
+}
+
+TEST(LoadSubscribers, TwoOfEachDataCentreFollowTheStoreAndTheOthersRest)
+{
+    load_subscribers subscribers(1);
+    const endpoint far { "10.0.0.9", 7000 };
+    for (const auto& address : { first, second, third })
+        subscribers.hear(address, knowing(5, 0), start + 9s, start);
+    auto elsewhere = knowing(5, 0);
+    elsewhere.dataCentre = "b";
+    subscribers.hear(far, elsewhere, start + 9s, start);
+    EXPECT_EQ(subscribers.duties().at(second), wire::store_duty::Follow);
+    EXPECT_EQ(subscribers.duties().at(third), wire::store_duty::Rest);
+    EXPECT_EQ(subscribers.duties().at(far), wire::store_duty::Follow);
+}
+
+// The end of one follower would else make all others ask the store at the same moment.
+TEST(LoadSubscribers, WhoRestsGoesOnToWhileOneOfItsDataCentreIsServed)
+{
+    load_subscribers subscribers(1);
+    subscribers.hear(first, knowing(5, 0, false), start + 9s, start);
+    subscribers.hear(second, knowing(5, 0), start + 9s, start);
+    EXPECT_EQ(subscribers.duties().at(first), wire::store_duty::Rest);
+    subscribers.hear(second, knowing(5, 0, false), start + 9s, start);
+    EXPECT_EQ(subscribers.duties().at(first), wire::store_duty::Follow);
 }
 
 TEST(LoadSubscribers, WhoKnowsMoreIsServedAndOfTheSameDataCentreIfThereIsOne)
@@ -56,7 +81,11 @@
     EXPECT_EQ(*subscribers.findInformed(asker), second);
     subscribers.hear(third, knowing(6, 0), start + 3s, start);
     EXPECT_EQ(*subscribers.findInformed(asker), third);
+    // One that rests helps to spread news that are the newest, and no older ones.
     subscribers.hear(third, knowing(6, 0, false), start + 3s, start);
+    EXPECT_EQ(*subscribers.findInformed(asker), third);
+    far.configuration.revision = 7;
+    subscribers.hear(second, far, start + 3s, start);
     EXPECT_EQ(*subscribers.findInformed(asker), second);
 }
 
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -181,8 +181,6 @@
     const auto now = clock_type::now();
     news.configuration = m_subscribers.configuration(now);
     news.servers = m_subscribers.servers(now);
-    if (const auto* checker = m_subscribers.checker())
-        news.checker = toString(*checker);
     news.crashes = m_crashes.digest();
     if (report.group) {
         news.group = report.group->name;
@@ -192,15 +190,19 @@
     }
     const auto encoded
         = [&] { return wire::encode({ .sender = m_settings.vm, .senderLife = {}, .version = {}, .content = news }); };
-    const auto bytes = encoded();
-    for (const auto& [address, subscriber] : m_subscribers.all()) {
-        const auto* informed = m_subscribers.findInformed(subscriber);
+    std::map<wire::store_duty, std::string> usual;
+    for (const auto& [address, duty] : m_subscribers.duties()) {
+        news.duty = static_cast<std::uint32_t>(duty);
+        const auto* informed = m_subscribers.findInformed(m_subscribers.all().at(address));
+        news.newsAt = informed ? toString(*informed) : "";
         if (informed) {
-            news.newsAt = toString(*informed);
             m_news->send(address, encoded());
-        } else {
-            m_news->send(address, bytes);
+            continue;
         }
+        auto& bytes = usual[duty];
+        if (bytes.empty())
+            bytes = encoded();
+        m_news->send(address, bytes);
     }
 }
 
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -272,6 +272,14 @@
     std::uint64_t ageMs = never;
 };
 
+// What a gateway owes the others about the store. Travels as its number.
+enum class store_duty : std::uint32_t {
+    Unknown, // No other process is known to follow the store.
+    Check, // Follows it, and asks in between whether what polls tell can be believed, for all.
+    Follow, // Follows it; another one asks.
+    Rest, // Others follow it and ask; this one only if nothing is heard of them.
+};
+
 // What a gateway knows of the deployment, so that others hear who knows more than they do.
 struct deployment_knowledge {
     store_confirmation configuration;
@@ -303,7 +311,7 @@
     // The youngest that any gateway has told this agent.
     store_confirmation configuration;
     store_confirmation servers;
-    std::string checker; // The gateway that asks the store for all; empty for none.
+    std::uint32_t duty = 0; // The `store_duty` of the addressed gateway.
     std::uint64_t crashes = 0; // Digest of what this agent knows of requests under which servers crashed.
 };
 
