What a gateway decides for a request is parted: what is asked and answered, the model of passes, the choice of a server

Choice and predictions are as before; one random number is drawn from 0 to 1 and scaled instead of from 0 to the unseen requests.

--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -1,7 +1,8 @@
 #include "coltsfootbend/gateway/backend_picker.h"
 
+#include "coltsfootbend/gateway/server_choice.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace coltsfootbend {
 
@@ -16,8 +17,6 @@
 constexpr double longestGapSeconds = 2;
 // A server that fails everything still gets a request now and then, which shows when it is well again.
 constexpr double highestFailureShare = 0.9;
-// What a first event takes beside waiting for a slot: half a pass to join, one to read the prompt, one to answer.
-constexpr double passesToFirstEvent = 2.0;
 // Without servers: about how long a new one takes to register.
 constexpr std::chrono::milliseconds registrationTime { 2000 };
 // Returns are spread over this share of the stated time, so that they do not come as one wave.
@@ -29,8 +28,6 @@
 constexpr std::chrono::milliseconds probeEvery { 30 };
 // Callers that were refused before get no more of the slots than this: the rest is for new ones.
 constexpr double returningShareOfSlots = 0.8;
-// Passes differ from each other, so that their mean has to stay below the pause that callers accept.
-constexpr double usedShareOfGap = 0.9;
 
 duration jittered(duration base, std::minstd_rand& random)
 {
@@ -40,42 +37,6 @@
 
 } // namespace
 
-const char* toString(pick_refusal reason)
-{
-    switch (reason) {
-    case pick_refusal::NoServers:
-        return "no_servers";
-    case pick_refusal::GroupDown:
-        return "group_down";
-    case pick_refusal::GroupStanding:
-        return "group_standing";
-    case pick_refusal::Overloaded:
-        return "overloaded";
-    }
-    return "overloaded";
-}
-
-const char* toString(backend_outcome outcome)
-{
-    switch (outcome) {
-    case backend_outcome::Answered:
-        return "answered";
-    case backend_outcome::Failed:
-        return "failed";
-    case backend_outcome::Busy:
-        return "busy";
-    case backend_outcome::Replaced:
-        return "replaced";
-    case backend_outcome::Broken:
-        return "broken";
-    case backend_outcome::Silent:
-        return "silent";
-    case backend_outcome::Abandoned:
-        return "abandoned";
-    }
-    return "abandoned";
-}
-
 backend_picker::backend_picker(options options, std::minstd_rand::result_type seed)
     : m_options(std::move(options))
     , m_random(seed)
@@ -221,16 +182,6 @@
     return load;
 }
 
-double backend_picker::runningLimit(const backend_state& state, const engine_model& engine, duration gapTarget) const
-{
-    const auto* group = groupOf(state);
-    const double slots = engine.slots;
-    if (gapTarget <= duration::zero() || !group || group->passMs() <= 0)
-        return slots;
-    const double share = usedShareOfGap * toMilliseconds(gapTarget) / group->passMs();
-    return std::max(1.0, std::floor(slots * std::min(1.0, share)));
-}
-
 bool backend_picker::isBehindNew(const pick_request& request, const deployment_state& deployment, time_point now) const
 {
     double slots = 0;
@@ -255,33 +206,22 @@
     return !isReported || load + others >= returningShareOfSlots * slots;
 }
 
-double backend_picker::passMsOf(const backend_state& state, const engine_model& engine) const
+pass_model backend_picker::modelOf(const backend_state& state, const engine_model& engine) const
 {
-    const double context = engine.slots * (engine.usualPromptTokens + engine.usualAnswerTokens / 2) / 1000;
-    const double modelled = engine.stepsPerPass
-        * (engine.stepMs + engine.perSequenceMs * engine.slots + engine.perThousandContextMs * context);
     const auto* group = groupOf(state);
-    return std::max(modelled, group ? group->passMs() : 0);
+    return { engine, group ? group->passMs() : 0 };
 }
 
 duration backend_picker::startLatencyAt(const backend_state& state, const deployment_state& deployment) const
 {
-    return deployment.engine ? fromMilliseconds(passesToFirstEvent * passMsOf(state, *deployment.engine))
-                             : duration::zero();
+    return deployment.engine ? modelOf(state, *deployment.engine).start() : duration::zero();
 }
 
 duration backend_picker::predictFirst(const backend_state& state, const deployment_state& group, time_point now) const
 {
     if (!group.engine)
         return fromMilliseconds(state.latencyMs);
-    const auto& engine = *group.engine;
-    const double passMs = passMsOf(state, engine);
-    const double tokensPerPass = std::max(1.0, static_cast<double>(engine.stepsPerPass));
-    const double slotMs = passMs * (engine.usualAnswerTokens / tokensPerPass + passesToFirstEvent);
-    const double before = loadOf(state, now) + 1 - engine.slots;
-    // The requests in the slots are at all stages, so one of them ends each `slotMs / slots`.
-    const double waitMs = before <= 0 ? 0 : before * slotMs / engine.slots;
-    return fromMilliseconds(waitMs + passesToFirstEvent * passMs);
+    return modelOf(state, *group.engine).firstEvent(loadOf(state, now));
 }
 
 double backend_picker::scoreOf(const backend_state& state, const deployment_state& group, time_point now) const
@@ -318,8 +258,7 @@
 pick_refused backend_picker::refuse(
     pick_refusal reason, duration wait, duration startLatency, const pick_request& request, time_point now)
 {
-    // Callers keep to at most a third of the time that they have left.
-    const auto honoured = std::max<duration>((request.deadline - now) / 3, duration::zero());
+    const auto honoured = std::max<duration>((request.deadline - now) / mostHonouredPart, duration::zero());
     const auto asked = std::max<duration>(jittered(wait, m_random), leastRetryAfter);
     return { .reason = reason,
         .retryAfter = std::min(asked, std::max<duration>(honoured, leastRetryAfter)),
@@ -363,9 +302,6 @@
     group.lastSentAt = now;
 }
 
-// With the same reports, every gateway would send to the server that looks emptiest, and bury it before the next report
-// says so. What all of them send meanwhile is therefore poured over the servers like water: the level is where it just
-// fits, and each server is chosen in proportion to what it would take.
 backend_picker::backend_state& backend_picker::choose(
     const std::vector<backend_state*>& usable, const deployment_state& group, time_point now)
 {
@@ -374,23 +310,7 @@
     scores.reserve(usable.size());
     for (const auto* state : usable)
         scores.push_back(scoreOf(*state, group, now));
-    auto sorted = scores;
-    std::sort(sorted.begin(), sorted.end());
-    double sum = 0;
-    double level = 0;
-    for (std::size_t filled = 1; filled <= sorted.size(); ++filled) {
-        sum += sorted[filled - 1];
-        level = (unseen + sum) / static_cast<double>(filled);
-        if (filled == sorted.size() || level <= sorted[filled])
-            break;
-    }
-    double point = std::uniform_real_distribution<double>(0, unseen)(m_random);
-    for (std::size_t i = 0; i < usable.size(); ++i) {
-        point -= std::max(0.0, level - scores[i]);
-        if (point <= 0)
-            return *usable[i];
-    }
-    return *usable[static_cast<std::size_t>(std::min_element(scores.begin(), scores.end()) - scores.begin())];
+    return *usable[chooseServer(scores, unseen, std::uniform_real_distribution<double>()(m_random))];
 }
 
 bool backend_picker::keepProbed(std::vector<backend_state*>& servers, time_point now)
@@ -423,7 +343,7 @@
     const auto predicted = predictFirst(chosen, group, now);
     const double load = loadOf(chosen, now);
     if (group.engine && !request.isResumption) {
-        const double waiting = load + 1 - runningLimit(chosen, *group.engine, request.gapTarget);
+        const double waiting = load + 1 - modelOf(chosen, *group.engine).runningLimit(request.gapTarget);
         const bool isTooLate = predicted > (request.isReturning ? request.deadline - now : request.latencyTarget);
         const bool isTooSlow = load + 1 <= group.engine->slots; // It would run, and slow all others down.
         const bool isBehind = request.isReturning && isBehindNew(request, group, now);
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -13,6 +13,8 @@
 #include "coltsfootbend/gateway/catalogue.h"
 #include "coltsfootbend/gateway/engine_report.h"
 #include "coltsfootbend/gateway/group_outlook.h"
+#include "coltsfootbend/gateway/pass_model.h"
+#include "coltsfootbend/gateway/pick.h"
 
 #include <algorithm>
 #include <functional>
@@ -25,64 +27,6 @@
 
 namespace coltsfootbend {
 
-// How a request that was sent to a backend server went.
-enum class backend_outcome {
-    Answered, // With a success.
-    Failed, // With an error of its own.
-    Busy, // It proved that it did not run the request.
-    Replaced, // Another server answered at its address.
-    Broken, // The connection failed or the answer was not whole.
-    Silent, // Nothing came for too long.
-    Abandoned, // The caller left, which says nothing of the server.
-};
-
-// Why a request is not sent.
-enum class pick_refusal {
-    NoServers, // None is registered, or all are leaving.
-    GroupDown, // The engines' group is broken; nobody can run it now.
-    GroupStanding, // The engines' group makes no passes, for a moment or because it is about to be found broken.
-    Overloaded, // It could not be served in time.
-};
-
-const char* toString(pick_refusal);
-const char* toString(backend_outcome);
-
-struct pick_request {
-    deployment_id deployment;
-    duration latencyTarget {};
-    // The longest pause between two events; 0 where none is stated.
-    duration gapTarget {};
-    // When the caller gives up.
-    time_point deadline {};
-    // The caller was refused before, so it is late already and waits behind the others.
-    bool isReturning = false;
-    // Goes on with a stream that was begun, which has the first claim on a slot.
-    bool isResumption = false;
-    // Servers that this request has been sent to.
-    std::vector<backend_instance> excluded;
-};
-
-struct picked_backend {
-    backend_server server;
-    // Until the first event or the answer, as predicted.
-    duration predicted {};
-    // What the choice was made from, for the log.
-    double load = 0;
-    std::optional<duration> reportAge; // None while the server's load was never heard.
-};
-
-struct pick_refused {
-    pick_refusal reason = pick_refusal::NoServers;
-    // After which another try makes sense; jittered.
-    duration retryAfter {};
-    // For an overloaded one: until the request could be run.
-    duration expectedWait {};
-    // What the first event would take once a slot is free.
-    duration startLatency {};
-    // For a broken or standing group: when it is expected to be open again.
-    time_point expectedOpenAt {};
-};
-
 class backend_picker {
 public:
     struct options {
@@ -179,17 +123,13 @@
     double loadOf(const backend_state&, time_point now) const;
     double scoreOf(const backend_state&, const deployment_state&, time_point now) const;
     duration predictFirst(const backend_state&, const deployment_state&, time_point now) const;
-    // How many requests a server may run before its passes take longer than the pause that callers accept.
-    double runningLimit(const backend_state&, const engine_model&, duration gapTarget) const;
     // True when a caller that was refused before has to stand behind new ones: neither this gateway's part of the slots
     // nor what reports tell of all of them leaves room beside those kept for new callers.
     bool isBehindNew(const pick_request&, const deployment_state&, time_point now) const;
-    // As measured, but no less than the model says of full slots.
-    double passMsOf(const backend_state&, const engine_model&) const;
+    pass_model modelOf(const backend_state&, const engine_model&) const;
     // How long a request waits and how long its first event takes then, at `state`.
     pick_refused refuse(pick_refusal, duration wait, duration startLatency, const pick_request&, time_point now);
     duration startLatencyAt(const backend_state&, const deployment_state&) const;
-    // Chooses so that all gateways together, none of which sees what the others send, fill the emptiest servers evenly.
     backend_state& choose(const std::vector<backend_state*>&, const deployment_state&, time_point now);
     static void noteRate(deployment_state&, time_point now);
     std::vector<backend_state*> candidates(const pick_request&, time_point now);
--- /dev/null
+++ b/coltsfootbend/gateway/server_choice.cpp
@@ -0,0 +1,39 @@
+#include "coltsfootbend/gateway/server_choice.h"
+
+#include <algorithm>
+
+namespace coltsfootbend {
+
+namespace {
+
+// To where the scores rise when `amount` is poured over the servers like water.
+double waterLevel(std::vector<double> scores, double amount)
+{
+    std::sort(scores.begin(), scores.end());
+    double sum = 0;
+    double level = 0;
+    for (std::size_t filled = 1; filled <= scores.size(); ++filled) {
+        sum += scores[filled - 1];
+        level = (amount + sum) / static_cast<double>(filled);
+        if (filled == scores.size() || level <= scores[filled])
+            break;
+    }
+    return level;
+}
+
+} // namespace
+
+// Each in proportion to what it takes of the unseen requests.
+std::size_t chooseServer(const std::vector<double>& scores, double unseen, double draw)
+{
+    const double level = waterLevel(scores, unseen);
+    double point = draw * unseen;
+    for (std::size_t i = 0; i < scores.size(); ++i) {
+        point -= std::max(0.0, level - scores[i]);
+        if (point <= 0)
+            return i;
+    }
+    return static_cast<std::size_t>(std::min_element(scores.begin(), scores.end()) - scores.begin());
+}
+
+} // namespace coltsfootbend
--- a/coltsfootbend/gateway/waiting_policy.h
+++ b/coltsfootbend/gateway/waiting_policy.h
@@ -8,7 +8,7 @@
 //     else
 //         refuse(refused.retryAfter);
 
-#include "coltsfootbend/gateway/backend_picker.h"
+#include "coltsfootbend/gateway/pick.h"
 
 #include <optional>
 
