A request under which two servers crashed is suspended for a minute, and one under which one did goes to one server an attempt

Ruled out: verdicts that come late (each crash is proved within 0.1 s, and told within 0.3 s).

Two ways besides the one that stood: an hour's quarantine after two crashes, as one that was there by chance would suffer it, and this one, a minute.

--- a/coltsfootbend/gateway/request_quarantine.cpp
+++ b/coltsfootbend/gateway/request_quarantine.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Whoever was at so many crashes is tried by one server an attempt: the next one may be the proof.
-constexpr std::size_t crashesToBeCareful = 2;
+// Whoever was at so many crashes is tried by one server an attempt: the next one may be the proof, and a second one may
+// take another group along.
+constexpr std::size_t crashesToBeCareful = 1;
 
 server_life lifeOf(const backend_server& server)
 {
@@ -30,7 +31,7 @@
 
 std::optional<time_point> request_quarantine::refusedUntil(const request_fingerprint& request, time_point now) const
 {
-    return m_history.quarantinedUntil(request, now);
+    return m_history.refusedUntil(request, now);
 }
 
 bool request_quarantine::maySendOn(const request_fingerprint& request) const
@@ -65,23 +66,26 @@
 
 void request_quarantine::review()
 {
-    auto quarantined = m_history.quarantined();
-    if (quarantined == m_logged)
-        return;
-    const auto log = [this](const request_fingerprint& request, const char* state) {
+    std::map<request_fingerprint, std::string> verdicts;
+    for (const auto& request : m_history.suspended(clock_type::now()))
+        verdicts[request] = "suspended";
+    for (const auto& request : m_history.quarantined())
+        verdicts[request] = "yes";
+    const auto log = [this](const request_fingerprint& request, const std::string& state) {
         logEvent(log_event::RequestQuarantine,
             "request=" + shortName(request) + " quarantined=" + state
                 + " crashes=" + std::to_string(m_history.crashes(request)));
     };
-    for (const auto& request : quarantined) {
-        if (!m_logged.contains(request))
-            log(request, "yes");
+    for (const auto& [request, verdict] : verdicts) {
+        const auto logged = m_logged.find(request);
+        if (logged == m_logged.end() || logged->second != verdict)
+            log(request, verdict);
     }
-    for (const auto& request : m_logged) {
-        if (!quarantined.contains(request))
+    for (const auto& [request, verdict] : m_logged) {
+        if (!verdicts.contains(request))
             log(request, "no");
     }
-    m_logged = std::move(quarantined);
+    m_logged = std::move(verdicts);
 }
 
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/request_quarantine.h
+++ b/coltsfootbend/gateway/request_quarantine.h
@@ -11,8 +11,9 @@
 #include "coltsfootbend/quarantine/crash_history.h"
 
 #include <functional>
+#include <map>
 #include <optional>
-#include <set>
+#include <string>
 #include <vector>
 
 namespace coltsfootbend {
@@ -48,7 +49,7 @@
     crash_history m_history;
     crash_detector m_detector;
     const std::function<void(const std::vector<crash_record>&)> m_publish;
-    std::set<request_fingerprint> m_logged;
+    std::map<request_fingerprint, std::string> m_logged; // The verdict of each as it was told last.
 };
 
 } // namespace coltsfootbend
--- a/coltsfootbend/quarantine/crash_history.cpp
+++ b/coltsfootbend/quarantine/crash_history.cpp
@@ -92,6 +92,7 @@
 {
     for (auto& [request, suspect] : m_suspects) {
         suspect.quarantinedFrom.reset();
+        suspect.suspendedFrom.reset();
         suspect.unexplained = 0;
     }
     auto open = openSuspicions();
@@ -115,6 +116,7 @@
     }
     for (const auto& [request, left] : open)
         m_suspects.at(request).unexplained = left.size();
+    suspend(open);
     updateLimits();
     updateDigest();
 }
@@ -154,12 +156,32 @@
 void crash_history::quarantine(const request_fingerprint& request, const crash_set& crashes)
 {
     auto& suspect = m_suspects.at(request);
+    suspect.unexplained = crashes.size();
+    suspect.quarantinedFrom = settledAt(suspect, crashes, m_options.crashesToQuarantine);
+}
+
+// A third crash would be the proof, and another outage of a whole group. Not while somebody else was at the same ones.
+void crash_history::suspend(const suspicions& open)
+{
+    for (const auto& [request, crashes] : open) {
+        if (crashes.size() < m_options.crashesToSuspend || !rivals(open, request).empty())
+            continue;
+        auto& suspect = m_suspects.at(request);
+        suspect.suspendedFrom = settledAt(suspect, crashes, m_options.crashesToSuspend);
+        suspect.suspendedUntil = {};
+        for (const auto& server : crashes)
+            suspect.suspendedUntil
+                = std::max<time_point>(suspect.suspendedUntil, suspect.crashes.at(server).at + m_options.suspendedFor);
+    }
+}
+
+time_point crash_history::settledAt(const suspect& suspect, const crash_set& crashes, std::size_t count) const
+{
     std::vector<time_point> heardAt;
     for (const auto& server : crashes)
         heardAt.push_back(suspect.crashes.at(server).heardAt);
     std::sort(heardAt.begin(), heardAt.end());
-    suspect.unexplained = crashes.size();
-    suspect.quarantinedFrom = heardAt[m_options.crashesToQuarantine - 1] + m_options.settle;
+    return heardAt[count - 1] + m_options.settle;
 }
 
 void crash_history::updateLimits()
@@ -188,18 +210,22 @@
 
 bool crash_history::isQuarantined(const request_fingerprint& request, time_point now) const
 {
-    return quarantinedUntil(request, now).has_value();
+    const auto known = m_suspects.find(request);
+    return known != m_suspects.end() && known->second.quarantinedFrom && now >= *known->second.quarantinedFrom
+        && now < known->second.keptUntil;
 }
 
-std::optional<time_point> crash_history::quarantinedUntil(const request_fingerprint& request, time_point now) const
+std::optional<time_point> crash_history::refusedUntil(const request_fingerprint& request, time_point now) const
 {
     const auto known = m_suspects.find(request);
     if (known == m_suspects.end())
         return std::nullopt;
     const auto& suspect = known->second;
-    if (!suspect.quarantinedFrom || now < *suspect.quarantinedFrom || now >= suspect.keptUntil)
+    if (isQuarantined(request, now))
+        return suspect.keptUntil;
+    if (!suspect.suspendedFrom || now < *suspect.suspendedFrom || now >= suspect.suspendedUntil)
         return std::nullopt;
-    return suspect.keptUntil;
+    return suspect.suspendedUntil;
 }
 
 std::set<request_fingerprint> crash_history::quarantined() const
@@ -212,6 +238,16 @@
     return found;
 }
 
+std::set<request_fingerprint> crash_history::suspended(time_point now) const
+{
+    std::set<request_fingerprint> found;
+    for (const auto& [request, suspect] : m_suspects) {
+        if (suspect.suspendedFrom && now < suspect.suspendedUntil)
+            found.insert(request);
+    }
+    return found;
+}
+
 std::vector<crash_record> crash_history::records() const
 {
     std::vector<crash_record> all;
--- a/coltsfootbend/quarantine/crash_history.h
+++ b/coltsfootbend/quarantine/crash_history.h
@@ -1,13 +1,14 @@
 #pragma once
 
 // Under which requests backend servers have crashed, and which of those requests are to blame. Whoever was at a crashed
-// server is only a suspect: a request is quarantined once it was there at three crashes that nobody else explains. What
+// server is only a suspect: a request is suspended for a while once it was there at two crashes that nobody else
+// explains, and quarantined for long once it was at three. What
 // one VM adds, others take in any order and any number of times, and all come to the same verdicts: nothing is agreed
 // on. Bounded, and forgets with time. Deterministic. Not for finding crashes: see `gateway/crash_detector.h`.
 //
 //     crash_history history;
 //     history.add({ { .request = fingerprint, .server = life, .at = now } }, now);
-//     if (history.isQuarantined(fingerprint, now)) // refuse it, it would crash another server
+//     if (const auto until = history.refusedUntil(fingerprint, now)) // it would crash another server
 
 #include "coltsfootbend/base/time.h"
 #include "coltsfootbend/quarantine/request_fingerprint.h"
@@ -38,6 +39,10 @@
 public:
     struct options {
         std::size_t crashesToQuarantine = 3;
+        std::size_t crashesToSuspend = 2;
+        // After the last crash: longer than a group takes to form again and its callers to come back, short enough for
+        // one that was at two crashes by chance.
+        duration suspendedFor = std::chrono::minutes(1);
         // Requests that were at the same crashes cannot be told apart; beyond so many it is no chance any more.
         std::size_t crashesThatNeedNoProof = 5;
         // After the last crash that counts, for others to tell who else was there.
@@ -68,10 +73,11 @@
     // Crashes at which the request was, as far as they are not explained by others. O(log records).
     std::size_t crashes(const request_fingerprint&) const;
     bool isQuarantined(const request_fingerprint&, time_point now) const;
-    // Until when it is quarantined if nothing more is heard of it; none if it is not. O(log records).
-    std::optional<time_point> quarantinedUntil(const request_fingerprint&, time_point now) const;
-    // All requests that are quarantined, whether or not their verdicts have settled.
+    // Until when it is quarantined or suspended if nothing more is heard of it; none if it is neither. O(log records).
+    std::optional<time_point> refusedUntil(const request_fingerprint&, time_point now) const;
+    // All requests that are quarantined, and those that are suspended, whether or not the verdicts have settled.
     std::set<request_fingerprint> quarantined() const;
+    std::set<request_fingerprint> suspended(time_point now) const;
 
     bool isEmpty() const { return m_suspects.empty(); }
     // There is no room for more: what others know beyond that is not to be asked for.
@@ -92,6 +98,9 @@
         std::size_t unexplained = 0;
         // When it counts as quarantined, and until when.
         std::optional<time_point> quarantinedFrom;
+        // The same of a suspension.
+        std::optional<time_point> suspendedFrom;
+        time_point suspendedUntil {};
         time_point keptUntil {};
     };
     using crash_set = std::set<server_life>;
@@ -106,6 +115,9 @@
     // Who was at as many crashes, and at more than one of the same.
     static std::vector<request_fingerprint> rivals(const suspicions&, const request_fingerprint&);
     void quarantine(const request_fingerprint&, const crash_set&);
+    void suspend(const suspicions& open);
+    // When the others can have told who else was at the crash that completed `count` of them.
+    time_point settledAt(const suspect&, const crash_set&, std::size_t count) const;
     void updateLimits();
     void updateDigest();
 
--- a/coltsfootbend/quarantine/crash_history_test.cpp
+++ b/coltsfootbend/quarantine/crash_history_test.cpp
@@ -31,6 +31,38 @@
     EXPECT_TRUE(history.isQuarantined(fatal, start + 2s + settled));
 }
 
+// Each crash takes a whole group down for seconds, so that the third one is not waited for while the request comes on.
+TEST(CrashHistory, ARequestIsSuspendedForAMinuteAfterTwoCrashes)
+{
+    crash_history history;
+    history.add({ at(fatal, 1), at(bystander, 1) }, start);
+    EXPECT_FALSE(history.refusedUntil(fatal, start + 1s));
+    history.add({ at(fatal, 2, start + 5s) }, start + 5s);
+    EXPECT_EQ(history.refusedUntil(fatal, start + 5s + settled), start + 65s);
+    EXPECT_FALSE(history.refusedUntil(bystander, start + 6s));
+    EXPECT_FALSE(history.refusedUntil(fatal, start + 65s)) << "it was no proof";
+    history.add({ at(fatal, 3, start + 70s) }, start + 70s);
+    EXPECT_EQ(history.refusedUntil(fatal, start + 71s), start + 70s + 60min);
+}
+
+TEST(CrashHistory, WhileTwoRequestsWereAtTheSameTwoCrashesNeitherIsSuspended)
+{
+    crash_history history;
+    for (int server = 1; server <= 2; ++server)
+        history.add({ at(fatal, server), at(bystander, server) }, start);
+    EXPECT_FALSE(history.refusedUntil(fatal, start + settled));
+    EXPECT_FALSE(history.refusedUntil(bystander, start + settled));
+}
+
+TEST(CrashHistory, AGoodEndEndsASuspension)
+{
+    crash_history history;
+    history.add({ at(bystander, 1), at(bystander, 2) }, start);
+    EXPECT_TRUE(history.refusedUntil(bystander, start + settled));
+    history.clear(bystander);
+    EXPECT_FALSE(history.refusedUntil(bystander, start + settled));
+}
+
 TEST(CrashHistory, TheSameCrashCountsOnceHoweverOftenItIsTold)
 {
     crash_history history;
@@ -112,7 +144,7 @@
     history.expire(start + 10min);
     EXPECT_TRUE(history.recordsOf(bystander).empty());
     EXPECT_TRUE(history.isQuarantined(fatal, start + 59min));
-    EXPECT_EQ(history.quarantinedUntil(fatal, start + 1min), start + 60min);
+    EXPECT_EQ(history.refusedUntil(fatal, start + 1min), start + 60min);
     EXPECT_FALSE(history.isQuarantined(fatal, start + 60min));
     history.expire(start + 60min);
     EXPECT_TRUE(history.isEmpty());
