--- a/coltsfootbend/gateway/backend_directory.cpp
+++ b/coltsfootbend/gateway/backend_directory.cpp
@@ -60,7 +60,7 @@
 }
 
 // A process that was cut off from the store sees the same as one whose store was away. A server that left meanwhile
-// must get nothing more then: one gateway sent to it for 2.2 s after its leaving, where 2 s are allowed.
+// must get nothing more then.
 void backend_directory::settleLapses(time_point now)
 {
     if (m_failingSince)
--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -200,8 +200,8 @@
     }
     if (inFlight < returningShareOfSlots * slots / m_gateways)
         return false;
-    // Callers come back to gateways unevenly: what one has too many of, another has room for, and reports show it. By
-    // the own part alone, 40 were refused within 2 s of a group's opening.
+    // Callers come back to gateways unevenly: what one has too many of, another has room for, and reports show it.
+    // By the own part alone, some were refused while slots were free.
     const double others = deployment.requestsPerSecond * (m_gateways - 1) * unseenSeconds;
     return !isReported || load + others >= returningShareOfSlots * slots;
 }
@@ -285,8 +285,8 @@
     auto refused = refuse(isStanding ? pick_refusal::GroupStanding : pick_refusal::GroupDown, first->openBy - now,
         startLatencyAt(*firstServer, m_deployments[request.deployment]), request, now);
     refused.expectedOpenAt = first->openAt;
-    // Beyond the outage, also where that is later than callers heed: one that is back too early is lost (about 160 in
-    // one outage of 5.7 s), and one that comes later than need be is served just as late.
+    // Beyond the outage, also where that is later than callers heed: one that is back too early is lost, and one
+    // that comes later than need be is served just as late.
     refused.retryAfter = std::max<duration>(first->openBy - now, leastRetryAfter);
     return refused;
 }
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -49,8 +49,7 @@
         // A configuration can have a thousand routes, of which an agent needs the figures of one engine: whoever
         // follows gateways reads it this seldom.
         duration configurationFromPeersEvery = std::chrono::seconds(15);
-        // The own poll tells what others know within this time, its pause of 0.3 s after a change included. After a
-        // deaf poll was found, seven other gateways had read the news 0.2 to 0.6 s later (three runs).
+        // The own poll tells what others know within this time, its pause after a change included.
         duration silentPollAfter = std::chrono::milliseconds(500);
         data_centre_id home;
         // Peers that are known from the start; those met later are added.
--- a/coltsfootbend/gateway/pass_model.h
+++ b/coltsfootbend/gateway/pass_model.h
@@ -26,7 +26,7 @@
 private:
     const engine_model& m_engine;
     const double m_measuredPassMs;
-    const double m_passMs; // As measured, but no less than the model says of full slots.
+    const double m_passMs; // No less than the model says of full slots.
 };
 
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/table_follower.cpp
+++ b/coltsfootbend/gateway/table_follower.cpp
@@ -127,9 +127,8 @@
     }
 }
 
-// A store that takes calls and answers none holds a poll for all of its 21.5 s: eight gateways ran on an old
-// configuration for 15.4 and 13.8 s after its returns. With the check all eight had asked anew 1.1 to 1.7 s after it
-// (three runs, silence of 1 s right after a change). It costs one call a second and table for all gateways together.
+// A store that takes calls and answers none holds a poll for its whole length, and gateways would run on an old
+// configuration long after its return. The check costs one call a second and table for all gateways together.
 void table_follower::check()
 {
     const auto call = beginCall("check");
--- a/coltsfootbend/gateway/table_follower.h
+++ b/coltsfootbend/gateway/table_follower.h
@@ -66,8 +66,7 @@
         // What the process whose duty it is needs to ask and to be heard: its news goes out within 0.1 s, and agents
         // pass it on within 0.1 s. Others wait as much longer.
         duration dutyDelay = std::chrono::milliseconds(300);
-        // Processes without a duty are spread over this time, so that the first to ask spares the others: six gateways
-        // made at most 12 calls in 5 s (test).
+        // Processes without a duty are spread over this time, so that the first to ask spares the others.
         duration dutySpread = std::chrono::milliseconds(500);
     };
 
--- a/coltsfootbend/gateway/waiting_policy.cpp
+++ b/coltsfootbend/gateway/waiting_policy.cpp
@@ -37,7 +37,7 @@
 
 // A group that stands may go on at any moment: engines themselves wait for a rank that is gone for a while before they
 // say so. Until then nobody can tell a caller when to come back, and one that was told too early is lost. Sent instead,
-// 140 requests in 1.5 s waited in a group that a rank had left, and most had no try left afterwards.
+// requests wait in a group that a rank has left, and most have no try left afterwards.
 std::optional<time_point> holdForVerdict(const pick_refused& refused, const held_request& request, time_point now)
 {
     const duration patience = callerGapLimit - refused.startLatency;
--- a/coltsfootbend/group/demand_estimator.cpp
+++ b/coltsfootbend/group/demand_estimator.cpp
@@ -12,9 +12,9 @@
 constexpr double mostRounds = 6;
 // Of what was estimated before a shift: of little use then, but not of none.
 constexpr double shiftedShare = 0.1;
-// A round this many times as far away as chance usually puts it shows a shift. Rounds without one stay below 1.4.
+// A round this many times as far away as chance usually puts it shows a shift.
 constexpr double shiftFactor = 1.5;
-// Until enough rounds were seen: rounds of 0.3 s differ by 0.03 to 0.13 without a shift, by 0.2 to 0.5 with one.
+// Until enough rounds were seen: between what rounds differ by with a shift and without one.
 constexpr double assumedShiftDrift = 0.16;
 constexpr std::uint32_t roundsToLearn = 4;
 constexpr double noiseSmoothing = 0.15;
--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -506,7 +506,7 @@
 // experts. Each pass of waiting runs under the worse map; a hold that is reached costs only what is left of arming.
 //
 // The pass is held at another rank's engine, ordered from here: a VM that stands still takes its own engine's hold with
-// it, and nobody can let the group go on until it wakes (4.1 s in one play, with all streams of the group lost).
+// it, and nobody can let the group go on until it wakes, which no stream of the group outlasts.
 std::optional<pass_number> map_leader::holdAhead(pass_number step)
 {
     const auto* found = holder();
@@ -555,8 +555,7 @@
     (void)orderAll(wire::rank_disarm { .scope = {}, .version = version }, m_members, m_options.armLimit);
 }
 
-// At the rank that holds the pass: an order to all takes a round of the whole group, for which passes may stand. From
-// prepared to released it took 143 ms at 129 ranks, and takes 102 (mean of ten and eleven changes on loaded days).
+// At the rank that holds the pass: an order to all takes a round of the whole group, for which passes may stand.
 void map_leader::releaseHeld(pass_number step)
 {
     if (isDeposed())
--- a/coltsfootbend/group/order_relay.h
+++ b/coltsfootbend/group/order_relay.h
@@ -51,9 +51,8 @@
 class order_relay {
 public:
     struct options {
-        // Of one data centre, and of other data centres: a rank speaks with at most twice as many. A change takes as
-        // long with two to six (129 ranks on links of 6 Mbit/s: 0.17 to 0.20 s from plan to prepared), but what the
-        // leader sends and receives grows from 107 to 232 KB/s.
+        // Of one data centre, and of other data centres: a rank speaks with at most twice as many. More make
+        // no change faster, but grow what the leader sends and receives.
         std::size_t fanOut = 3;
         // An agent that did not take an order is not spoken with for this long.
         duration silentPause = std::chrono::milliseconds(1000);
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -35,8 +35,8 @@
 // A change is under way, for which the group may be held already.
 constexpr std::chrono::milliseconds preparedSilence { 600 };
 constexpr rank_number ranksInTurn = 32;
-// What one change may take to copy experts: about two passes under a bad map. Without a limit it took 0.22 to 0.30 s at
-// 63 ranks, in which streams under way pause for longer than callers accept.
+// What one change may take to copy experts: about two passes under a bad map. Without a limit streams under way pause
+// for longer than callers accept.
 constexpr std::chrono::milliseconds mostCopyTime { 110 };
 constexpr std::chrono::milliseconds followCycle { 50 };
 
--- a/coltsfootbend/limits/patience_tracker.h
+++ b/coltsfootbend/limits/patience_tracker.h
@@ -30,7 +30,7 @@
 private:
     // Callers of a route that have to be seen before its timeout is not needed any more.
     static constexpr std::uint32_t enough = 20;
-    // New callers' own limits differ: measured, they lie evenly between 0.85 and 1 of the longest. Whoever was refused
+    // New callers' own limits differ: they lie evenly between 0.85 and 1 of the longest. Whoever was refused
     // and told to come back within that range cannot be told from them, and is treated as well as they are.
     static constexpr double newcomerShare = 0.84;
 
