--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -1,9 +1,10 @@
 #pragma once
 
 // Keeps what this process believes of the deployment current: the operator's configuration and the list of backend
-// servers. Follows the store (`gateway/table_follower.h`); while the store does not serve this VM it asks other
-// processes, who may still be served. Rank agents follow the gateways instead, and the store only while no gateway
-// does. What it believes never goes back within its life. Found through the kernel as "deployment".
+// servers. Follows the store (`gateway/table_follower.h`), or rests while other gateways do and reads what is new from
+// them; while the store does not serve this VM it asks other processes, who may still be served. Rank agents follow the
+// gateways instead, and the store only while no gateway does. What it believes never goes back within its life. Found
+// through the kernel as "deployment".
 //
 //     watch.onCatalogue([](const catalogue_ptr& next) { ... });
 //     if (watch.catalogue()) ... watch.directory().servers() ...
@@ -91,11 +92,11 @@
     void meetPeer(const endpoint& peer) { m_peers.insert(peer); }
     // A gateway says what it knows. Newer lists of servers are read from it by whoever leaves the store to gateways.
     void hearGateway(const endpoint& peer, const wire::deployment_knowledge&);
-    // The gateway `peer` is said to know more. It is asked if the store does not serve this process, or has not told it
-    // the news after a while: a poll can go silent without an error.
+    // The gateway `peer` is said to know more. It is read at once if this process rests or the store does not serve it,
+    // and if the store has not told the news after a while: a poll can go silent without an error.
     void hearOfNews(const endpoint& peer);
-    // What other gateways have heard of the store, ages in milliseconds, and what this one owes them. Confirmations
-    // older than a minute say nothing.
+    // What other gateways have heard of the store, ages in milliseconds, and what part this one has in following it.
+    // Confirmations older than a minute say nothing.
     void hearConfirmations(
         const wire::store_confirmation& configuration, const wire::store_confirmation& servers, wire::store_duty);
     // What this process tells others.
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -272,7 +272,7 @@
     std::uint64_t ageMs = never;
 };
 
-// What a gateway owes the others about the store. Travels as its number.
+// A gateway's part in following the store for all. Travels as its number.
 enum class store_duty : std::uint32_t {
     Unknown, // No other process is known to follow the store.
     Check, // Follows it, and asks in between whether what polls tell can be believed, for all.
