Sight for LIMIT: what a server's answers ask for is decoded and logged

The logs of the incident could not tell whether a limit that a server named was never known or known and lost: no line said what an answer asked for. The header is decoded once, in the adapter, into a typed notice; a gateway keeps the limit by the server's life and logs each change (E307). An answer without a limit ends it only if its request was sent after the limit was heard, since answers overtake each other; one that cannot be read ends nothing. No choice rests on it yet.

--- a/coltsfootbend/base/log_event.h
+++ b/coltsfootbend/base/log_event.h
@@ -34,6 +34,7 @@
     GroupCondition = 304,
     BackendCrashed = 305,
     RequestQuarantine = 306,
+    BackendNotice = 307,
     LedgerHandedOver = 400,
     LedgerRestored = 401,
     LedgerIncomplete = 402,
--- /dev/null
+++ b/coltsfootbend/gateway/backend_notices_test.cpp
@@ -0,0 +1,36 @@
+// What servers ask for in their answers, as one gateway keeps it.
+
+#include "coltsfootbend/gateway/backend_notices.h"
+
+#include <gtest/gtest.h>
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+
+const backend_instance server { backend_id("b"), backend_life(7) };
+const time_point start { 100s };
+
+TEST(BackendNotices, AnAnswerWithoutALimitEndsItOnlyIfItsRequestWasSentAfterTheLimitWasHeard)
+{
+    backend_notices notices;
+    EXPECT_EQ(
+        notices.hearAnswer(server, { .requestsPerSecond = 1.5 }, start, start + 10ms), "limit_per_s=1.50 before=none");
+    EXPECT_EQ(notices.hearAnswer(server, {}, start + 5ms, start + 20ms), "") << "an answer that was overtaken";
+    EXPECT_EQ(notices.hearAnswer(server, { .requestsPerSecond = 0.2 }, start + 15ms, start + 30ms),
+        "limit_per_s=0.20 before=1.50");
+    EXPECT_EQ(notices.hearAnswer(server, {}, start + 31ms, start + 40ms), "limit_per_s=none before=0.20");
+}
+
+TEST(BackendNotices, ALimitBelongsToOneLifeOfTheServer)
+{
+    backend_notices notices;
+    (void)notices.hearAnswer(server, { .requestsPerSecond = 1 }, start, start);
+    const backend_instance next { server.id, backend_life(8) };
+    EXPECT_EQ(notices.hearAnswer(next, { .requestsPerSecond = 2 }, start, start), "limit_per_s=2.00 before=none");
+    EXPECT_EQ(notices.hearAnswer(server, { .requestsPerSecond = 3 }, start, start), "") << "a former life";
+}
+
+} // namespace
+} // namespace coltsfootbend
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -10,6 +10,7 @@
 //     if (choice) { picker.sent(choice->server.instance(), now); ...; picker.finished(..., outcome, latency, now); }
 
 #include "coltsfootbend/gateway/backend_directory.h"
+#include "coltsfootbend/gateway/backend_notices.h"
 #include "coltsfootbend/gateway/catalogue.h"
 #include "coltsfootbend/gateway/engine_report.h"
 #include "coltsfootbend/gateway/group_outlook.h"
@@ -49,6 +50,9 @@
     // Takes the servers and deployments as they are now; what is known of those that stay is kept.
     void setServers(const std::map<backend_id, backend_server>&, const catalogue&);
 
+    // What servers have asked for, by which the choice abides.
+    backend_notices& notices() { return m_notices; }
+
     // How many gateways send to the same servers, this one included.
     void setGateways(std::uint32_t count) { m_gateways = std::max(1U, count); }
 
@@ -136,6 +140,7 @@
 
     const options m_options;
     std::minstd_rand m_random;
+    backend_notices m_notices;
     std::uint32_t m_gateways = 1;
     std::map<backend_id, backend_state> m_backends;
     std::map<deployment_id, deployment_state> m_deployments;
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -2,10 +2,9 @@
 
 #include "coltsfootbend/base/hash.h"
 #include "coltsfootbend/base/log_event.h"
+#include "coltsfootbend/base/text.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
 namespace coltsfootbend {
@@ -43,12 +42,7 @@
 
 bool isSuccess(int status) { return status >= 200 && status < 300; }
 
-std::string secondsText(duration length)
-{
-    std::array<char, 32> text {};
-    const auto size = std::snprintf(text.data(), text.size(), "%.2f", toMilliseconds(length) / 1000);
-    return { text.data(), static_cast<std::size_t>(size) };
-}
+std::string secondsText(duration length) { return fixedText(toMilliseconds(length) / 1000, 2); }
 
 } // namespace
 
@@ -312,6 +306,7 @@
         return broke(picked, wait.isGivenUp() ? silentServer() : head.error());
     wait.waitOn();
     const auto facts = m_context.dialect.readBackend(*head);
+    hearNotice(picked.server, facts, sentAt);
     if (facts.load)
         m_context.picker.responseLoad(
             picked.server.instance(), facts.load->running, facts.load->waiting, clock_type::now());
@@ -322,6 +317,16 @@
     return relayWhole(picked, connection, *head, sentAt);
 }
 
+// Whoever answers in another server's place speaks for itself.
+void exchange::hearNotice(const backend_server& server, const backend_facts& facts, time_point sentAt)
+{
+    if (facts.isOtherServer)
+        return;
+    const auto news = m_context.picker.notices().hearAnswer(server.instance(), facts.notice, sentAt, clock_type::now());
+    if (!news.empty())
+        logEvent(log_event::BackendNotice, "backend=" + server.id.text() + " " + news);
+}
+
 exchange::next_step exchange::relayWhole(
     const picked_backend& picked, backend_connection& connection, const http_head& head, time_point sentAt)
 {
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -61,6 +61,8 @@
     void refuseQuarantined(time_point now, time_point until);
     next_step attempt(const picked_backend&);
     next_step receive(const picked_backend&, backend_connection&, time_point sentAt);
+    // Takes what the server's answer asks for.
+    void hearNotice(const backend_server&, const backend_facts&, time_point sentAt);
     next_step relayWhole(const picked_backend&, backend_connection&, const http_head&, time_point sentAt);
     next_step relayStream(
         const picked_backend&, backend_connection&, const http_head&, guarded_wait&, time_point sentAt);
--- a/coltsfootbend/gateway/request_dialect.h
+++ b/coltsfootbend/gateway/request_dialect.h
@@ -10,6 +10,7 @@
 #include "coltsfootbend/base/id.h"
 #include "coltsfootbend/base/time.h"
 #include "coltsfootbend/gateway/backend_directory.h"
+#include "coltsfootbend/gateway/backend_notice.h"
 #include "coltsfootbend/net/http.h"
 
 #include <cstdint>
@@ -59,6 +60,7 @@
     // Whose answer it is; empty when it does not say.
     std::string requestId;
     std::optional<server_load> load;
+    backend_notice notice;
     // For how long the server keeps the connection when idle, where it says so.
     std::optional<duration> keptFor;
 };
