Where the rank agents are is asked of a directory of its own

Permits for limited servers will ask for agents as the quarantine does. Moved out of quarantine_network, nothing else changed; the tests of repeated crashes pass.

--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -59,8 +59,9 @@
     if (!news)
         return tl::unexpected(news.error());
     m_news = std::move(*news);
-    m_quarantine = std::make_unique<quarantine_network>(
-        m_runtime, m_settings, *m_watch, (*peers)->client(), kernel.find<crash_archive>("crash_archive"), *m_news);
+    m_agents = std::make_unique<agent_directory>(*m_watch, m_settings.peers.port);
+    m_quarantine = std::make_unique<quarantine_network>(m_runtime, m_settings, *m_watch, *m_agents, (*peers)->client(),
+        kernel.find<crash_archive>("crash_archive"), *m_news);
     m_context = std::make_unique<gateway_context>(gateway_context { .runtime = m_runtime,
         .dialect = *m_dialect,
         .metrics = *m_metrics,
@@ -186,7 +187,7 @@
             .senderLife = {},
             .version = {},
             .content = wire::load_subscribe { m_watch->knowledge() } });
-        for (const auto& agent : m_quarantine->agents())
+        for (const auto& agent : m_agents->all())
             m_news->send(agent, bytes);
         const auto nextAt = clock_type::now() + subscribeEvery;
         m_hasNews = false;
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -52,6 +52,7 @@
     const std::unique_ptr<request_dialect> m_dialect;
     deployment_watch* m_watch = nullptr;
     metrics_service* m_metrics = nullptr;
+    std::unique_ptr<agent_directory> m_agents;
     std::unique_ptr<quarantine_network> m_quarantine;
     std::unique_ptr<gateway_context> m_context;
     http_server_options m_serverOptions;
--- a/coltsfootbend/gateway/quarantine_network.cpp
+++ b/coltsfootbend/gateway/quarantine_network.cpp
@@ -1,7 +1,6 @@
 #include "coltsfootbend/gateway/quarantine_network.h"
 
 #include <algorithm>
-#include <set>
 
 namespace coltsfootbend {
 
@@ -16,11 +15,12 @@
 } // namespace
 
 quarantine_network::quarantine_network(fiber_runtime& runtime, const daemon_settings& settings,
-    const deployment_watch& watch, peer_client& peers, crash_archive* archive, datagram_socket& socket)
-    : m_settings(settings)
-    , m_watch(watch)
+    const deployment_watch& watch, agent_directory& agents, peer_client& peers, crash_archive* archive,
+    datagram_socket& socket)
+    : m_watch(watch)
+    , m_agents(agents)
     , m_archive(archive)
-    , m_witness(runtime, peers, [this](const backend_server& server) { return agentsNear(server); })
+    , m_witness(runtime, peers, [this](const backend_server& server) { return m_agents.near(server); })
     , m_requests(
           runtime, m_witness, [this](const backend_server& server) { return isLeaving(server); },
           [this](const std::vector<crash_record>& records) { publish(records); })
@@ -54,7 +54,7 @@
 
 void quarantine_network::publish(const std::vector<crash_record>& records)
 {
-    auto receivers = agents();
+    auto receivers = m_agents.all();
     std::shuffle(receivers.begin(), receivers.end(), m_random);
     receivers.resize(std::min(receivers.size(), agentsToTell));
     m_gossip.tell(records, receivers, clock_type::now());
@@ -73,39 +73,4 @@
     return !known || known->isLeaving;
 }
 
-bool quarantine_network::hasAgent(const backend_server& server) const
-{
-    const auto& catalogue = m_watch.catalogue();
-    const auto* deployment = catalogue ? catalogue->findDeployment(server.deployment) : nullptr;
-    return deployment && deployment->engine;
-}
-
-endpoint quarantine_network::agentBeside(const backend_server& server) const
-{
-    return { server.address.ip, m_settings.peers.port };
-}
-
-std::vector<endpoint> quarantine_network::agents() const
-{
-    std::set<endpoint> found;
-    for (const auto& [id, server] : m_watch.directory().servers()) {
-        if (hasAgent(server))
-            found.insert(agentBeside(server));
-    }
-    return { found.begin(), found.end() };
-}
-
-std::vector<endpoint> quarantine_network::agentsNear(const backend_server& server)
-{
-    std::vector<endpoint> found;
-    for (const auto& [id, other] : m_watch.directory().servers()) {
-        if (hasAgent(other) && other.dataCentre == server.dataCentre && other.address.ip != server.address.ip)
-            found.push_back(agentBeside(other));
-    }
-    std::shuffle(found.begin(), found.end(), m_random);
-    if (hasAgent(server))
-        found.insert(found.begin(), agentBeside(server));
-    return found;
-}
-
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/quarantine_network.h
+++ b/coltsfootbend/gateway/quarantine_network.h
@@ -3,11 +3,11 @@
 // Connects a gateway's quarantine with the rest of the system: rank agents, who prove crashes and pass news of them on,
 // and the store, which keeps what is serious. Not for the verdicts: see `quarantine/crash_history.h`.
 //
-//     quarantine_network network(runtime, settings, watch, peers, archive, socket);
+//     quarantine_network network(runtime, settings, watch, agents, peers, archive, socket);
 //     network.hearDigest(sender, news.crashes);
 //     exchange(..., network.requests(), ...)
 
-#include "coltsfootbend/gateway/deployment_watch.h"
+#include "coltsfootbend/gateway/agent_directory.h"
 #include "coltsfootbend/gateway/request_quarantine.h"
 #include "coltsfootbend/quarantine/crash_archive.h"
 #include "coltsfootbend/quarantine/datagram_crash_channel.h"
@@ -21,7 +21,7 @@
 class quarantine_network {
 public:
     // `archive` is null where nothing is kept.
-    quarantine_network(fiber_runtime&, const daemon_settings&, const deployment_watch&, peer_client&,
+    quarantine_network(fiber_runtime&, const daemon_settings&, const deployment_watch&, agent_directory&, peer_client&,
         crash_archive* archive, datagram_socket&);
     quarantine_network(const quarantine_network&) = delete;
     quarantine_network& operator=(const quarantine_network&) = delete;
@@ -33,22 +33,14 @@
     // To be called about once a second.
     void expire();
 
-    // Where the agents beside the engines listen.
-    std::vector<endpoint> agents() const;
-
 private:
     // Tells some agents, by way of whom all others hear, and has the store keep what is serious.
     void publish(const std::vector<crash_record>&);
     // Announced that it leaves, or is not registered any more.
     bool isLeaving(const backend_server&) const;
-    // Engines have an agent beside them.
-    bool hasAgent(const backend_server&) const;
-    endpoint agentBeside(const backend_server&) const;
-    // The agent beside `server`, if it has one, and then others of its data centre.
-    std::vector<endpoint> agentsNear(const backend_server&);
 
-    const daemon_settings& m_settings;
     const deployment_watch& m_watch;
+    agent_directory& m_agents;
     crash_archive* const m_archive;
     std::minstd_rand m_random { std::random_device {}() };
     peer_crash_witness m_witness;
