A test of refusals read the error of a pick that had succeeded

backend_picker_test.ABrokenGroupWhoseEnginesAreAllHeardIsAboutToOpen asked for the error of a pick that is no refusal: the third server had not been heard of, belongs to no known group, and was chosen. What it compared was whatever lay in that memory; it held until a field was added to the answer.

--- a/coltsfootbend/gateway/backend_picker_test.cpp
+++ b/coltsfootbend/gateway/backend_picker_test.cpp
@@ -57,6 +57,16 @@
         return { .deployment = deployment, .latencyTarget = 400ms, .deadline = m_now + 8s };
     }
 
+    // Fails the test when the request is not refused.
+    pick_refused refusalOf(const pick_request& request)
+    {
+        const auto picked = m_picker.pick(request, m_now);
+        if (!picked)
+            return picked.error();
+        ADD_FAILURE() << "not refused: " << picked->server.id.text();
+        return {};
+    }
+
     std::optional<catalogue> m_catalogue;
     std::map<backend_id, backend_server> m_servers;
     backend_picker m_picker { { .home = data_centre_id("here") }, 1 };
@@ -238,13 +248,15 @@
     };
     tell(1);
     tell(2);
-    EXPECT_GT(m_picker.pick(request(llm), m_now).error().expectedOpenAt, m_now + 2s) << "one rank is missing";
+    auto asked = request(llm);
+    asked.excluded = { { idOf(3), {} } }; // Of which it is not known that it belongs to the group.
+    EXPECT_GT(refusalOf(asked).expectedOpenAt, m_now + 2s) << "one rank is missing";
     tell(3);
-    EXPECT_LT(m_picker.pick(request(llm), m_now).error().expectedOpenAt, m_now + 1s);
+    EXPECT_LT(refusalOf(request(llm)).expectedOpenAt, m_now + 1s);
     m_now += 1s;
     tell(1);
     tell(2);
-    EXPECT_GT(m_picker.pick(request(llm), m_now).error().expectedOpenAt, m_now + 2s) << "the third is not heard";
+    EXPECT_GT(refusalOf(request(llm)).expectedOpenAt, m_now + 2s) << "the third is not heard";
 }
 
 TEST_F(backend_picker_test, TheLengthOfOutagesIsLearnt)
@@ -257,7 +269,7 @@
         m_now += 10s;
     }
     reportAll(0, 0, false);
-    EXPECT_LT(m_picker.pick(request(llm), m_now).error().expectedOpenAt, m_now + 1500ms);
+    EXPECT_LT(refusalOf(request(llm)).expectedOpenAt, m_now + 1500ms);
 }
 
 TEST_F(backend_picker_test, AGroupThatIsReportedBrokenAgainAndAgainStaysRefused)
@@ -301,7 +313,7 @@
     use(llm, 3);
     reportAll(1, 0);
     m_picker.groupFailed({ idOf(1), {} }, m_now);
-    EXPECT_EQ(m_picker.pick(request(llm), m_now).error().reason, pick_refusal::GroupDown);
+    EXPECT_EQ(refusalOf(request(llm)).reason, pick_refusal::GroupDown);
 }
 
 TEST_F(backend_picker_test, WhileAGroupIsBrokenNoneOfItsServersIsSuspected)
