A backend server that names a limit gets no more than that from all gateways together

Callers saw nothing; a server in need got 13 and 14 requests in 4 s where 12 were allowed, as many as before it named its limit. Cause: no choice of a gateway rested on what servers ask for in their answers. The class: a statement of a server about itself was passed on and not read. Ruled out: a limit known and lost (there was nothing that knew it), gateways that each keep to it (one sent five in 4 s).

Change: what answers ask for is kept in one place (backend_notices) and asked on each path that sends. A limited server gets a request only with a permit, which one rank agent issues for all gateways, evenly, never saved up (permit_issuer); agents tell all gateways of limits. Where all servers are limited, requests stand in line, the more urgent first, and are refused at once when their turn would come too late, each with a time of its own to come back.

Why it holds: every told gateway sends by permit only, and the permits of one issuer in 4 s are 4 x limit + 1, while 6 x limit + 5 are allowed; a new issuer begins with none.

--- a/coltsfootbend/gateway/agent_directory.cpp
+++ b/coltsfootbend/gateway/agent_directory.cpp
@@ -1,5 +1,7 @@
 #include "coltsfootbend/gateway/agent_directory.h"
 
+#include "coltsfootbend/base/hash.h"
+
 #include <algorithm>
 #include <set>
 
@@ -35,4 +37,45 @@
     return found;
 }
 
+bool agent_directory::hasAny() const
+{
+    const auto& servers = m_watch.directory().servers();
+    return std::any_of(servers.begin(), servers.end(), [this](const auto& entry) { return hasAgent(entry.second); });
+}
+
+bool agent_directory::isHeard(const endpoint& agent, time_point now) const
+{
+    const auto found = m_heardUntil.find(agent);
+    return found != m_heardUntil.end() && now < found->second;
+}
+
+std::optional<endpoint> agent_directory::issuerFor(const backend_server& server, time_point now) const
+{
+    if (hasAgent(server) && isHeard(beside(server), now))
+        return beside(server);
+    std::set<endpoint> near;
+    std::set<endpoint> all;
+    for (const auto& [id, other] : m_watch.directory().servers()) {
+        if (!hasAgent(other))
+            continue;
+        all.insert(beside(other));
+        if (other.dataCentre == server.dataCentre)
+            near.insert(beside(other));
+    }
+    std::vector<vm_id> candidates;
+    for (const auto& agent : near.empty() ? all : near) {
+        if (isHeard(agent, now))
+            candidates.emplace_back(toString(agent));
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    const auto chosen = parseEndpoint(candidates[rendezvousIndex(server.id.text(), candidates)].text());
+    return chosen ? std::optional(*chosen) : std::nullopt;
+}
+
+void agent_directory::expire(time_point now)
+{
+    std::erase_if(m_heardUntil, [now](const auto& entry) { return now >= entry.second; });
+}
+
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -26,6 +26,8 @@
 constexpr std::chrono::milliseconds reportsSettleAfter { 300 };
 // All gateways together send a request this often into a group that stands with nothing to run.
 constexpr std::chrono::milliseconds probeEvery { 30 };
+// Where servers take next to nothing, or how much is not known yet.
+constexpr double leastShare = 0.05;
 // Callers that were refused before get no more of the slots than this: the rest is for new ones.
 constexpr double returningShareOfSlots = 0.8;
 
@@ -327,6 +329,67 @@
     return true;
 }
 
+// Wishes are drawn by chance, so that many limited servers are asked for evenly.
+void backend_picker::wishForPermit(const std::vector<backend_state*>& servers, time_point now)
+{
+    std::vector<const backend_state*> lacking;
+    for (const auto* state : servers) {
+        if (!m_notices.mayTake(state->server.instance(), now))
+            lacking.push_back(state);
+    }
+    if (lacking.empty())
+        return;
+    const auto& server = lacking[std::uniform_int_distribution<std::size_t>(0, lacking.size() - 1)(m_random)]->server;
+    const auto serial = m_notices.wish(server.instance(), now);
+    if (serial && m_askPermit)
+        m_askPermit(server, *serial);
+}
+
+std::optional<pick_refused> backend_picker::keepPermitted(
+    std::vector<backend_state*>& servers, const pick_request& request, time_point now)
+{
+    wishForPermit(servers, now);
+    const auto lacking = std::partition(servers.begin(), servers.end(),
+        [&](const auto* state) { return m_notices.mayTake(state->server.instance(), now); });
+    const bool isAnyFree = std::any_of(
+        servers.begin(), lacking, [&](const auto* state) { return !m_notices.isLimited(state->server.instance()); });
+    const auto permits = static_cast<std::size_t>(std::distance(servers.begin(), lacking));
+    const auto& line = m_deployments[request.deployment].line;
+    const auto ahead = request.place ? line.ahead(*request.place) : line.aheadOfNew(request.priority);
+    if (!isAnyFree && ahead >= permits)
+        return refuseForLimits(servers, ahead - permits, request, now);
+    servers.erase(lacking, servers.end());
+    return std::nullopt;
+}
+
+pick_refused backend_picker::refuseForLimits(
+    const std::vector<backend_state*>& servers, std::size_t ahead, const pick_request& request, time_point now)
+{
+    double share = 0;
+    auto firstAt = time_point::max();
+    for (const auto* state : servers) {
+        share += m_notices.shareOf(state->server.instance());
+        firstAt = std::min(firstAt, m_notices.expectedAt(state->server.instance(), now));
+    }
+    const auto perRequest = fromMilliseconds(1000 / std::max(share, leastShare));
+    auto& deployment = m_deployments[request.deployment];
+    const auto wait = firstAt - now + static_cast<int>(ahead) * perRequest;
+    auto refused = refuse(pick_refusal::Limited, wait, startLatencyAt(*servers.front(), deployment), request, now);
+    refused.spacing = perRequest;
+    return refused;
+}
+
+duration backend_picker::scheduleReturn(const pick_request& request, const pick_refused& refused, time_point now)
+{
+    if (refused.spacing <= duration::zero())
+        return refused.retryAfter;
+    auto& last = m_deployments[request.deployment].lastReturnAt;
+    const auto honoured = std::max<duration>((request.deadline - now) / mostHonouredPart, leastRetryAfter);
+    const auto returnAt = std::max(now + refused.retryAfter, last + refused.spacing);
+    last = std::min(returnAt, now + honoured);
+    return last - now;
+}
+
 tl::expected<picked_backend, pick_refused> backend_picker::pick(const pick_request& request, time_point now)
 {
     auto& group = m_deployments[request.deployment];
@@ -339,6 +402,8 @@
         usable.erase(moving, usable.end());
     else if (!keepProbed(usable, now))
         return tl::unexpected(refuseForGroups(usable, request, now));
+    if (auto refused = keepPermitted(usable, request, now))
+        return tl::unexpected(std::move(*refused));
     auto& chosen = choose(usable, group, now);
     const auto predicted = predictFirst(chosen, group, now);
     const double load = loadOf(chosen, now);
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -53,6 +53,14 @@
     // What servers have asked for, by which the choice abides.
     backend_notices& notices() { return m_notices; }
 
+    // `ask` is handed the limited servers for which a permit is to be asked, each with the number of the wish.
+    void onPermitWish(std::function<void(const backend_server&, std::uint64_t serial)> ask)
+    {
+        m_askPermit = std::move(ask);
+    }
+    // Those that wait for limited servers of a deployment.
+    waiting_line& lineOf(const deployment_id& deployment) { return m_deployments[deployment].line; }
+
     // How many gateways send to the same servers, this one included.
     void setGateways(std::uint32_t count) { m_gateways = std::max(1U, count); }
 
@@ -65,6 +73,10 @@
 
     tl::expected<picked_backend, pick_refused> pick(const pick_request&, time_point now);
 
+    // After which time a caller that is refused is to come back. Where servers take only so many, each is given a time
+    // of its own, for all at the same time would be refused again.
+    duration scheduleReturn(const pick_request&, const pick_refused&, time_point now);
+
     void sent(const backend_instance&, time_point now);
     // `latency`: to the first byte of the answer, where there was one.
     void finished(const backend_instance&, backend_outcome, std::optional<duration> latency, time_point now);
@@ -111,6 +123,10 @@
         // Of the requests that this gateway sends.
         double requestsPerSecond = 0;
         time_point lastSentAt {};
+        // Of those that wait for limited servers.
+        waiting_line line;
+        // When the last of those is back who were refused for limits.
+        time_point lastReturnAt {};
     };
 
     // Null unless the server is known with this life.
@@ -124,6 +140,14 @@
     pick_refused refuseForGroups(const std::vector<backend_state*>&, const pick_request&, time_point now);
     // Keeps those of `servers` that one request may be sent to although their group stands. False when there are none.
     bool keepProbed(std::vector<backend_state*>& servers, time_point now);
+    // Keeps those of `servers` that take one more. Returns why the request may not be sent, where there are none.
+    std::optional<pick_refused> keepPermitted(
+        std::vector<backend_state*>& servers, const pick_request&, time_point now);
+    // Asks for a permit of one of those servers that need one.
+    void wishForPermit(const std::vector<backend_state*>&, time_point now);
+    // `ahead`: others that get permits first.
+    pick_refused refuseForLimits(
+        const std::vector<backend_state*>&, std::size_t ahead, const pick_request&, time_point now);
     double loadOf(const backend_state&, time_point now) const;
     double scoreOf(const backend_state&, const deployment_state&, time_point now) const;
     duration predictFirst(const backend_state&, const deployment_state&, time_point now) const;
@@ -145,6 +169,7 @@
     std::map<backend_id, backend_state> m_backends;
     std::map<deployment_id, deployment_state> m_deployments;
     std::map<group_key, group_outlook> m_groups;
+    std::function<void(const backend_server&, std::uint64_t serial)> m_askPermit;
 };
 
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -67,6 +67,14 @@
             caller->connection->close();
     });
     loop();
+    leaveLine();
+}
+
+void exchange::leaveLine()
+{
+    if (m_place)
+        m_context.picker.lineOf(m_deployment).leave(*m_place);
+    m_place.reset();
 }
 
 // Finds the route and the customer; answers the request itself when it is not to be served.
@@ -173,6 +181,8 @@
         .deadline = m_deadline,
         .isReturning = m_returning,
         .isResumption = m_begun,
+        .priority = priority(),
+        .place = m_place,
         .excluded = m_excluded };
 }
 
@@ -189,7 +199,10 @@
         .latencyTarget = m_route->latencyTarget,
         .isReturning = m_returning,
         .isHeld = m_held };
-    if (const auto until = holdUntil(refused, held, clock_type::now()); until && lookAgainBefore(*until)) {
+    const auto until = holdUntil(refused, held, clock_type::now());
+    if (until && refused.reason == pick_refusal::Limited && !m_place)
+        m_place = m_context.picker.lineOf(m_deployment).join(priority());
+    if (until && lookAgainBefore(*until)) {
         m_held = true;
         return next_step::TryAgain;
     }
@@ -208,7 +221,7 @@
     answer(statusUnavailable,
         { error_kind::Overloaded, std::string("not run: ") + toString(refused.reason),
             "Come back after the time in Retry-After" },
-        refused.retryAfter);
+        m_context.picker.scheduleReturn(pickRequest(), refused, clock_type::now()));
     return next_step::Finished;
 }
 
@@ -249,6 +262,9 @@
 exchange::next_step exchange::attempt(const picked_backend& picked)
 {
     const auto& server = picked.server;
+    leaveLine();
+    if (!m_context.picker.notices().take(server.instance(), clock_type::now()))
+        return next_step::TryAgain;
     if (m_sent > 0 && !budget().takeRetry(clock_type::now())) {
         finishWithoutServer();
         return next_step::Finished;
@@ -323,8 +339,11 @@
     if (facts.isOtherServer)
         return;
     const auto news = m_context.picker.notices().hearAnswer(server.instance(), facts.notice, sentAt, clock_type::now());
-    if (!news.empty())
-        logEvent(log_event::BackendNotice, "backend=" + server.id.text() + " " + news);
+    if (news.empty())
+        return;
+    logEvent(log_event::BackendNotice, "backend=" + server.id.text() + " " + news + " source=answer");
+    if (m_context.onNotice)
+        m_context.onNotice(server);
 }
 
 exchange::next_step exchange::relayWhole(
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -18,6 +18,7 @@
 #include "coltsfootbend/limits/retry_budget.h"
 #include "coltsfootbend/metrics/metrics.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,6 +39,8 @@
     patience_tracker patience;
     request_quarantine& quarantine;
     catalogue_ptr catalogue;
+    // Is told of a server whose answer asked for something new; may be empty.
+    std::function<void(const backend_server&)> onNotice;
 };
 
 class exchange {
@@ -70,6 +73,8 @@
     next_step notRun(const picked_backend&, const http_head&, const backend_facts&);
     // The server broke the exchange, or was silent for too long.
     next_step broke(const picked_backend&, const error&);
+    // Leaves the line of those that wait for limited servers.
+    void leaveLine();
     bool mayTryAgain();
     // Waits a moment, no longer than until `limit`. Returns whether it makes sense to look for a server again.
     bool lookAgainBefore(time_point limit);
@@ -103,6 +108,7 @@
     bool m_returning = false;
     request_fingerprint m_fingerprint;
     bool m_held = false; // Here, for a slot or for its group.
+    std::optional<waiting_line::place> m_place; // Among those that wait for limited servers.
 
     // Shared with the watcher of the caller's connection, which may outlive this.
     struct caller_state {
--- a/coltsfootbend/gateway/exchange_test.cpp
+++ b/coltsfootbend/gateway/exchange_test.cpp
@@ -134,7 +134,8 @@
               .budgets = {},
               .patience = {},
               .quarantine = m_quarantine,
-              .catalogue = {} })
+              .catalogue = {},
+              .onNotice = {} })
     {
         context->budgets.emplace(service, retry_budget({}));
     }
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -71,7 +71,14 @@
         .budgets = {},
         .patience = {},
         .quarantine = m_quarantine->requests(),
-        .catalogue = {} });
+        .catalogue = {},
+        .onNotice = {} });
+    m_permits
+        = std::make_unique<permit_network>(m_runtime, m_settings.vm, m_context->picker.notices(), *m_agents, *m_news);
+    m_permits->setGateways(m_gateways);
+    m_context->picker.onPermitWish(
+        [this](const backend_server& server, std::uint64_t serial) { m_permits->ask(server, serial); });
+    m_context->onNotice = [this](const backend_server& server) { m_permits->tell(server); };
     m_watch->onCatalogue([this](const catalogue_ptr& next) {
         m_hasNews = true;
         applyCatalogue(next);
@@ -207,6 +214,8 @@
             hearLoad(got->sender, *news);
         else if (const auto* crashes = content ? std::get_if<wire::crash_report>(content) : nullptr)
             m_quarantine->hear(got->sender, *crashes);
+        else if (const auto* permit = content ? std::get_if<wire::permit_reply>(content) : nullptr)
+            m_permits->hear(*permit);
         else
             m_metrics->count("datagrams_unreadable_total");
     }
@@ -218,6 +227,8 @@
     m_watch->meetPeer(sender);
     hearOfStore(news);
     m_quarantine->hearDigest(sender, news.crashes);
+    m_agents->heard(sender, now);
+    m_permits->hear(news.limits);
     if (const auto informed = parseEndpoint(news.newsAt))
         m_watch->hearOfNews(*informed);
     const auto engine = parseEndpoint(news.engine);
@@ -237,6 +248,7 @@
     if (news.subscribers > 0 && news.subscribers != m_gateways && m_context->catalogue) {
         m_gateways = news.subscribers;
         m_context->picker.setGateways(m_gateways);
+        m_permits->setGateways(m_gateways);
         applyBudgets();
     }
 }
@@ -288,6 +300,10 @@
     while (!m_stopped) {
         m_runtime.sleepFor(maintainEvery);
         m_quarantine->expire();
+        const auto now = clock_type::now();
+        m_agents->expire(now);
+        m_permits->expire(now);
+        m_context->picker.notices().expire(now);
         m_context->connections.sweep([this](const backend_id& id) {
             const auto* server = m_watch->directory().find(id);
             return server && !server->isLeaving;
@@ -313,6 +329,7 @@
 void gateway_service::stop()
 {
     m_stopped = true;
+    m_permits->stop();
     m_news->close();
     m_callers->close();
     m_health->close();
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -8,6 +8,7 @@
 
 #include "coltsfootbend/gateway/deployment_watch.h"
 #include "coltsfootbend/gateway/exchange.h"
+#include "coltsfootbend/gateway/permit_network.h"
 #include "coltsfootbend/gateway/quarantine_network.h"
 #include "coltsfootbend/net/datagram.h"
 #include "coltsfootbend/settings/settings.h"
@@ -55,6 +56,7 @@
     std::unique_ptr<agent_directory> m_agents;
     std::unique_ptr<quarantine_network> m_quarantine;
     std::unique_ptr<gateway_context> m_context;
+    std::unique_ptr<permit_network> m_permits;
     http_server_options m_serverOptions;
     idle_connections m_idle;
     std::unique_ptr<datagram_socket> m_news;
--- /dev/null
+++ b/coltsfootbend/gateway/permit_network.cpp
@@ -0,0 +1,76 @@
+#include "coltsfootbend/gateway/permit_network.h"
+
+#include "coltsfootbend/base/log_event.h"
+#include "coltsfootbend/wire/codec.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace coltsfootbend {
+
+permit_network::permit_network(fiber_runtime& runtime, vm_id self, backend_notices& notices,
+    const agent_directory& agents, datagram_socket& socket)
+    : m_self(std::move(self))
+    , m_notices(notices)
+    , m_agents(agents)
+    , m_socket(socket)
+    , m_ownDesk(runtime, [this](const endpoint&, const wire::permit_reply& reply) { hear(reply); },
+          { .leastPerSecond = 0, .drawSeed = std::random_device {}() })
+{
+}
+
+void permit_network::ask(const backend_server& server, std::uint64_t serial)
+{
+    send(server, { .limit = {}, .wantsPermit = true, .serial = serial });
+}
+
+void permit_network::tell(const backend_server& server)
+{
+    send(server, { .limit = {}, .wantsPermit = false, .serial = 0 });
+}
+
+void permit_network::send(const backend_server& server, wire::permit_request request)
+{
+    const auto now = clock_type::now();
+    const auto limit = m_notices.limitOf(server.instance());
+    if (!limit)
+        return;
+    request.limit = toWire(permit_subject(server.id.text()), *limit, now);
+    if (!m_agents.hasAny()) {
+        const auto least = permit_issuer::options {}.leastPerSecond;
+        request.limit.perSecond = std::max(request.limit.perSecond, least) / m_gateways;
+        m_ownDesk.hear({}, request);
+        return;
+    }
+    // Without one that is heard nobody knows what others send: the server is left alone.
+    if (const auto issuer = m_agents.issuerFor(server, now))
+        m_socket.send(*issuer, wire::encode({ .sender = m_self, .senderLife = {}, .version = {}, .content = request }));
+}
+
+void permit_network::hear(const wire::permit_reply& reply)
+{
+    const auto now = clock_type::now();
+    const backend_id server(reply.limit.server);
+    if (m_agents.hasAny()) // What it told itself is no news.
+        hearLimit(reply.limit, now);
+    m_notices.expectPermit(server, reply.serial, now + std::chrono::milliseconds(reply.expectedInMs), reply.askers);
+    if (reply.isGranted)
+        m_notices.grant(server, reply.serial, now);
+}
+
+void permit_network::hear(const std::vector<wire::server_limit>& limits)
+{
+    const auto now = clock_type::now();
+    for (const auto& limit : limits)
+        hearLimit(limit, now);
+}
+
+void permit_network::hearLimit(const wire::server_limit& limit, time_point now)
+{
+    const auto news = m_notices.hearOthers(backend_id(limit.server), fromWire(limit, now), now);
+    if (!news.empty())
+        logEvent(log_event::BackendNotice, "backend=" + limit.server + " " + news + " source=agent");
+}
+
+} // namespace coltsfootbend
--- a/coltsfootbend/gateway/pick.h
+++ b/coltsfootbend/gateway/pick.h
@@ -6,6 +6,7 @@
 //     const pick_request asked { .deployment = id, .latencyTarget = 400ms, .deadline = deadline };
 
 #include "coltsfootbend/gateway/backend_directory.h"
+#include "coltsfootbend/limits/waiting_line.h"
 
 #include <optional>
 #include <vector>
@@ -31,6 +32,7 @@
     NoServers, // None is registered, or all are leaving.
     GroupDown, // The engines' group is broken; nobody can run it now.
     GroupStanding, // The engines' group makes no passes, for a moment or because it is about to be found broken.
+    Limited, // Servers take no more than they named, and that is in use.
     Overloaded, // It could not be served in time.
 };
 
@@ -48,6 +50,10 @@
     bool isReturning = false;
     // Goes on with a stream that was begun, which has the first claim on a slot.
     bool isResumption = false;
+    // 0 comes first.
+    std::uint32_t priority = 0;
+    // Where it stands among those that wait for limited servers; none while it does not wait.
+    std::optional<waiting_line::place> place;
     // Servers that this request has been sent to.
     std::vector<backend_instance> excluded;
 };
@@ -65,8 +71,10 @@
     pick_refusal reason = pick_refusal::NoServers;
     // After which another try makes sense; jittered.
     duration retryAfter {};
-    // For an overloaded one: until the request could be run.
+    // For an overloaded or limited one: until the request could be sent.
     duration expectedWait {};
+    // For a limited one: between two requests that this gateway may send.
+    duration spacing {};
     // What the first event would take once a slot is free.
     duration startLatency {};
     // For a broken or standing group: when it is expected to be open again.
--- a/coltsfootbend/gateway/waiting_policy.cpp
+++ b/coltsfootbend/gateway/waiting_policy.cpp
@@ -25,6 +25,15 @@
     return onlyAfter(now, request.arrivedAt + request.latencyTarget - refused.startLatency);
 }
 
+// Servers that name a limit take one request now and then, and others may stand before this one: whoever would be late
+// by then is told at once when to come instead. Once begun, the wait goes on as long as it can end in time.
+std::optional<time_point> holdForPermit(const pick_refused& refused, const held_request& request, time_point now)
+{
+    const auto limit = request.isReturning ? std::min<time_point>(request.deadline, request.arrivedAt + callerGapLimit)
+                                           : request.arrivedAt + request.latencyTarget - refused.startLatency;
+    return onlyAfter(request.isHeld ? now : now + refused.expectedWait, limit);
+}
+
 // A group that broke opens after seconds, when everybody comes back. Whoever arrives shortly before is held, so that it
 // does not come with that wave; whoever was refused before is held for as long as its caller waits. An outage beyond
 // the usual length is always expected to end in a moment, so that expectation ends no wait that was begun.
@@ -51,6 +60,8 @@
     switch (refused.reason) {
     case pick_refusal::Overloaded:
         return holdForSlot(refused, request, now);
+    case pick_refusal::Limited:
+        return holdForPermit(refused, request, now);
     case pick_refusal::GroupStanding:
         return holdForVerdict(refused, request, now);
     case pick_refusal::GroupDown:
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -75,6 +75,11 @@
     m_news = std::move(*news);
     m_crashChannel = std::make_unique<datagram_crash_channel>(m_settings.vm, *m_news);
     m_gossip = std::make_unique<crash_gossip>(m_crashes, *m_crashChannel);
+    m_permits
+        = std::make_unique<permit_desk>(m_runtime, [this](const endpoint& gateway, const wire::permit_reply& reply) {
+              m_news->send(gateway,
+                  wire::encode({ .sender = m_settings.vm, .senderLife = {}, .version = {}, .content = reply }));
+          });
     m_runtime.spawn([this] { newsLoop(); });
     m_runtime.spawn([this] { receiveLoop(); });
     m_runtime.spawn([this] { leadLoop(); });
@@ -136,6 +141,8 @@
             hearGateway(got->sender, *subscription);
         else if (const auto* crashes = content ? std::get_if<wire::crash_report>(content) : nullptr)
             m_gossip->hear(got->sender, *crashes, clock_type::now());
+        else if (const auto* permit = content ? std::get_if<wire::permit_request>(content) : nullptr)
+            m_permits->hear(got->sender, *permit);
         else
             m_metrics->count("datagrams_unreadable_total");
     }
@@ -155,6 +162,7 @@
         const auto now = clock_type::now();
         m_subscribers.expire(now);
         m_crashes.expire(now);
+        m_permits->expire(now);
         const auto report = m_engine->report(now + reportLimit);
         if (!report) {
             m_metrics->count("engine_reports_failed_total");
@@ -182,6 +190,7 @@
     news.configuration = m_subscribers.configuration(now);
     news.servers = m_subscribers.servers(now);
     news.crashes = m_crashes.digest();
+    news.limits = m_permits->limits(now);
     if (report.group) {
         news.group = report.group->name;
         news.epoch = report.group->epoch;
@@ -322,6 +331,7 @@
 void rank_service::stop()
 {
     m_stopped = true;
+    m_permits->stop();
     m_news->close();
 }
 
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -108,11 +108,20 @@
     return std::tie(value.configuration, value.servers, value.isServed, value.dataCentre);
 }
 static auto fieldsOf(load_subscribe& value) { return std::tie(value.knows); }
+static auto fieldsOf(server_limit& value)
+{
+    return std::tie(value.server, value.life, value.perSecond, value.isNamed, value.ageMs);
+}
+static auto fieldsOf(permit_request& value) { return std::tie(value.limit, value.wantsPermit, value.serial); }
+static auto fieldsOf(permit_reply& value)
+{
+    return std::tie(value.limit, value.serial, value.isGranted, value.expectedInMs, value.askers);
+}
 static auto fieldsOf(load_news& value)
 {
     return std::tie(value.engine, value.running, value.waiting, value.usedTokens, value.totalTokens, value.pace,
         value.group, value.epoch, value.step, value.isOpen, value.subscribers, value.ranks, value.newsAt, value.life,
-        value.configuration, value.servers, value.duty, value.crashes);
+        value.configuration, value.servers, value.duty, value.crashes, value.limits);
 }
 static auto fieldsOf(crash_entry& value) { return std::tie(value.request, value.server, value.ageMs, value.isCleared); }
 static auto fieldsOf(port_inquiry& value) { return std::tie(value.address); }
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -292,6 +292,29 @@
 struct load_subscribe {
     deployment_knowledge knows;
 };
+// What a backend server has said in its answers of the requests that it takes from all gateways together.
+struct server_limit {
+    std::string server; // Its registered name.
+    std::uint64_t life = 0; // Unix milliseconds of its start; 0 where it was not told.
+    double perSecond = 0;
+    bool isNamed = false; // False: it names no limit any more.
+    std::uint64_t ageMs = 0; // Since a gateway heard it.
+};
+// Gateway to rank agent, as a datagram: what a server has said, and whether the gateway wants to send it a request.
+struct permit_request {
+    server_limit limit;
+    bool wantsPermit = false;
+    std::uint64_t serial = 0; // The reply repeats it.
+};
+// Rank agent to gateway, as a datagram: at once, and again when the permit is due.
+struct permit_reply {
+    server_limit limit; // The last word on the server.
+    std::uint64_t serial = 0;
+    bool isGranted = false;
+    std::uint64_t expectedInMs = 0; // Where it is not granted: until it will be.
+    std::uint32_t askers = 0; // Gateways that wait for permits of the server.
+};
+
 // Rank agent to the gateways that subscribed, as a datagram.
 struct load_news {
     std::string engine; // Address at which the engine takes requests.
@@ -313,6 +336,7 @@
     store_confirmation servers;
     std::uint32_t duty = 0; // The `store_duty` of the addressed gateway.
     std::uint64_t crashes = 0; // Digest of what this agent knows of requests under which servers crashed.
+    std::vector<server_limit> limits; // Of servers for which this agent issues permits.
 };
 
 // A request was at a backend server when that crashed; see `quarantine/crash_history.h`.
@@ -347,7 +371,7 @@
     claim, claim_reply, close, load, announce, acknowledge, config_request, config_reply, config_notice, problem, drain,
     deployment_request, deployment_reply, rank_query, rank_state, rank_prepare, rank_arm, load_subscribe, load_news,
     rank_release, rank_disarm, relayed_order, relayed_answers, crash_report, port_inquiry, port_finding,
-    deployment_inquiry, deployment_knowledge>;
+    deployment_inquiry, deployment_knowledge, permit_request, permit_reply>;
 
 // What every message carries besides its body.
 struct message {
