A suspected server is asked where all others are limited and have no permit

Callers would have been held or refused while a server that had broken an exchange 0.4 s before might well take them: suspicion is set aside only when no other server is left, and limited ones without a permit counted as left. Seen while reading; the test fails without the change (refused) and passes with it.

--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -243,6 +243,7 @@
 {
     std::vector<backend_state*> all;
     std::vector<backend_state*> trusted;
+    bool isAnyOpen = false;
     for (auto& [id, state] : m_backends) {
         const bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), state.server.instance())
             != request.excluded.end();
@@ -250,11 +251,13 @@
             || now < state.replacedUntil)
             continue;
         all.push_back(&state);
-        if (now >= state.ejectedUntil)
-            trusted.push_back(&state);
+        if (now < state.ejectedUntil)
+            continue;
+        trusted.push_back(&state);
+        isAnyOpen = isAnyOpen || m_notices.mayTake(state.server.instance(), now);
     }
     // A suspicion may be wrong; refusing everybody because of it would be worse.
-    return trusted.empty() ? all : trusted;
+    return isAnyOpen ? trusted : all;
 }
 
 pick_refused backend_picker::refuse(
--- a/coltsfootbend/gateway/limited_servers_test.cpp
+++ b/coltsfootbend/gateway/limited_servers_test.cpp
@@ -60,6 +60,15 @@
     EXPECT_FALSE(m_picker.notices().take(lifeOf(1), m_now)) << "one permit is for one request";
 }
 
+TEST_F(limited_servers_test, ASuspectedServerIsAskedRatherThanNobodyWhereAllOthersAreLimited)
+{
+    limit(1, 1);
+    m_picker.finished(lifeOf(2), backend_outcome::Broken, {}, m_now);
+    const auto picked = m_picker.pick(request(), m_now);
+    ASSERT_TRUE(picked);
+    EXPECT_EQ(picked->server.id, idOf(2));
+}
+
 TEST_F(limited_servers_test, APermitThatComesLateOrIsNotUsedIsLost)
 {
     limit(1, 1);
