--- a/coltsfootbend/gateway/backend_notice.h
+++ b/coltsfootbend/gateway/backend_notice.h
@@ -3,7 +3,9 @@
 // What a backend server asks for in its answers. Not for what it says of its load or of the request:
 // `backend_facts` in `gateway/request_dialect.h` has those.
 //
-//     const backend_notice notice { .requestsPerSecond = 1.5 };
+//     const backend_notice notice { .requestsPerSecond = 1.5, .rest = 3s };
+
+#include "coltsfootbend/base/time.h"
 
 #include <optional>
 
@@ -12,8 +14,13 @@
 struct backend_notice {
     // What the server takes from all gateways together; none where it names no limit.
     std::optional<double> requestsPerSecond;
+    // For how long the server wants nothing from the gateway that it has just turned away.
+    std::optional<duration> rest;
     // It names a limit that cannot be read: the one known before holds on.
     bool isLimitUnreadable = false;
+
+    // Whether the server asks for anything that can be read.
+    bool isAny() const { return requestsPerSecond || rest; }
 };
 
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/backend_notices.cpp
+++ b/coltsfootbend/gateway/backend_notices.cpp
@@ -47,22 +47,41 @@
     return "limit_per_s=" + limitText(limit) + " before=" + limitText(before);
 }
 
+// A shorter rest does not shorten a longer one that the server has asked for before.
+std::string backend_notices::takeRest(server_state& state, duration length, time_point now)
+{
+    const auto until = now + length;
+    if (until <= state.restUntil)
+        return {};
+    state.restUntil = until;
+    return "rest_s=" + fixedText(toMilliseconds(length) / 1000, 2);
+}
+
+std::string backend_notices::takeLimitOf(
+    server_state& state, const backend_notice& notice, time_point sentAt, time_point now) const
+{
+    const auto life = state.life.number();
+    if (notice.requestsPerSecond)
+        return takeLimit(state, { .life = life, .perSecond = *notice.requestsPerSecond, .isNamed = true, .at = now });
+    // Answers overtake each other: only one to a later request shows that the server names no limit any more.
+    if (notice.isLimitUnreadable || !state.limit.isNamed || sentAt <= state.limit.at)
+        return {};
+    return takeLimit(state, { .life = life, .perSecond = 0, .isNamed = false, .at = now });
+}
+
 std::string backend_notices::hearAnswer(
     const backend_instance& server, const backend_notice& notice, time_point sentAt, time_point now)
 {
-    if (!notice.requestsPerSecond && !m_servers.contains(server.id))
+    if (!notice.isAny() && !m_servers.contains(server.id))
         return {};
     auto* state = enterLife(server.id, server.life);
-    if (!state || notice.isLimitUnreadable)
+    if (!state)
         return {};
     state->heardAt = now;
-    if (notice.requestsPerSecond)
-        return takeLimit(*state,
-            { .life = state->life.number(), .perSecond = *notice.requestsPerSecond, .isNamed = true, .at = now });
-    // Answers overtake each other: only one to a later request shows that the server names no limit any more.
-    if (!state->limit.isNamed || sentAt <= state->limit.at)
-        return {};
-    return takeLimit(*state, { .life = state->life.number(), .perSecond = 0, .isNamed = false, .at = now });
+    auto news = takeLimitOf(*state, notice, sentAt, now);
+    if (notice.rest)
+        news += (news.empty() ? "" : " ") + takeRest(*state, *notice.rest, now);
+    return news;
 }
 
 std::string backend_notices::hearOthers(const backend_id& id, const limit_statement& limit, time_point now)
--- a/coltsfootbend/gateway/backend_notices.h
+++ b/coltsfootbend/gateway/backend_notices.h
@@ -74,6 +74,7 @@
     struct server_state {
         backend_life life;
         limit_statement limit; // Of any life that may be this one.
+        time_point restUntil {};
         time_point heardAt {};
         std::uint64_t wishSerial = 0;
         time_point wishUntil {}; // While a wish is out.
@@ -86,6 +87,8 @@
     server_state* enterLife(const backend_id&, backend_life);
     const server_state* find(const backend_instance&) const;
     static std::string takeLimit(server_state&, const limit_statement&);
+    static std::string takeRest(server_state&, duration length, time_point now);
+    std::string takeLimitOf(server_state&, const backend_notice&, time_point sentAt, time_point now) const;
 
     const options m_options;
     std::map<backend_id, server_state> m_servers;
--- a/coltsfootbend/gateway/backend_notices_test.cpp
+++ b/coltsfootbend/gateway/backend_notices_test.cpp
@@ -32,5 +32,13 @@
     EXPECT_EQ(notices.hearAnswer(server, { .requestsPerSecond = 3 }, start, start), "") << "a former life";
 }
 
+TEST(BackendNotices, AShorterRestDoesNotShortenALongerOne)
+{
+    backend_notices notices;
+    EXPECT_EQ(notices.hearAnswer(server, { .rest = 3s }, start, start), "rest_s=3.00");
+    EXPECT_EQ(notices.hearAnswer(server, { .rest = 1s }, start, start + 1s), "");
+    EXPECT_EQ(notices.hearAnswer(server, { .rest = 4s }, start, start + 1s), "rest_s=4.00");
+}
+
 } // namespace
 } // namespace coltsfootbend
