A backend server that asks a gateway for rest gets nothing from it until then

Callers were refused (each kind of model request had a tenth or more not served for six seconds): four of twelve servers turned everybody away, and since they looked empty they got three times as many requests as those that served; the budget for repeats was gone in a second. Cause: a refusal left a server alone for 0.2 s, whatever it asked for; nothing read its Retry-After. Ruled out: a rest that was known and given up for want of others (eight servers were well), requests that had been on their way (they were new ones).

Change: a rest is kept with what else the server says (backend_notices) and asked on each path that sends, once more after a connection was made. It is the server's word and no suspicion, so that it holds also where nobody else is left; then callers are held if the end of the first rest comes in time, and else told at once when it is, spread.

Why it holds: what is sent is asked for in the moment of sending, and only what is under way then can still arrive.

--- a/coltsfootbend/gateway/limited_servers_test.cpp
+++ b/coltsfootbend/gateway/asking_servers_test.cpp
@@ -1,4 +1,4 @@
-// How a gateway chooses among servers of which some name a limit, and whom it holds or refuses when all do.
+// How a gateway chooses among servers of which some name a limit or rest, and whom it holds or refuses when all do.
 
 #include "coltsfootbend/gateway/backend_picker.h"
 #include "coltsfootbend/gateway/waiting_policy.h"
@@ -16,9 +16,9 @@
 backend_id idOf(int number) { return backend_id("b" + std::to_string(number)); }
 backend_instance lifeOf(int number) { return { idOf(number), {} }; }
 
-class limited_servers_test : public testing::Test {
+class asking_servers_test : public testing::Test {
 protected:
-    limited_servers_test()
+    asking_servers_test()
     {
         catalogue::contents contents;
         contents.deployments = { { service, "", 0, std::nullopt } };
@@ -38,6 +38,11 @@
         (void)m_picker.notices().hearAnswer(lifeOf(number), { .requestsPerSecond = perSecond }, m_now, m_now);
     }
 
+    void rest(int number, duration length)
+    {
+        (void)m_picker.notices().hearAnswer(lifeOf(number), { .rest = length }, m_now, m_now);
+    }
+
     pick_request request(std::uint32_t priority = 5) const
     {
         return { .deployment = service, .latencyTarget = 400ms, .deadline = m_now + 8s, .priority = priority };
@@ -49,7 +54,7 @@
     std::uint64_t m_lastWish = 0;
 };
 
-TEST_F(limited_servers_test, AServerThatNamesALimitGetsNothingWithoutAPermit)
+TEST_F(asking_servers_test, AServerThatNamesALimitGetsNothingWithoutAPermit)
 {
     limit(1, 1);
     for (int i = 0; i < 20; ++i)
@@ -60,7 +65,7 @@
     EXPECT_FALSE(m_picker.notices().take(lifeOf(1), m_now)) << "one permit is for one request";
 }
 
-TEST_F(limited_servers_test, ASuspectedServerIsAskedRatherThanNobodyWhereAllOthersAreLimited)
+TEST_F(asking_servers_test, ASuspectedServerIsAskedRatherThanNobodyWhereAllOthersAreLimited)
 {
     limit(1, 1);
     m_picker.finished(lifeOf(2), backend_outcome::Broken, {}, m_now);
@@ -69,7 +74,7 @@
     EXPECT_EQ(picked->server.id, idOf(2));
 }
 
-TEST_F(limited_servers_test, APermitThatComesLateOrIsNotUsedIsLost)
+TEST_F(asking_servers_test, APermitThatComesLateOrIsNotUsedIsLost)
 {
     limit(1, 1);
     (void)m_picker.pick(request(), m_now);
@@ -81,7 +86,7 @@
     EXPECT_FALSE(m_picker.notices().mayTake(lifeOf(1), m_now + 4s));
 }
 
-TEST_F(limited_servers_test, WhereAllAreLimitedTheMoreUrgentGoFirst)
+TEST_F(asking_servers_test, WhereAllAreLimitedTheMoreUrgentGoFirst)
 {
     limit(1, 1);
     limit(2, 1);
@@ -100,7 +105,7 @@
     EXPECT_TRUE(m_picker.pick(usual, m_now));
 }
 
-TEST_F(limited_servers_test, WhoeverCannotBeServedInTimeIsRefusedAtOnceAndAllComeBackOneAfterTheOther)
+TEST_F(asking_servers_test, WhoeverCannotBeServedInTimeIsRefusedAtOnceAndAllComeBackOneAfterTheOther)
 {
     limit(1, 1);
     limit(2, 1);
@@ -124,7 +129,7 @@
     }
 }
 
-TEST_F(limited_servers_test, AWaitForAPermitThatWasBegunGoesOnAsLongAsItCanEndInTime)
+TEST_F(asking_servers_test, AWaitForAPermitThatWasBegunGoesOnAsLongAsItCanEndInTime)
 {
     const pick_refused refused { .reason = pick_refusal::Limited, .retryAfter = 1s, .expectedWait = 600ms };
     held_request held { .arrivedAt = m_now, .deadline = m_now + 8s, .latencyTarget = 400ms };
@@ -134,5 +139,42 @@
     EXPECT_FALSE(holdUntil(refused, held, m_now + 400ms));
 }
 
+TEST_F(asking_servers_test, ARestingServerIsPassedOverAlsoWhereAllOthersAreSuspected)
+{
+    rest(1, 3s);
+    m_picker.finished(lifeOf(2), backend_outcome::Broken, {}, m_now);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(m_picker.pick(request(), m_now)->server.id, idOf(2));
+    EXPECT_TRUE(m_wishes.empty());
+    rest(2, 1s);
+    EXPECT_EQ(m_picker.pick(request(), m_now + 1100ms)->server.id, idOf(2)) << "the shorter rest is over";
+    EXPECT_FALSE(m_picker.notices().isClosed(lifeOf(1), m_now + 3s));
+}
+
+TEST_F(asking_servers_test, WhereAllRestTheReturnsLieBeyondTheFirstRestAndApart)
+{
+    rest(1, 3s);
+    rest(2, 2s);
+    std::set<duration> returns;
+    for (int i = 0; i < 50; ++i) {
+        const auto refused = m_picker.pick(request(), m_now);
+        ASSERT_FALSE(refused);
+        EXPECT_EQ(refused.error().reason, pick_refusal::Resting);
+        EXPECT_EQ(refused.error().expectedOpenAt, m_now + 2s);
+        EXPECT_GE(refused.error().retryAfter, 2s);
+        returns.insert(refused.error().retryAfter);
+    }
+    EXPECT_GT(*returns.rbegin() - *returns.begin(), 500ms);
+}
+
+TEST_F(asking_servers_test, WhoeverCanStillBeServedInTimeWaitsForTheEndOfARest)
+{
+    const held_request held { .arrivedAt = m_now, .deadline = m_now + 8s, .latencyTarget = 400ms };
+    pick_refused refused { .reason = pick_refusal::Resting, .startLatency = 100ms, .expectedOpenAt = m_now + 200ms };
+    EXPECT_EQ(holdUntil(refused, held, m_now), m_now + 300ms);
+    refused.expectedOpenAt = m_now + 310ms;
+    EXPECT_FALSE(holdUntil(refused, held, m_now)) << "it would be late for certain";
+}
+
 } // namespace
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/backend_notices.cpp
+++ b/coltsfootbend/gateway/backend_notices.cpp
@@ -105,10 +105,16 @@
     return state && state->limit.isNamed;
 }
 
+std::optional<time_point> backend_notices::closedUntil(const backend_instance& server, time_point now) const
+{
+    const auto* state = find(server);
+    return state && now < state->restUntil ? std::optional(state->restUntil) : std::nullopt;
+}
+
 bool backend_notices::mayTake(const backend_instance& server, time_point now) const
 {
     const auto* state = find(server);
-    return !state || !state->limit.isNamed || now < state->permitUntil;
+    return !state || (now >= state->restUntil && (!state->limit.isNamed || now < state->permitUntil));
 }
 
 bool backend_notices::take(const backend_instance& server, time_point now)
@@ -122,7 +128,7 @@
 
 std::optional<std::uint64_t> backend_notices::wish(const backend_instance& server, time_point now)
 {
-    if (mayTake(server, now))
+    if (mayTake(server, now) || isClosed(server, now))
         return std::nullopt;
     auto& state = m_servers.at(server.id);
     if (now < state.wishUntil)
--- a/coltsfootbend/gateway/backend_notices.h
+++ b/coltsfootbend/gateway/backend_notices.h
@@ -51,6 +51,11 @@
     std::optional<limit_statement> limitOf(const backend_instance&) const;
     bool isLimited(const backend_instance&) const;
 
+    // Until when the server wants nothing from this gateway; none when it takes requests, if perhaps only with a
+    // permit.
+    std::optional<time_point> closedUntil(const backend_instance&, time_point now) const;
+    bool isClosed(const backend_instance& server, time_point now) const { return closedUntil(server, now).has_value(); }
+
     // Whether the server may get one more request now.
     bool mayTake(const backend_instance&, time_point now) const;
     // Uses that up, if it is so.
--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -128,10 +128,8 @@
 
 bool backend_picker::isOpen(const deployment_id& deployment, time_point now) const
 {
-    return std::any_of(m_backends.begin(), m_backends.end(), [&](const auto& entry) {
-        return entry.second.server.deployment == deployment && !entry.second.server.isLeaving
-            && isMoving(entry.second, now);
-    });
+    return std::any_of(m_backends.begin(), m_backends.end(),
+        [&](const auto& entry) { return isServing(entry.second, deployment, now) && isMoving(entry.second, now); });
 }
 
 void backend_picker::groupFailed(const backend_instance& server, time_point now)
@@ -191,7 +189,7 @@
     double load = 0;
     bool isReported = true;
     for (const auto& [id, state] : m_backends) {
-        if (state.server.deployment != request.deployment || state.server.isLeaving || !isMoving(state, now))
+        if (!isServing(state, request.deployment, now) || !isMoving(state, now))
             continue;
         slots += deployment.engine->slots;
         inFlight += state.inFlight;
@@ -239,6 +237,12 @@
     return (score + 1) / (good * good);
 }
 
+bool backend_picker::isServing(const backend_state& state, const deployment_id& deployment, time_point now) const
+{
+    return state.server.deployment == deployment && !state.server.isLeaving
+        && !m_notices.isClosed(state.server.instance(), now);
+}
+
 std::vector<backend_picker::backend_state*> backend_picker::candidates(const pick_request& request, time_point now)
 {
     std::vector<backend_state*> all;
@@ -247,8 +251,7 @@
     for (auto& [id, state] : m_backends) {
         const bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), state.server.instance())
             != request.excluded.end();
-        if (state.server.deployment != request.deployment || state.server.isLeaving || isExcluded
-            || now < state.replacedUntil)
+        if (!isServing(state, request.deployment, now) || isExcluded || now < state.replacedUntil)
             continue;
         all.push_back(&state);
         if (now < state.ejectedUntil)
@@ -272,6 +275,27 @@
         .expectedOpenAt = {} };
 }
 
+pick_refused backend_picker::refuseForWantOfServers(const pick_request& request, time_point now)
+{
+    auto openAt = time_point::max();
+    const backend_state* first = nullptr;
+    for (const auto& [id, state] : m_backends) {
+        const auto until = m_notices.closedUntil(state.server.instance(), now);
+        if (state.server.deployment != request.deployment || state.server.isLeaving || !until || *until >= openAt)
+            continue;
+        openAt = *until;
+        first = &state;
+    }
+    if (!first)
+        return refuse(pick_refusal::NoServers, registrationTime, {}, request, now);
+    auto refused = refuse(
+        pick_refusal::Resting, openAt - now, startLatencyAt(*first, m_deployments[request.deployment]), request, now);
+    refused.expectedOpenAt = openAt;
+    // Beyond the rest, also where that is later than callers heed, and not all of them in the same moment.
+    refused.retryAfter = std::max<duration>(jittered(openAt - now, m_random), leastRetryAfter);
+    return refused;
+}
+
 pick_refused backend_picker::refuseForGroups(
     const std::vector<backend_state*>& servers, const pick_request& request, time_point now)
 {
@@ -398,7 +422,7 @@
     auto& group = m_deployments[request.deployment];
     auto usable = candidates(request, now);
     if (usable.empty())
-        return tl::unexpected(refuse(pick_refusal::NoServers, registrationTime, {}, request, now));
+        return tl::unexpected(refuseForWantOfServers(request, now));
     const auto moving
         = std::partition(usable.begin(), usable.end(), [&](const auto* state) { return isMoving(*state, now); });
     if (moving != usable.begin())
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -160,7 +160,11 @@
     duration startLatencyAt(const backend_state&, const deployment_state&) const;
     backend_state& choose(const std::vector<backend_state*>&, const deployment_state&, time_point now);
     static void noteRate(deployment_state&, time_point now);
+    // Whether the server belongs to `deployment` and takes new work.
+    bool isServing(const backend_state&, const deployment_id&, time_point now) const;
     std::vector<backend_state*> candidates(const pick_request&, time_point now);
+    // For a request for which there are no candidates.
+    pick_refused refuseForWantOfServers(const pick_request&, time_point now);
 
     const options m_options;
     std::minstd_rand m_random;
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -284,6 +284,11 @@
         return next_step::Finished;
     }
     const auto now = clock_type::now();
+    // Making a connection takes a while, in which the server may have asked others to leave it alone.
+    if (m_context.picker.notices().isClosed(server.instance(), now)) {
+        (*connection)->close();
+        return next_step::TryAgain;
+    }
     const backend_call call { .server = server.id,
         .customer = m_customer ? m_customer->id : customer_id(),
         .timeLeft = m_deadline - now,
--- a/coltsfootbend/gateway/pick.cpp
+++ b/coltsfootbend/gateway/pick.cpp
@@ -11,6 +11,8 @@
         return "group_down";
     case pick_refusal::GroupStanding:
         return "group_standing";
+    case pick_refusal::Resting:
+        return "servers_resting";
     case pick_refusal::Limited:
         return "servers_limited";
     case pick_refusal::Overloaded:
--- a/coltsfootbend/gateway/pick.h
+++ b/coltsfootbend/gateway/pick.h
@@ -32,6 +32,7 @@
     NoServers, // None is registered, or all are leaving.
     GroupDown, // The engines' group is broken; nobody can run it now.
     GroupStanding, // The engines' group makes no passes, for a moment or because it is about to be found broken.
+    Resting, // All servers have asked to be left alone for a while.
     Limited, // Servers take no more than they named, and that is in use.
     Overloaded, // It could not be served in time.
 };
@@ -77,7 +78,7 @@
     duration spacing {};
     // What the first event would take once a slot is free.
     duration startLatency {};
-    // For a broken or standing group: when it is expected to be open again.
+    // For a broken or standing group, and for resting servers: when the first is expected to take requests again.
     time_point expectedOpenAt {};
 };
 
--- a/coltsfootbend/gateway/waiting_policy.cpp
+++ b/coltsfootbend/gateway/waiting_policy.cpp
@@ -34,6 +34,16 @@
     return onlyAfter(request.isHeld ? now : now + refused.expectedWait, limit);
 }
 
+// Servers that turn everybody away say when they take requests again: whoever can still be served in time then is held,
+// everybody else is told at once when to come.
+std::optional<time_point> holdForRest(const pick_refused& refused, const held_request& request, time_point now)
+{
+    const auto limit = std::min(request.deadline,
+                           request.arrivedAt + (request.isReturning ? duration(callerGapLimit) : request.latencyTarget))
+        - refused.startLatency;
+    return onlyAfter(std::max(now, refused.expectedOpenAt), limit);
+}
+
 // A group that broke opens after seconds, when everybody comes back. Whoever arrives shortly before is held, so that it
 // does not come with that wave; whoever was refused before is held for as long as its caller waits. An outage beyond
 // the usual length is always expected to end in a moment, so that expectation ends no wait that was begun.
@@ -62,6 +72,8 @@
         return holdForSlot(refused, request, now);
     case pick_refusal::Limited:
         return holdForPermit(refused, request, now);
+    case pick_refusal::Resting:
+        return holdForRest(refused, request, now);
     case pick_refusal::GroupStanding:
         return holdForVerdict(refused, request, now);
     case pick_refusal::GroupDown:
