A backend server whose answers say that it leaves gets no new work

Cause, as for limits and rest: what answers say of the server was not read. Now the life that has said so is closed for good at this gateway, whatever the store lists and whether it is there; kept connections to it are closed, and its end is no crash.

--- a/coltsfootbend/gateway/backend_notice.h
+++ b/coltsfootbend/gateway/backend_notice.h
@@ -19,8 +19,11 @@
     // It names a limit that cannot be read: the one known before holds on.
     bool isLimitUnreadable = false;
 
+    // It is about to end and wants no new work from anybody.
+    bool isLeaving = false;
+
     // Whether the server asks for anything that can be read.
-    bool isAny() const { return requestsPerSecond || rest; }
+    bool isAny() const { return requestsPerSecond || rest || isLeaving; }
 };
 
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/backend_notices.cpp
+++ b/coltsfootbend/gateway/backend_notices.cpp
@@ -81,6 +81,8 @@
     auto news = takeLimitOf(*state, notice, sentAt, now);
     if (notice.rest)
         news += (news.empty() ? "" : " ") + takeRest(*state, *notice.rest, now);
+    if (notice.isLeaving && !std::exchange(state->isLeaving, true))
+        news += std::string(news.empty() ? "" : " ") + "leaving=yes";
     return news;
 }
 
@@ -108,13 +110,23 @@
 std::optional<time_point> backend_notices::closedUntil(const backend_instance& server, time_point now) const
 {
     const auto* state = find(server);
-    return state && now < state->restUntil ? std::optional(state->restUntil) : std::nullopt;
+    if (!state || (now >= state->restUntil && !state->isLeaving))
+        return std::nullopt;
+    return state->isLeaving ? time_point::max() : state->restUntil;
+}
+
+bool backend_notices::isLeaving(const backend_instance& server) const
+{
+    const auto* state = find(server);
+    return state && state->isLeaving;
 }
 
 bool backend_notices::mayTake(const backend_instance& server, time_point now) const
 {
     const auto* state = find(server);
-    return !state || (now >= state->restUntil && (!state->limit.isNamed || now < state->permitUntil));
+    if (!state)
+        return true;
+    return !isClosed(server, now) && (!state->limit.isNamed || now < state->permitUntil);
 }
 
 bool backend_notices::take(const backend_instance& server, time_point now)
--- a/coltsfootbend/gateway/backend_notices.h
+++ b/coltsfootbend/gateway/backend_notices.h
@@ -51,8 +51,10 @@
     std::optional<limit_statement> limitOf(const backend_instance&) const;
     bool isLimited(const backend_instance&) const;
 
-    // Until when the server wants nothing from this gateway; none when it takes requests, if perhaps only with a
-    // permit.
+    // The server has said that it leaves.
+    bool isLeaving(const backend_instance&) const;
+    // Until when the server wants nothing from this gateway, which is for ever if it leaves; none when it takes
+    // requests, if perhaps only with a permit.
     std::optional<time_point> closedUntil(const backend_instance&, time_point now) const;
     bool isClosed(const backend_instance& server, time_point now) const { return closedUntil(server, now).has_value(); }
 
@@ -80,6 +82,7 @@
         backend_life life;
         limit_statement limit; // Of any life that may be this one.
         time_point restUntil {};
+        bool isLeaving = false; // Never taken back by the same life.
         time_point heardAt {};
         std::uint64_t wishSerial = 0;
         time_point wishUntil {}; // While a wish is out.
--- a/coltsfootbend/gateway/backend_notices_test.cpp
+++ b/coltsfootbend/gateway/backend_notices_test.cpp
@@ -40,5 +40,15 @@
     EXPECT_EQ(notices.hearAnswer(server, { .rest = 4s }, start, start + 1s), "rest_s=4.00");
 }
 
+TEST(BackendNotices, ALifeThatHasSaidThatItLeavesNeverTakesItBack)
+{
+    backend_notices notices;
+    EXPECT_EQ(notices.hearAnswer(server, { .isLeaving = true }, start, start), "leaving=yes");
+    EXPECT_EQ(notices.hearAnswer(server, {}, start + 1s, start + 2s), "");
+    EXPECT_FALSE(notices.mayTake(server, start + 1h));
+    EXPECT_FALSE(notices.take(server, start + 1h));
+    EXPECT_TRUE(notices.mayTake({ server.id, backend_life(8) }, start + 1h)) << "another life has said nothing";
+}
+
 } // namespace
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -60,8 +60,10 @@
         return tl::unexpected(news.error());
     m_news = std::move(*news);
     m_agents = std::make_unique<agent_directory>(*m_watch, m_settings.peers.port);
+    const auto saidItLeaves
+        = [this](const backend_server& server) { return m_context->picker.notices().isLeaving(server.instance()); };
     m_quarantine = std::make_unique<quarantine_network>(m_runtime, m_settings, *m_watch, *m_agents, (*peers)->client(),
-        kernel.find<crash_archive>("crash_archive"), *m_news);
+        saidItLeaves, kernel.find<crash_archive>("crash_archive"), *m_news);
     m_context = std::make_unique<gateway_context>(gateway_context { .runtime = m_runtime,
         .dialect = *m_dialect,
         .metrics = *m_metrics,
@@ -306,7 +308,7 @@
         m_context->picker.notices().expire(now);
         m_context->connections.sweep([this](const backend_id& id) {
             const auto* server = m_watch->directory().find(id);
-            return server && !server->isLeaving;
+            return server && !server->isLeaving && !m_context->picker.notices().isLeaving(server->instance());
         });
     }
 }
--- a/coltsfootbend/gateway/quarantine_network.cpp
+++ b/coltsfootbend/gateway/quarantine_network.cpp
@@ -15,10 +15,11 @@
 } // namespace
 
 quarantine_network::quarantine_network(fiber_runtime& runtime, const daemon_settings& settings,
-    const deployment_watch& watch, agent_directory& agents, peer_client& peers, crash_archive* archive,
-    datagram_socket& socket)
+    const deployment_watch& watch, agent_directory& agents, peer_client& peers,
+    std::function<bool(const backend_server&)> saidItLeaves, crash_archive* archive, datagram_socket& socket)
     : m_watch(watch)
     , m_agents(agents)
+    , m_saidItLeaves(std::move(saidItLeaves))
     , m_archive(archive)
     , m_witness(runtime, peers, [this](const backend_server& server) { return m_agents.near(server); })
     , m_requests(
@@ -70,7 +71,7 @@
 bool quarantine_network::isLeaving(const backend_server& server) const
 {
     const auto* known = m_watch.directory().find(server.id);
-    return !known || known->isLeaving;
+    return !known || known->isLeaving || m_saidItLeaves(server);
 }
 
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/quarantine_network.h
+++ b/coltsfootbend/gateway/quarantine_network.h
@@ -3,7 +3,7 @@
 // Connects a gateway's quarantine with the rest of the system: rank agents, who prove crashes and pass news of them on,
 // and the store, which keeps what is serious. Not for the verdicts: see `quarantine/crash_history.h`.
 //
-//     quarantine_network network(runtime, settings, watch, agents, peers, archive, socket);
+//     quarantine_network network(runtime, settings, watch, agents, peers, saidItLeaves, archive, socket);
 //     network.hearDigest(sender, news.crashes);
 //     exchange(..., network.requests(), ...)
 
@@ -13,6 +13,7 @@
 #include "coltsfootbend/quarantine/datagram_crash_channel.h"
 #include "coltsfootbend/settings/settings.h"
 
+#include <functional>
 #include <random>
 #include <vector>
 
@@ -20,9 +21,9 @@
 
 class quarantine_network {
 public:
-    // `archive` is null where nothing is kept.
+    // `saidItLeaves`: whether a server has told this gateway so itself. `archive` is null where nothing is kept.
     quarantine_network(fiber_runtime&, const daemon_settings&, const deployment_watch&, agent_directory&, peer_client&,
-        crash_archive* archive, datagram_socket&);
+        std::function<bool(const backend_server&)> saidItLeaves, crash_archive* archive, datagram_socket&);
     quarantine_network(const quarantine_network&) = delete;
     quarantine_network& operator=(const quarantine_network&) = delete;
 
@@ -41,6 +42,7 @@
 
     const deployment_watch& m_watch;
     agent_directory& m_agents;
+    const std::function<bool(const backend_server&)> m_saidItLeaves;
     crash_archive* const m_archive;
     std::minstd_rand m_random { std::random_device {}() };
     peer_crash_witness m_witness;
