Trial: agents of many engines tell their load less often

Beyond 256 servers an agent now tells its load less often, at most once a second, so that a gateway hears about as much as from 256; what changes its group is told at once. Up to 256 nothing changes: the users' deployments have at most 134.

--- /dev/null
+++ b/coltsfootbend/group/news_schedule_test.cpp
@@ -0,0 +1,45 @@
+#include "coltsfootbend/group/news_schedule.h"
+
+#include <gtest/gtest.h>
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Of so many engines a gateway hears about this many news a second.
+double newsPerSecond(std::size_t engines)
+{
+    news_schedule schedule;
+    int told = 0;
+    const time_point start { 1h };
+    for (auto now = start; now < start + 60s; now += 100ms)
+        told += schedule.isDue(engines, false, now) ? 1 : 0;
+    return static_cast<double>(engines) * told / 60;
+}
+
+// A gateway took news of 3,000 engines, ten a second each, and most of its processor went into them.
+TEST(NewsSchedule, WhatAGatewayHearsDoesNotGrowWithTheNumberOfEngines)
+{
+    EXPECT_NEAR(newsPerSecond(129), 1290, 10) << "as often as ever";
+    EXPECT_LE(newsPerSecond(300), 3000);
+    EXPECT_LE(newsPerSecond(1000), 2700);
+    EXPECT_LE(newsPerSecond(3000), 3100);
+}
+
+TEST(NewsSchedule, NoEngineIsHeardLessOftenThanItsReportsAreBelieved)
+{
+    EXPECT_LE(news_schedule().intervalFor(100'000), 1s);
+}
+
+TEST(NewsSchedule, WhatChangesTheGroupIsToldAtOnce)
+{
+    news_schedule schedule;
+    const time_point now { 1h };
+    EXPECT_TRUE(schedule.isDue(3000, false, now));
+    EXPECT_FALSE(schedule.isDue(3000, false, now + 100ms));
+    EXPECT_TRUE(schedule.isDue(3000, true, now + 200ms));
+}
+
+} // namespace
+} // namespace coltsfootbend
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -40,6 +40,14 @@
 constexpr std::chrono::milliseconds mostCopyTime { 110 };
 constexpr std::chrono::milliseconds followCycle { 50 };
 
+// Whether gateways have to know at once: the group is another one, was formed anew, broke or opened.
+bool isOtherGroup(const std::optional<group_membership>& before, const std::optional<group_membership>& after)
+{
+    if (!before || !after)
+        return before.has_value() != after.has_value();
+    return before->name != after->name || before->epoch != after->epoch || before->isOpen != after->isOpen;
+}
+
 } // namespace
 
 rank_service::rank_service(fiber_runtime& runtime, const daemon_settings& settings, engine_source engineAt)
@@ -168,9 +176,11 @@
             m_metrics->count("engine_reports_failed_total");
             continue;
         }
+        const bool hasChanged = isOtherGroup(m_group, report->group);
         m_group = report->group;
         m_participant.observe(*report);
-        tellLoad(*report);
+        if (m_newsSchedule.isDue(m_watch->directory().servers().size(), hasChanged, now))
+            tellLoad(*report);
     }
 }
 
