A limit ends only with an answer that is surely the server's own

Read in the code, not seen in a run: any answer without a limit ended it, so also one whose head a faulty server had cut short, and the end was told to all gateways at once: with a hundred of them a moment is enough to send a hundred requests. Only a signed answer ends a limit now, and one that names a limit that cannot be read ends none. Agents tell the limits heard last first, since those of servers that are gone stay for minutes.

--- a/coltsfootbend/gateway/backend_notice.h
+++ b/coltsfootbend/gateway/backend_notice.h
@@ -16,8 +16,8 @@
     std::optional<double> requestsPerSecond;
     // For how long the server wants nothing from the gateway that it has just turned away.
     std::optional<duration> rest;
-    // It names a limit that cannot be read: the one known before holds on.
-    bool isLimitUnreadable = false;
+    // It names no limit, in an answer that is surely the server's own: a limit named before has ended.
+    bool endsLimit = false;
 
     // It is about to end and wants no new work from anybody.
     bool isLeaving = false;
--- a/coltsfootbend/gateway/backend_notices.cpp
+++ b/coltsfootbend/gateway/backend_notices.cpp
@@ -64,7 +64,7 @@
     if (notice.requestsPerSecond)
         return takeLimit(state, { .life = life, .perSecond = *notice.requestsPerSecond, .isNamed = true, .at = now });
     // Answers overtake each other: only one to a later request shows that the server names no limit any more.
-    if (notice.isLimitUnreadable || !state.limit.isNamed || sentAt <= state.limit.at)
+    if (!notice.endsLimit || !state.limit.isNamed || sentAt <= state.limit.at)
         return {};
     return takeLimit(state, { .life = life, .perSecond = 0, .isNamed = false, .at = now });
 }
--- a/coltsfootbend/gateway/backend_notices_test.cpp
+++ b/coltsfootbend/gateway/backend_notices_test.cpp
@@ -17,10 +17,12 @@
     backend_notices notices;
     EXPECT_EQ(
         notices.hearAnswer(server, { .requestsPerSecond = 1.5 }, start, start + 10ms), "limit_per_s=1.50 before=none");
-    EXPECT_EQ(notices.hearAnswer(server, {}, start + 5ms, start + 20ms), "") << "an answer that was overtaken";
+    EXPECT_EQ(notices.hearAnswer(server, { .endsLimit = true }, start + 5ms, start + 20ms), "") << "overtaken";
     EXPECT_EQ(notices.hearAnswer(server, { .requestsPerSecond = 0.2 }, start + 15ms, start + 30ms),
         "limit_per_s=0.20 before=1.50");
-    EXPECT_EQ(notices.hearAnswer(server, {}, start + 31ms, start + 40ms), "limit_per_s=none before=0.20");
+    EXPECT_EQ(notices.hearAnswer(server, {}, start + 31ms, start + 35ms), "") << "perhaps not the server's answer";
+    EXPECT_EQ(
+        notices.hearAnswer(server, { .endsLimit = true }, start + 31ms, start + 40ms), "limit_per_s=none before=0.20");
 }
 
 TEST(BackendNotices, ALimitBelongsToOneLifeOfTheServer)
--- a/coltsfootbend/permits/permit_desk.cpp
+++ b/coltsfootbend/permits/permit_desk.cpp
@@ -67,10 +67,11 @@
 std::vector<wire::server_limit> permit_desk::limits(time_point now) const
 {
     std::vector<wire::server_limit> told;
-    for (const auto& [subject, statement] : m_issuer.statements(now)) {
-        if (told.size() < mostLimitsTold)
-            told.push_back(toWire(subject, statement, now));
-    }
+    for (const auto& [subject, statement] : m_issuer.statements(now))
+        told.push_back(toWire(subject, statement, now));
+    // Servers that are gone are not heard of any more.
+    std::sort(told.begin(), told.end(), [](const auto& a, const auto& b) { return a.ageMs < b.ageMs; });
+    told.resize(std::min(told.size(), mostLimitsTold));
     return told;
 }
 
--- a/coltsfootbend/permits/permit_desk.h
+++ b/coltsfootbend/permits/permit_desk.h
@@ -29,7 +29,7 @@
     permit_desk& operator=(const permit_desk&) = delete;
 
     void hear(const endpoint& gateway, const wire::permit_request&);
-    // What is to be told to all gateways, at most as many as fit into one message.
+    // What is to be told to all gateways: the latest, as many as fit into one message.
     std::vector<wire::server_limit> limits(time_point now) const;
     // To be called about once a second.
     void expire(time_point now) { m_issuer.expire(now); }
