What a request is by the configuration is decided apart from its exchange

Route, customer, deployment and deadline of a request were worked out inside the exchange, between reading and answering, and had no test of their own.

--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -1,6 +1,5 @@
 #include "coltsfootbend/gateway/exchange.h"
 
-#include "coltsfootbend/base/hash.h"
 #include "coltsfootbend/base/log_event.h"
 #include "coltsfootbend/base/text.h"
 
@@ -11,14 +10,10 @@
 
 namespace {
 
-constexpr int statusUnauthorized = 401;
-constexpr int statusNotFound = 404;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
 
-// For a route without a timeout and a caller without a deadline.
-constexpr std::chrono::seconds longestWait { 60 };
 // A server ends its work at the deadline that it was given, and its own answer says more than ours.
 constexpr std::chrono::milliseconds serverAnswerSlack { 80 };
 // A response whose first byte takes this many times the objective is looked for elsewhere, if it may run again.
@@ -77,7 +72,7 @@
     m_place.reset();
 }
 
-// Finds the route and the customer; answers the request itself when it is not to be served.
+// Answers the request itself when it is not to be served.
 bool exchange::admit()
 {
     if (!m_catalogue) {
@@ -86,24 +81,16 @@
             unreadyRetryAfter);
         return false;
     }
-    const auto host = findHeader(m_request.headers, "Host");
-    m_route = m_catalogue->findRoute(host.value_or(""), pathOf(m_request.target));
-    if (!m_route || m_route->deployments.empty()) {
-        answer(statusNotFound,
-            { error_kind::NotFound, "no route fits this host and path", "Check the address, or add a route" });
+    const auto admitted = admitRequest(*m_catalogue, m_request, m_facts, m_context.patience, m_arrivedAt);
+    if (!admitted) {
+        answer(admitted.error().status, admitted.error().why);
         return false;
     }
-    if (m_facts.key)
-        m_customer = m_catalogue->findCustomer(*m_facts.key);
-    if (m_catalogue->hasCustomers() && !m_route->isPublic && !m_customer) {
-        answer(statusUnauthorized, { error_kind::Denied, "the key is missing or not known", "Send one valid key" });
-        return false;
-    }
-    const auto timeout = m_route->timeout > duration::zero() ? m_route->timeout : duration(longestWait);
-    m_deadline = m_arrivedAt + std::min(timeout, m_facts.timeLeft.value_or(timeout));
-    m_returning
-        = m_facts.timeLeft && m_context.patience.isReturning(m_route->name, *m_facts.timeLeft, m_route->timeout);
-    m_deployment = chooseDeployment();
+    m_route = admitted->matched;
+    m_customer = admitted->caller;
+    m_deployment = admitted->deployment;
+    m_deadline = admitted->deadline;
+    m_returning = admitted->isReturning;
     m_context.metrics.count("requests_total", { { "route", m_route->name } });
     return true;
 }
@@ -114,23 +101,6 @@
     return m_returning && !m_begun ? base + returningPenalty : base;
 }
 
-deployment_id exchange::chooseDeployment() const
-{
-    const auto& split = m_route->deployments;
-    double sum = 0;
-    for (const auto& part : split)
-        sum += part.weight;
-    // By the request's id, so that the choice needs no random source and is the same when looked at again.
-    constexpr double range = 1e6;
-    double point = sum * static_cast<double>(stableHash(m_facts.requestId) % static_cast<std::uint64_t>(range)) / range;
-    for (const auto& part : split) {
-        point -= part.weight;
-        if (point < 0)
-            return part.deployment;
-    }
-    return split.back().deployment;
-}
-
 void exchange::loop()
 {
     while (true) {
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -10,7 +10,7 @@
 #include "coltsfootbend/gateway/backend_picker.h"
 #include "coltsfootbend/gateway/catalogue.h"
 #include "coltsfootbend/gateway/event_stream.h"
-#include "coltsfootbend/gateway/request_dialect.h"
+#include "coltsfootbend/gateway/request_admission.h"
 #include "coltsfootbend/gateway/request_quarantine.h"
 #include "coltsfootbend/gateway/silence_guard.h"
 #include "coltsfootbend/gateway/waiting_policy.h"
@@ -83,7 +83,6 @@
     void answer(int status, const error&, std::optional<duration> retryAfter = std::nullopt);
     void abandon(const picked_backend&);
     void settle(const picked_backend&, backend_outcome, std::optional<duration> latency = std::nullopt);
-    deployment_id chooseDeployment() const;
     pick_request pickRequest() const;
     // From when on the head of an answer is looked for elsewhere; never where that may not be.
     time_point headPatience(const picked_backend&, time_point now) const;
--- /dev/null
+++ b/coltsfootbend/gateway/request_admission.cpp
@@ -0,0 +1,58 @@
+#include "coltsfootbend/gateway/request_admission.h"
+
+#include "coltsfootbend/base/hash.h"
+
+#include <algorithm>
+
+namespace coltsfootbend {
+
+namespace {
+
+constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
+
+// For a route without a timeout and a caller without a deadline.
+constexpr std::chrono::seconds longestWait { 60 };
+
+// By the request's id, so that the choice needs no random source and is the same when looked at again.
+deployment_id chooseDeployment(const route& matched, const std::string& requestId)
+{
+    const auto& split = matched.deployments;
+    double sum = 0;
+    for (const auto& part : split)
+        sum += part.weight;
+    constexpr double range = 1e6;
+    double point = sum * static_cast<double>(stableHash(requestId) % static_cast<std::uint64_t>(range)) / range;
+    for (const auto& part : split) {
+        point -= part.weight;
+        if (point < 0)
+            return part.deployment;
+    }
+    return split.back().deployment;
+}
+
+} // namespace
+
+tl::expected<admitted_request, refused_request> admitRequest(const catalogue& catalogue, const http_request& request,
+    const caller_facts& facts, patience_tracker& patience, time_point arrivedAt)
+{
+    const auto host = findHeader(request.headers, "Host");
+    const auto* matched = catalogue.findRoute(host.value_or(""), pathOf(request.target));
+    if (!matched || matched->deployments.empty()) {
+        return tl::unexpected(refused_request { statusNotFound,
+            { error_kind::NotFound, "no route fits this host and path", "Check the address, or add a route" } });
+    }
+    const auto* caller = facts.key ? catalogue.findCustomer(*facts.key) : nullptr;
+    if (catalogue.hasCustomers() && !matched->isPublic && !caller) {
+        return tl::unexpected(refused_request {
+            statusUnauthorized, { error_kind::Denied, "the key is missing or not known", "Send one valid key" } });
+    }
+    const auto timeout = matched->timeout > duration::zero() ? matched->timeout : duration(longestWait);
+    return admitted_request { .matched = matched,
+        .caller = caller,
+        .deployment = chooseDeployment(*matched, facts.requestId),
+        .deadline = arrivedAt + std::min(timeout, facts.timeLeft.value_or(timeout)),
+        .isReturning = facts.timeLeft && patience.isReturning(matched->name, *facts.timeLeft, matched->timeout) };
+}
+
+} // namespace coltsfootbend
