--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -430,7 +430,7 @@
     else if (!keepProbed(usable, now))
         return tl::unexpected(refuseForGroups(usable, request, now));
     if (auto refused = keepPermitted(usable, request, now))
-        return tl::unexpected(std::move(*refused));
+        return tl::unexpected(*refused);
     auto& chosen = choose(usable, group, now);
     const auto predicted = predictFirst(chosen, group, now);
     const double load = loadOf(chosen, now);
--- a/coltsfootbend/gateway/limit_trial_test.cpp
+++ b/coltsfootbend/gateway/limit_trial_test.cpp
@@ -93,7 +93,7 @@
             later(drawDelay(), std::move(what));
     }
     // What reaches a gateway; one that stands still takes it when it goes on.
-    void reach(std::size_t number, int life, std::function<void(gateway_state&)> what)
+    void reach(std::size_t number, int life, const std::function<void(gateway_state&)>& what)
     {
         auto& gateway = m_gateways[number];
         if (gateway.life != life)
