Evacuations of a data centre are followed and obeyed

Cause: the rows op/evacuate/ZONE were dropped by the store's client, so that servers of an evacuated data centre got requests as before.

--- a/coltsfootbend/base/log_event.h
+++ b/coltsfootbend/base/log_event.h
@@ -28,6 +28,7 @@
     StoreCallFailed = 208,
     DeploymentPageDropped = 209,
     StorePollStalled = 210,
+    EvacuationsInForce = 211,
     WorkerJoined = 300,
     WorkerSuspected = 301,
     WorkerLeaving = 302,
--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -13,7 +13,7 @@
 constexpr std::chrono::milliseconds reportLag { 150 };
 // Requests sent within this time are in no report yet: the agents' report interval plus the transfer time.
 constexpr double unreportedWindowSeconds = 0.2;
-// Weight of a new gap between two requests in the firstNotOpen average of the request rate.
+// Weight of a new gap between two requests in the moving average of the gaps between requests.
 constexpr double rateSmoothingFactor = 0.05;
 // Longer gaps between two requests count as this long, so that an idle time does not dominate the average.
 constexpr double maxGapSeconds = 2;
@@ -22,6 +22,8 @@
 constexpr double maxFailureRate = 0.9;
 // Time a new server takes to register; the wait that is stated when a deployment has no server.
 constexpr std::chrono::milliseconds registrationTime { 2000 };
+// The wait that is stated when all data centres of a deployment are evacuated: an evacuation has no stated end.
+constexpr std::chrono::milliseconds evacuationRetryTime { 2000 };
 // Retry times are jittered by up to this part of the stated time, so that retries do not arrive at once.
 constexpr double retryJitterRatio = 0.5;
 // Shortest retry time given to a caller.
@@ -247,7 +249,7 @@
 
 bool backend_picker::isServing(const backend_state& state, const deployment_id& deployment, time_point now) const
 {
-    return state.server.deployment == deployment && !state.server.isLeaving
+    return state.server.deployment == deployment && isInUse(state)
         && !m_notices.isUnavailable(state.server.instance(), now);
 }
 
@@ -288,13 +290,21 @@
 {
     auto openAt = time_point::max();
     const backend_state* first = nullptr;
+    bool isAnyInUse = false;
+    bool isAnyEvacuated = false;
     for (const auto& [id, state] : m_backends) {
+        if (state.server.deployment != request.deployment || state.server.isLeaving)
+            continue;
+        isAnyInUse = isAnyInUse || isInUse(state);
+        isAnyEvacuated = isAnyEvacuated || !isInUse(state);
         const auto until = m_notices.unavailableUntil(state.server.instance(), now);
-        if (state.server.deployment != request.deployment || state.server.isLeaving || !until || *until >= openAt)
+        if (!isInUse(state) || !until || *until >= openAt)
             continue;
         openAt = *until;
         first = &state;
     }
+    if (!isAnyInUse && isAnyEvacuated)
+        return refuse(refusal_reason::Evacuated, evacuationRetryTime, {}, request, now);
     if (!first)
         return refuse(refusal_reason::NoServers, registrationTime, {}, request, now);
     auto refused = refuse(refusal_reason::BackingOff, openAt - now,
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -26,6 +26,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -58,6 +59,9 @@
     // Replaces the set of servers and deployments; keeps the state of those that remain.
     void setServers(const std::map<backend_id, backend_server>&, const catalogue&);
 
+    // Sets the data centres to whose servers no requests may be sent.
+    void setEvacuated(std::set<data_centre_id> dataCentres) { m_evacuated = std::move(dataCentres); }
+
     // Returns the limits, backoffs and departures that servers have announced; `pick` respects them.
     backend_notices& notices() { return m_notices; }
 
@@ -183,6 +187,11 @@
     duration startLatencyAt(const backend_state&, const deployment_state&) const;
     backend_state& choose(const std::vector<backend_state*>&, const deployment_state&, time_point now);
     static void updateRequestRate(deployment_state&, time_point now);
+    // Returns true if the server is in service and is not in an evacuated data centre.
+    bool isInUse(const backend_state& state) const
+    {
+        return !state.server.isLeaving && !m_evacuated.contains(state.server.dataCentre);
+    }
     // Returns true if the server belongs to `deployment` and accepts new work.
     bool isServing(const backend_state&, const deployment_id&, time_point now) const;
     // Returns the servers that the request may be sent to, leaving aside their groups and permits.
@@ -194,6 +203,7 @@
     std::minstd_rand m_random;
     backend_notices m_notices;
     std::uint32_t m_gatewayCount = 1;
+    std::set<data_centre_id> m_evacuated;
     std::map<backend_id, backend_state> m_backends;
     std::map<deployment_id, deployment_state> m_deployments;
     std::map<group_key, group_monitor> m_groups;
--- a/coltsfootbend/gateway/deployment_test_support.h
+++ b/coltsfootbend/gateway/deployment_test_support.h
@@ -12,6 +12,7 @@
 #include "coltsfootbend/group/load_subscribers.h"
 
 #include <gtest/gtest.h>
+#include <map>
 #include <set>
 #include <thread>
 
@@ -20,13 +21,18 @@
 // All tables that a process follows.
 inline const std::set<watched_table> bothTables { watched_table::Configuration, watched_table::BackendServers };
 
-// Fake store as one process sees it: one row in each table, whose value is the table's version. Tests raise the
-// versions and switch on faults.
+// Key prefix of the rows that evacuate a data centre.
+inline const std::string evacuationPrefix = "evacuate/";
+
+// Fake store as one process sees it: one row in each table, whose value is the table's version, and the evacuations.
+// Tests raise the versions and switch on faults.
 struct fake_store {
     // Appended to the configuration, to make it as large as one with many routes.
     std::string padding;
     std::uint64_t version = 1; // Version of both tables.
     std::uint64_t serversVersion = 0; // Version of the list of servers if it is higher than `version`.
+    // Evacuations that were ever in force, and whether each still is. Their rows change with the version.
+    std::map<std::string, bool> evacuations;
     std::uint64_t position = 0; // Revision of the last change in other tables, reported by polls if it is higher.
     bool isRefusing = false; // All calls fail.
     bool stallsPolls = false; // Polls return no changes until their time is over.
@@ -55,7 +61,10 @@
         ++m_store.callCount;
         if (m_store.unansweredTables.contains(table))
             return waitWithoutReply(deadline);
-        return page(table);
+        auto whole = page(table);
+        if (whole)
+            std::erase_if(whole->rows, [](const auto& row) { return row.isDeleted; });
+        return whole;
     }
 
     result<row_page> changes(watched_table table, store_revision after, time_point waitUntil, time_point deadline,
@@ -85,7 +94,12 @@
             return fail(error_kind::Unavailable, "refused");
         const auto version = m_store.versionOf(table);
         const auto value = std::to_string(version) + (table == watched_table::Configuration ? m_store.padding : "");
-        return row_page { { { toString(table), value, version, false } }, version };
+        row_page rows { { { toString(table), value, version, false } }, version };
+        if (table == watched_table::Configuration) {
+            for (const auto& [dataCentre, isInForce] : m_store.evacuations)
+                rows.rows.push_back({ evacuationPrefix + dataCentre, "", version, !isInForce });
+        }
+        return rows;
     }
 
     // Blocks until the caller gives up or the test ends.
@@ -109,6 +123,12 @@
         contents.version = config_version(std::stoull(row.value));
         return std::make_shared<const catalogue>(std::move(contents));
     }
+    std::optional<data_centre_id> evacuated(const watched_row& row) const override
+    {
+        if (!row.key.starts_with(evacuationPrefix))
+            return std::nullopt;
+        return data_centre_id(row.key.substr(evacuationPrefix.size()));
+    }
     result<backend_server> backend(const watched_row&) const override { return fail(error_kind::BadInput, "none"); }
 };
 
--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -145,26 +145,35 @@
 
 void deployment_watch::applyRow(watched_table name, const watched_row& row)
 {
-    if (name == watched_table::BackendServers) {
-        const auto server = m_decoder->backend(row);
-        if (!server) {
-            logEvent(log_event::DeploymentRowUnreadable, toString(server.error()));
-            m_directory.discard(backend_id(row.key));
-            return;
-        }
-        const auto* found = m_directory.find(server->id);
-        const auto known = found ? std::optional(*found) : std::nullopt;
-        if (!m_directory.put(*server))
-            return;
-        if (!known || known->isLeaving != server->isLeaving || known->address != server->address
-            || known->incarnation != server->incarnation) {
-            logEvent(log_event::BackendListed,
-                "backend=" + server->id.text() + " life=" + std::to_string(server->incarnation.number())
-                    + " deployment=" + server->deployment.text() + " address=" + toString(server->address)
-                    + " leaving=" + (server->isLeaving ? "yes" : "no") + " revision=" + std::to_string(row.revision));
-        }
+    if (name == watched_table::BackendServers)
+        applyBackend(row);
+    else if (!m_decoder->evacuated(row))
+        applyConfiguration(row);
+}
+
+void deployment_watch::applyBackend(const watched_row& row)
+{
+    const auto server = m_decoder->backend(row);
+    if (!server) {
+        logEvent(log_event::DeploymentRowUnreadable, toString(server.error()));
+        m_directory.discard(backend_id(row.key));
+        return;
+    }
+    const auto* found = m_directory.find(server->id);
+    const auto known = found ? std::optional(*found) : std::nullopt;
+    if (!m_directory.put(*server))
         return;
+    if (!known || known->isLeaving != server->isLeaving || known->address != server->address
+        || known->incarnation != server->incarnation) {
+        logEvent(log_event::BackendListed,
+            "backend=" + server->id.text() + " life=" + std::to_string(server->incarnation.number())
+                + " deployment=" + server->deployment.text() + " address=" + toString(server->address)
+                + " leaving=" + (server->isLeaving ? "yes" : "no") + " revision=" + std::to_string(row.revision));
     }
+}
+
+void deployment_watch::applyConfiguration(const watched_row& row)
+{
     auto next = m_decoder->configuration(row);
     if (!next) {
         logEvent(log_event::DeploymentRowUnreadable, toString(next.error()));
@@ -178,6 +187,26 @@
             + " routes=" + std::to_string(m_catalogue->routes().size()) + " revision=" + std::to_string(row.revision));
 }
 
+void deployment_watch::updateEvacuated()
+{
+    const auto& copy = table(watched_table::Configuration);
+    std::set<data_centre_id> evacuated;
+    for (const auto& [key, row] : copy.rows) {
+        if (auto dataCentre = m_decoder->evacuated(row))
+            evacuated.insert(std::move(*dataCentre));
+    }
+    if (evacuated == m_evacuated)
+        return;
+    m_evacuated = std::move(evacuated);
+    std::string names;
+    for (const auto& dataCentre : m_evacuated)
+        names += (names.empty() ? "" : ",") + dataCentre.text();
+    logEvent(log_event::EvacuationsInForce,
+        "data_centres=" + (names.empty() ? "none" : names) + " revision=" + std::to_string(copy.revision));
+    for (const auto& changed : m_onEvacuation)
+        changed();
+}
+
 void deployment_watch::notifyChange(watched_table name)
 {
     m_updateHintReceivedAt.reset();
@@ -188,6 +217,7 @@
         return;
     }
     m_configurationReadAt = clock_type::now();
+    updateEvacuated();
     for (const auto& changed : m_onCatalogue) {
         if (m_catalogue)
             changed(m_catalogue);
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Keeps this process's copy of the deployment current: the operator's configuration and the list of backend servers.
+// Keeps this process's copy of the deployment current: the operator's configuration, the evacuated data centres and the
+// list of backend servers.
 // Follows the store (`gateway/table_follower.h`), or stays on standby while other gateways do and reads changes from
 // them. While the store does not serve this VM, it asks other processes, which the store may still serve. Rank agents
 // follow the gateways instead, and the store only while no gateway does. The copy never goes back to an older revision
@@ -31,6 +32,9 @@
 public:
     virtual ~deployment_decoder() = default;
     virtual result<catalogue_ptr> configuration(const watched_row&) const = 0;
+    // Returns the data centre that a row of the table of the configuration evacuates; none if the row holds the
+    // configuration.
+    virtual std::optional<data_centre_id> evacuated(const watched_row&) const = 0;
     virtual result<backend_server> backend(const watched_row&) const = 0;
 };
 
@@ -83,6 +87,8 @@
 
     // Returns the configuration in force; null until one is known.
     const catalogue_ptr& catalogue() const { return m_catalogue; }
+    // Returns the data centres to whose backend servers no requests may be sent. Known as soon as a configuration is.
+    const std::set<data_centre_id>& evacuated() const { return m_evacuated; }
     // Returns whether the list of backend servers has been read.
     bool hasServerList() const { return table(watched_table::BackendServers).position > 0; }
     const backend_directory& directory() const { return m_directory; }
@@ -91,6 +97,7 @@
 
     // Register callbacks that are called after each change; to be called before `start`.
     void onCatalogue(std::function<void(const catalogue_ptr&)> changed) { m_onCatalogue.push_back(std::move(changed)); }
+    void onEvacuation(std::function<void()> changed) { m_onEvacuation.push_back(std::move(changed)); }
     void onServers(std::function<void()> changed) { m_onServers.push_back(std::move(changed)); }
     // Registers a callback for each time that this process has queried the store in place of the other gateways, which
     // should be notified soon.
@@ -146,6 +153,10 @@
     // Replaces the copy of a table; a page older than the copy is dropped.
     void replaceTable(watched_table, row_page, const char* source);
     void applyRow(watched_table, const watched_row&);
+    void applyConfiguration(const watched_row&);
+    void applyBackend(const watched_row&);
+    // Derives the evacuated data centres from the rows of the configuration's table. O(rows).
+    void updateEvacuated();
     void notifyChange(watched_table);
     void expireLoop();
     void inquiryLoop();
@@ -168,6 +179,7 @@
     std::array<table_copy, 2> m_tables;
     std::array<std::unique_ptr<table_follower>, 2> m_followers;
     catalogue_ptr m_catalogue;
+    std::set<data_centre_id> m_evacuated;
     backend_directory m_directory;
     std::set<endpoint> m_peers;
     // Time of the last report from a gateway that follows the store.
@@ -179,6 +191,7 @@
     // Time of the first hint of newer state since the last change.
     std::optional<time_point> m_updateHintReceivedAt;
     std::vector<std::function<void(const catalogue_ptr&)>> m_onCatalogue;
+    std::vector<std::function<void()>> m_onEvacuation;
     std::vector<std::function<void()>> m_onServers;
     std::vector<std::function<void()>> m_onStoreChecked;
     std::minstd_rand m_random { std::random_device {}() };
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -92,12 +92,17 @@
         m_hasUpdates = true;
         applyCatalogue(next);
     });
+    m_watch->onEvacuation([this] {
+        m_hasUpdates = true;
+        m_context->picker.setEvacuated(m_watch->evacuated());
+    });
     m_watch->onServers([this] {
         m_hasUpdates = true;
         applyServers();
     });
     m_watch->onStoreChecked([this] { m_hasUpdates = true; });
     m_metrics->gauge("requests_running", [this] { return static_cast<double>(m_runningRequests); });
+    m_metrics->gauge("evacuated_data_centres", [this] { return static_cast<double>(m_watch->evacuated().size()); });
     m_metrics->gauge("configuration_version",
         [this] { return m_context->catalogue ? static_cast<double>(m_context->catalogue->version().number()) : 0.0; });
     m_runtime.spawn([this] { subscribeLoop(); });
@@ -154,6 +159,8 @@
 
 void gateway_service::applyCatalogue(const catalogue_ptr& next)
 {
+    if (m_context->catalogue == next)
+        return;
     m_context->catalogue = next;
     const auto& limits = next->limits();
     m_serverOptions.maxHeaderBytes = limits.maxHeaderBytes;
--- a/coltsfootbend/gateway/pick.h
+++ b/coltsfootbend/gateway/pick.h
@@ -30,6 +30,7 @@
 // Why a request is not sent.
 enum class refusal_reason {
     NoServers, // No server is registered, or all are leaving.
+    Evacuated, // All servers are in evacuated data centres.
     GroupDown, // The engines' group is broken; no engine can run the request now.
     GroupStalled, // The engines' group makes no passes: briefly, or because it is about to be reported as broken.
     BackingOff, // All servers have asked for a backoff.
--- a/coltsfootbend/gateway/waiting_policy.cpp
+++ b/coltsfootbend/gateway/waiting_policy.cpp
@@ -83,6 +83,7 @@
         return holdForStalledGroup(refused, request, now);
     case refusal_reason::GroupDown:
         return holdForBrokenGroup(refused, request, now);
+    case refusal_reason::Evacuated:
     case refusal_reason::NoServers:
         return std::nullopt;
     }
--- a/coltsfootbend/store/watched_store.h
+++ b/coltsfootbend/store/watched_store.h
@@ -18,7 +18,7 @@
 namespace coltsfootbend {
 
 enum class watched_table {
-    Configuration, // One row, with the operator's newest configuration.
+    Configuration, // What the operator writes: the newest configuration, and a row for each evacuated data centre.
     BackendServers, // One row for each registered backend server.
 };
 
