Processes read the rows that changed from a peer instead of the whole table

Cause: a process that lacked one row of a table read the whole table from a peer: 560 servers of 200 bytes for each of 1,045 processes, or a configuration of a thousand routes for one evacuation beside it. Change: the copy of a table is a class of its own. It tells what changed or was removed since a revision, for the last 1,000 removals, and sends a whole table only where it cannot. A peer of an earlier version still gets whole tables and sends them.

--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -23,12 +23,12 @@
 // Confirmations older than this are ignored.
 constexpr std::uint64_t maxReportedAgeMs = 60'000;
 
-std::vector<wire::stored_row> toWire(const std::map<std::string, watched_row>& rows)
+std::vector<wire::stored_row> toWire(std::vector<watched_row> rows)
 {
     std::vector<wire::stored_row> copied;
     copied.reserve(rows.size());
-    for (const auto& [key, row] : rows)
-        copied.push_back({ key, row.value, row.revision });
+    for (auto& row : rows)
+        copied.push_back({ std::move(row.key), std::move(row.value), row.revision, row.isDeleted });
     return copied;
 }
 
@@ -37,7 +37,7 @@
     row_page page { {}, revision };
     page.rows.reserve(rows.size());
     for (const auto& row : rows)
-        page.rows.push_back({ row.key, row.value, row.revision, false });
+        page.rows.push_back({ row.key, row.value, row.revision, row.isDeleted });
     return page;
 }
 
@@ -97,24 +97,19 @@
 
 void deployment_watch::replaceTable(watched_table name, row_page page, const char* source)
 {
-    auto& copy = table(name);
-    if (page.revision < copy.revision)
-        return;
-    logEvent(log_event::DeploymentRead,
-        "table=" + std::string(toString(name)) + " source=" + source + " rows=" + std::to_string(page.rows.size())
-            + " revision=" + std::to_string(page.revision));
-    copy.revision = page.revision;
-    copy.position = std::max(copy.position, page.revision);
-    std::map<std::string, watched_row> rows;
+    const auto revision = page.revision;
     std::vector<backend_id> present;
-    for (auto& row : page.rows) {
+    present.reserve(page.rows.size());
+    for (const auto& row : page.rows)
         present.emplace_back(row.key);
-        const auto known = copy.rows.find(row.key);
-        if (known == copy.rows.end() || known->second.revision < row.revision)
-            applyRow(name, row);
-        rows[row.key] = std::move(row);
-    }
-    copy.rows = std::move(rows);
+    const auto changed = table(name).replace(std::move(page));
+    if (!changed)
+        return;
+    logEvent(log_event::DeploymentRead,
+        "table=" + std::string(toString(name)) + " source=" + source + " rows=" + std::to_string(present.size())
+            + " revision=" + std::to_string(revision));
+    for (const auto& row : *changed)
+        applyRow(name, row);
     if (name == watched_table::BackendServers)
         m_directory.retainOnly(present, clock_type::now());
     notifyChange(name);
@@ -122,23 +117,22 @@
 
 void deployment_watch::receiveChanges(watched_table name, const row_page& page)
 {
-    auto& copy = table(name);
-    copy.position = std::max(copy.position, page.revision);
-    if (page.rows.empty())
-        return;
-    for (const auto& row : page.rows) {
-        copy.revision = std::max(copy.revision, row.revision);
-        if (row.isDeleted) {
-            copy.rows.erase(row.key);
-            if (name == watched_table::BackendServers)
-                m_directory.remove(backend_id(row.key), clock_type::now());
-            logEvent(log_event::DeploymentRowRemoved,
-                "table=" + std::string(toString(name)) + " key=" + row.key
-                    + " revision=" + std::to_string(row.revision));
+    table(name).apply(page);
+    if (!page.rows.empty())
+        decodeChanges(name, page.rows);
+}
+
+void deployment_watch::decodeChanges(watched_table name, const std::vector<watched_row>& rows)
+{
+    for (const auto& row : rows) {
+        if (!row.isDeleted) {
+            applyRow(name, row);
             continue;
         }
-        applyRow(name, row);
-        copy.rows[row.key] = row;
+        if (name == watched_table::BackendServers)
+            m_directory.remove(backend_id(row.key), clock_type::now());
+        logEvent(log_event::DeploymentRowRemoved,
+            "table=" + std::string(toString(name)) + " key=" + row.key + " revision=" + std::to_string(row.revision));
     }
     notifyChange(name);
 }
@@ -191,7 +185,7 @@
 {
     const auto& copy = table(watched_table::Configuration);
     std::set<data_centre_id> evacuated;
-    for (const auto& [key, row] : copy.rows) {
+    for (const auto& [key, row] : copy.rows()) {
         if (auto dataCentre = m_decoder->evacuated(row))
             evacuated.insert(std::move(*dataCentre));
     }
@@ -202,7 +196,7 @@
     for (const auto& dataCentre : m_evacuated)
         names += (names.empty() ? "" : ",") + dataCentre.text();
     logEvent(log_event::EvacuationsInForce,
-        "data_centres=" + (names.empty() ? "none" : names) + " revision=" + std::to_string(copy.revision));
+        "data_centres=" + (names.empty() ? "none" : names) + " revision=" + std::to_string(copy.revision()));
     for (const auto& changed : m_onEvacuation)
         changed();
 }
@@ -284,7 +278,7 @@
 
 wire::store_confirmation deployment_watch::confirmation(watched_table name) const
 {
-    wire::store_confirmation reported { .revision = table(name).revision };
+    wire::store_confirmation reported { .revision = table(name).revision() };
     if (const auto confirmedAt = follower(name).confirmedAt())
         reported.ageMs = static_cast<std::uint64_t>(remaining(*confirmedAt, clock_type::now()).count());
     return reported;
@@ -327,12 +321,12 @@
 
 bool deployment_watch::needsServers(const wire::deployment_knowledge& knowledge) const
 {
-    return knowledge.servers.revision > table(watched_table::BackendServers).revision;
+    return knowledge.servers.revision > table(watched_table::BackendServers).revision();
 }
 
 bool deployment_watch::needsConfiguration(const wire::deployment_knowledge& knowledge, time_point now) const
 {
-    if (knowledge.configuration.revision <= table(watched_table::Configuration).revision)
+    if (knowledge.configuration.revision <= table(watched_table::Configuration).revision())
         return false;
     if (!m_options.followsGateways || !m_configurationReadAt)
         return true;
@@ -403,8 +397,10 @@
 void deployment_watch::fetchFromPeer(const endpoint& peer, bool withConfiguration)
 {
     constexpr auto none = std::numeric_limits<store_revision>::max();
-    const wire::deployment_request request { withConfiguration ? table(watched_table::Configuration).revision : none,
-        table(watched_table::BackendServers).revision };
+    const wire::deployment_request request { .configurationRevision
+        = withConfiguration ? table(watched_table::Configuration).revision() : none,
+        .serversRevision = table(watched_table::BackendServers).revision(),
+        .acceptsDifferences = true };
     const auto reply = m_peerService->client().ask(peer, request, clock_type::now() + peerReadTimeout);
     if (!reply) {
         m_peerService->client().drop(peer); // The next round may read another peer.
@@ -413,32 +409,47 @@
     const auto* reported = std::get_if<wire::deployment_reply>(&reply->content);
     if (!reported)
         return;
-    applyFromPeer(watched_table::Configuration, reported->configurationRevision, reported->configuration);
-    applyFromPeer(watched_table::BackendServers, reported->serversRevision, reported->servers);
+    applyFromPeer(watched_table::Configuration, fromWire(reported->configurationRevision, reported->configuration),
+        reported->isConfigurationDifference);
+    applyFromPeer(watched_table::BackendServers, fromWire(reported->serversRevision, reported->servers),
+        reported->isServersDifference);
 }
 
-void deployment_watch::applyFromPeer(
-    watched_table name, store_revision revision, const std::vector<wire::stored_row>& rows)
+void deployment_watch::applyFromPeer(watched_table name, row_page page, bool isDifference)
 {
-    if (revision <= table(name).revision)
+    auto& copy = table(name);
+    if (page.revision <= copy.revision())
         return;
     follower(name).restartPoll();
-    replaceTable(name, fromWire(revision, rows), "peer");
+    if (!isDifference) {
+        replaceTable(name, std::move(page), "peer");
+        return;
+    }
+    logEvent(log_event::DeploymentRead,
+        "table=" + std::string(toString(name)) + " source=peer changed_rows=" + std::to_string(page.rows.size())
+            + " revision=" + std::to_string(page.revision));
+    copy.applyDifference(page);
+    decodeChanges(name, page.rows);
 }
 
 wire::deployment_reply deployment_watch::replyTo(const wire::deployment_request& asked) const
 {
+    // Appends a table to the reply. Returns its revision; 0 if the requester's copy is as recent.
+    const auto append = [&](watched_table name, store_revision since, std::vector<wire::stored_row>& rows,
+                            bool& isDifference) -> store_revision {
+        const auto& copy = table(name);
+        if (copy.revision() <= since)
+            return 0;
+        auto difference = asked.acceptsDifferences ? copy.changesSince(since) : std::nullopt;
+        isDifference = difference.has_value();
+        rows = toWire(difference ? std::move(difference->rows) : copy.snapshot().rows);
+        return copy.revision();
+    };
     wire::deployment_reply reply;
-    const auto& configuration = table(watched_table::Configuration);
-    if (configuration.revision > asked.configurationRevision) {
-        reply.configurationRevision = configuration.revision;
-        reply.configuration = toWire(configuration.rows);
-    }
-    const auto& servers = table(watched_table::BackendServers);
-    if (servers.revision > asked.serversRevision) {
-        reply.serversRevision = servers.revision;
-        reply.servers = toWire(servers.rows);
-    }
+    reply.configurationRevision = append(watched_table::Configuration, asked.configurationRevision,
+        reply.configuration, reply.isConfigurationDifference);
+    reply.serversRevision = append(
+        watched_table::BackendServers, asked.serversRevision, reply.servers, reply.isServersDifference);
     return reply;
 }
 
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -12,6 +12,7 @@
 
 #include "coltsfootbend/gateway/backend_directory.h"
 #include "coltsfootbend/gateway/catalogue.h"
+#include "coltsfootbend/gateway/table_copy.h"
 #include "coltsfootbend/gateway/table_follower.h"
 #include "coltsfootbend/kernel/kernel.h"
 #include "coltsfootbend/metrics/metrics.h"
@@ -90,7 +91,7 @@
     // Returns the data centres to whose backend servers no requests may be sent. Known as soon as a configuration is.
     const std::set<data_centre_id>& evacuated() const { return m_evacuated; }
     // Returns whether the list of backend servers has been read.
-    bool hasServerList() const { return table(watched_table::BackendServers).position > 0; }
+    bool hasServerList() const { return table(watched_table::BackendServers).position() > 0; }
     const backend_directory& directory() const { return m_directory; }
     // Returns whether the store answers about both tables.
     bool isStoreAvailable() const { return !lostSince(); }
@@ -120,15 +121,6 @@
     const std::set<endpoint>& peers() const { return m_peers; }
 
 private:
-    // The rows of one table as stored, which peers may read.
-    struct table_copy {
-        store_revision revision = 0; // Revision of the last change of this table.
-        // Revision after which the store is asked for changes. It counts the changes of all tables, so it advances
-        // while `revision` does not, and differs between processes with the same rows.
-        store_revision position = 0;
-        std::map<std::string, watched_row> rows;
-    };
-
     static std::size_t indexOf(watched_table table) { return static_cast<std::size_t>(table); }
     table_copy& table(watched_table name) { return m_tables[indexOf(name)]; }
     const table_copy& table(watched_table name) const { return m_tables[indexOf(name)]; }
@@ -141,8 +133,8 @@
     bool isOnStandby() const;
     wire::store_confirmation confirmation(watched_table) const;
 
-    store_revision revision(watched_table name) const override { return table(name).revision; }
-    store_revision position(watched_table name) const override { return table(name).position; }
+    store_revision revision(watched_table name) const override { return table(name).revision(); }
+    store_revision position(watched_table name) const override { return table(name).position(); }
     void receiveSnapshot(watched_table, row_page) override;
     void receiveChanges(watched_table, const row_page&) override;
     void storeLost(watched_table, time_point since) override;
@@ -168,7 +160,9 @@
     void fetchFromPeer(const endpoint&, bool withConfiguration);
     bool needsServers(const wire::deployment_knowledge&) const;
     bool needsConfiguration(const wire::deployment_knowledge&, time_point now) const;
-    void applyFromPeer(watched_table, store_revision, const std::vector<wire::stored_row>&);
+    void applyFromPeer(watched_table, row_page, bool isDifference);
+    // Decodes changed rows and notifies the owners of the callbacks. The copy holds the rows already.
+    void decodeChanges(watched_table, const std::vector<watched_row>&);
     wire::deployment_reply replyTo(const wire::deployment_request&) const;
 
     fiber_runtime& m_runtime;
--- /dev/null
+++ b/coltsfootbend/gateway/table_copy.cpp
@@ -0,0 +1,110 @@
+#include "coltsfootbend/gateway/table_copy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootbend {
+
+std::optional<std::vector<watched_row>> table_copy::replace(row_page snapshot)
+{
+    if (snapshot.revision < m_revision)
+        return std::nullopt;
+    // What was removed before the first snapshot is not known.
+    if (m_revision == 0)
+        m_removalsKnownSince = snapshot.revision;
+    m_revision = snapshot.revision;
+    m_position = std::max(m_position, snapshot.revision);
+    std::vector<watched_row> changed;
+    std::map<std::string, watched_row> rows;
+    for (auto& row : snapshot.rows) {
+        const auto known = m_rows.find(row.key);
+        if (known == m_rows.end() || known->second.revision < row.revision)
+            changed.push_back(row);
+        m_removed.erase(row.key);
+        auto key = row.key;
+        rows[std::move(key)] = std::move(row);
+    }
+    for (const auto& [key, row] : m_rows) {
+        if (!rows.contains(key))
+            m_removed[key] = snapshot.revision;
+    }
+    m_rows = std::move(rows);
+    discardOldRemovals();
+    return changed;
+}
+
+void table_copy::apply(const row_page& changes)
+{
+    m_position = std::max(m_position, changes.revision);
+    for (const auto& row : changes.rows) {
+        m_revision = std::max(m_revision, row.revision);
+        if (row.isDeleted) {
+            remove(row.key, row.revision);
+            continue;
+        }
+        auto& known = m_rows[row.key];
+        if (row.revision >= known.revision)
+            known = row;
+        m_removed.erase(row.key);
+    }
+    discardOldRemovals();
+}
+
+void table_copy::applyDifference(const row_page& difference)
+{
+    apply(difference);
+    m_revision = std::max(m_revision, difference.revision);
+}
+
+void table_copy::remove(const std::string& key, store_revision revision)
+{
+    const auto known = m_rows.find(key);
+    if (known != m_rows.end() && known->second.revision > revision)
+        return; // It was written again later.
+    if (known != m_rows.end())
+        m_rows.erase(known);
+    auto& removedAt = m_removed[key];
+    removedAt = std::max(removedAt, revision);
+}
+
+void table_copy::discardOldRemovals()
+{
+    if (m_removed.size() <= m_options.maxRemovedRows)
+        return;
+    std::vector<store_revision> revisions;
+    revisions.reserve(m_removed.size());
+    for (const auto& [key, revision] : m_removed)
+        revisions.push_back(revision);
+    const auto newestDiscarded
+        = revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() - m_options.maxRemovedRows - 1);
+    std::nth_element(revisions.begin(), newestDiscarded, revisions.end());
+    m_removalsKnownSince = std::max(m_removalsKnownSince, *newestDiscarded);
+    std::erase_if(m_removed, [this](const auto& entry) { return entry.second <= m_removalsKnownSince; });
+}
+
+row_page table_copy::snapshot() const
+{
+    row_page page { {}, m_revision };
+    page.rows.reserve(m_rows.size());
+    for (const auto& [key, row] : m_rows)
+        page.rows.push_back(row);
+    return page;
+}
+
+std::optional<row_page> table_copy::changesSince(store_revision since) const
+{
+    if (since == 0 || since < m_removalsKnownSince)
+        return std::nullopt;
+    row_page page { {}, m_revision };
+    for (const auto& [key, row] : m_rows) {
+        if (row.revision > since)
+            page.rows.push_back(row);
+    }
+    for (const auto& [key, revision] : m_removed) {
+        if (revision > since)
+            page.rows.push_back({ key, {}, revision, true });
+    }
+    return page;
+}
+
+} // namespace coltsfootbend
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -67,11 +67,15 @@
 static auto fieldsOf(config_notice&) { return std::tie(); }
 static auto fieldsOf(drain& value) { return std::tie(value.actor); }
 static auto fieldsOf(deployment_inquiry&) { return std::tie(); }
-static auto fieldsOf(deployment_request& value) { return std::tie(value.configurationRevision, value.serversRevision); }
-static auto fieldsOf(stored_row& value) { return std::tie(value.key, value.value, value.revision); }
+static auto fieldsOf(deployment_request& value)
+{
+    return std::tie(value.configurationRevision, value.serversRevision, value.acceptsDifferences);
+}
+static auto fieldsOf(stored_row& value) { return std::tie(value.key, value.value, value.revision, value.isDeleted); }
 static auto fieldsOf(deployment_reply& value)
 {
-    return std::tie(value.configurationRevision, value.configuration, value.serversRevision, value.servers);
+    return std::tie(value.configurationRevision, value.configuration, value.serversRevision, value.servers,
+        value.isConfigurationDifference, value.isServersDifference);
 }
 static auto fieldsOf(order_scope& value)
 {
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -144,19 +144,24 @@
 struct deployment_request {
     std::uint64_t configurationRevision = 0;
     std::uint64_t serversRevision = 0;
+    bool acceptsDifferences = false; // The reply may hold only the rows that changed since these revisions.
 };
 // One row of a table of the store.
 struct stored_row {
     std::string key;
     std::string value;
     std::uint64_t revision = 0;
+    bool isDeleted = false;
 };
-// Answers `deployment_request`. A table is complete, or omitted (revision 0) when the sender has none newer.
+// Answers `deployment_request`. A table is complete or a difference, or omitted (revision 0) when the sender has none
+// newer.
 struct deployment_reply {
     std::uint64_t configurationRevision = 0;
     std::vector<stored_row> configuration;
     std::uint64_t serversRevision = 0;
     std::vector<stored_row> servers;
+    bool isConfigurationDifference = false; // Holds the rows changed or removed since the requester's revision.
+    bool isServersDifference = false;
 };
 
 // Addressee of a leader's message: a rank agent obeys only if every field matches. No single field suffices, because
