Each gateway uses a subset of the engines of a large deployment

Cause: every agent reported its load to every gateway, 516 x 529 streams. A gateway also compared the address of each update with all servers, and an agent looked for newer tables among all gateways for each of them: both grew with the product of two counts. Change: beyond 256 engines a gateway uses 32 of them, half in its own data centre, chosen by hash; it subscribes to their agents alone and sends to them alone. The number of all gateways, which the retry budget is shared by, follows from the agents' subscribers. The issuer of a server's permits is chosen alike by gateways with different subsets. Updates find their server by address. Smaller deployments work as before.

--- a/coltsfootbend/gateway/agent_directory.cpp
+++ b/coltsfootbend/gateway/agent_directory.cpp
@@ -49,9 +49,42 @@
     return found != m_reachableUntil.end() && now < found->second;
 }
 
-std::optional<endpoint> agent_directory::issuerFor(const backend_server& server, time_point now) const
+void agent_directory::setUsedEngines(const std::vector<endpoint>& engines)
 {
-    if (hasAgent(server) && isReachable(agentOf(server), now))
+    m_usedAgents.clear();
+    for (const auto& engine : engines)
+        m_usedAgents.push_back({ engine.ip, m_port });
+}
+
+std::vector<endpoint> agent_directory::subscribed(time_point now)
+{
+    std::set<endpoint> agents(m_usedAgents.begin(), m_usedAgents.end());
+    std::erase_if(m_issuerUntil, [now](const auto& entry) { return now >= entry.second; });
+    for (const auto& [agent, until] : m_issuerUntil)
+        agents.insert(agent);
+    std::erase_if(m_subscribedSince, [&](const auto& entry) { return !agents.contains(entry.first); });
+    for (const auto& agent : agents)
+        m_subscribedSince.emplace(agent, now);
+    return { agents.begin(), agents.end() };
+}
+
+bool agent_directory::mayBeReachable(const endpoint& agent, time_point now) const
+{
+    const auto since = m_subscribedSince.find(agent);
+    return isReachable(agent, now) || since == m_subscribedSince.end() || now < since->second + reportTimeout;
+}
+
+std::optional<endpoint> agent_directory::issuerFor(const backend_server& server, time_point now)
+{
+    const auto issuer = chooseIssuer(server, now);
+    if (issuer)
+        m_issuerUntil[*issuer] = now + issuerInterest;
+    return issuer;
+}
+
+std::optional<endpoint> agent_directory::chooseIssuer(const backend_server& server, time_point now) const
+{
+    if (hasAgent(server) && mayBeReachable(agentOf(server), now))
         return agentOf(server);
     std::set<endpoint> near;
     std::set<endpoint> all;
@@ -64,7 +97,7 @@
     }
     std::vector<vm_id> candidates;
     for (const auto& agent : near.empty() ? all : near) {
-        if (isReachable(agent, now))
+        if (mayBeReachable(agent, now))
             candidates.emplace_back(toString(agent));
     }
     if (candidates.empty())
--- a/coltsfootbend/gateway/agent_directory.h
+++ b/coltsfootbend/gateway/agent_directory.h
@@ -1,10 +1,12 @@
 #pragma once
 
-// Addresses of the rank agents, derived from the list of backend servers: each engine has an agent on its VM. Doesn't
-// hold the engines' reports: see `gateway/engine_report.h`.
+// Addresses of the rank agents, derived from the list of backend servers: each engine has an agent on its VM. Tracks
+// which agents this gateway subscribes to and which of these are reachable. Doesn't hold the engines' reports: see
+// `gateway/engine_report.h`.
 //
 //     agent_directory agents(watch, settings.peers.port);
-//     for (const auto& agent : agents.all()) ...
+//     agents.setUsedEngines(used.engines());
+//     for (const auto& agent : agents.subscribed(now)) ...
 //     const auto witnesses = agents.near(server);
 
 #include "coltsfootbend/gateway/deployment_watch.h"
@@ -31,14 +33,20 @@
     // Returns the agent on the VM of `server`, if it has one, followed by the other agents of its data centre in random
     // order. O(servers).
     std::vector<endpoint> near(const backend_server&);
+    // Sets the engines that this gateway sends requests to.
+    void setUsedEngines(const std::vector<endpoint>& engines);
+    // Returns the agents to subscribe to: those of the used engines, and those that recently issued permits. O(used).
+    std::vector<endpoint> subscribed(time_point now);
     // Returns whether any engine is listed, and with it an agent. O(servers).
     bool hasAny() const;
 
     // Records that a report has been received from the agent.
     void recordReport(const endpoint& agent, time_point now) { m_reachableUntil[agent] = now + reportTimeout; }
     // Returns the agent that issues permits for the server: the one on its VM, or else one of its data centre, or one
-    // of all agents if the data centre has none. Returns none while none of these is reachable. O(servers).
-    std::optional<endpoint> issuerFor(const backend_server&, time_point now) const;
+    // of all agents if the data centre has none. Gateways with different subsets choose alike, so an agent counts as
+    // unreachable only if this gateway has subscribed to it in vain. Returns none while none of these is reachable.
+    // O(servers).
+    std::optional<endpoint> issuerFor(const backend_server&, time_point now);
     // Drops the agents that are no longer reachable.
     void expire(time_point now);
 
@@ -51,11 +59,20 @@
     // second.
     static constexpr std::chrono::milliseconds reportTimeout { 1500 };
 
+    // Time for which this gateway subscribes to an agent after a request for a permit.
+    static constexpr std::chrono::seconds issuerInterest { 5 };
+
     bool isReachable(const endpoint& agent, time_point now) const;
+    // Returns whether the agent is reachable, or its reports have not been awaited for long enough to tell.
+    bool mayBeReachable(const endpoint& agent, time_point now) const;
+    std::optional<endpoint> chooseIssuer(const backend_server&, time_point now) const;
 
     const deployment_watch& m_watch;
     const std::uint16_t m_port;
     std::map<endpoint, time_point> m_reachableUntil;
+    std::vector<endpoint> m_usedAgents;
+    std::map<endpoint, time_point> m_issuerUntil; // Agents that permits were requested from recently.
+    std::map<endpoint, time_point> m_subscribedSince;
     std::minstd_rand m_random { std::random_device {}() };
 };
 
--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -65,6 +65,9 @@
             state.server.incarnation = known; // The engine reported its restart before the store did.
     }
     std::erase_if(m_backends, [&](const auto& entry) { return !servers.contains(entry.first); });
+    m_backendsAt.clear();
+    for (const auto& [id, state] : m_backends)
+        m_backendsAt[state.server.address].push_back(id);
     for (const auto& deployment : catalogue.deployments())
         m_deployments[deployment.id].engine = deployment.engine;
     for (auto& [key, monitor] : m_groups) {
@@ -95,8 +98,12 @@
 
 void backend_picker::receiveReport(const endpoint& address, const engine_report& report, time_point now)
 {
-    for (auto& [id, state] : m_backends) {
-        if (state.server.address != address || !enterIncarnation(state, report.incarnation))
+    const auto listed = m_backendsAt.find(address);
+    if (listed == m_backendsAt.end())
+        return;
+    for (const auto& id : listed->second) {
+        auto& state = m_backends.at(id);
+        if (!enterIncarnation(state, report.incarnation))
             continue;
         state.report = report;
         state.reportedAt = now;
@@ -371,7 +378,7 @@
     if (found == servers.end())
         return false;
     const group_key probed { (*found)->server.deployment, (*found)->report->group };
-    m_groups.at(probed).onProbeSent(now + probeInterval * m_gatewayCount);
+    m_groups.at(probed).onProbeSent(now + probeInterval * m_allGatewayCount);
     std::erase_if(servers, [&](const auto* state) { return state->report->group != probed.group; });
     return true;
 }
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -73,8 +73,12 @@
     // Returns the queue of requests that wait for limited servers of `deployment`.
     waiting_queue& queueOf(const deployment_id& deployment) { return m_deployments[deployment].queue; }
 
-    // Sets the number of gateways that send to the same servers, including this one.
-    void setGatewayCount(std::uint32_t count) { m_gatewayCount = std::max(1U, count); }
+    // Sets the number of gateways that send to the same server, on average, and that of all; both include this one.
+    void setGatewayCounts(std::uint32_t perServer, std::uint32_t all)
+    {
+        m_gatewayCount = std::max(1U, perServer);
+        m_allGatewayCount = std::max(m_gatewayCount, all);
+    }
 
     // Processes a report of the engine at `address`. Ignores a report of an earlier incarnation; a report of a newer
     // one resets all state of the server.
@@ -202,9 +206,12 @@
     const options m_options;
     std::minstd_rand m_random;
     backend_notices m_notices;
-    std::uint32_t m_gatewayCount = 1;
+    std::uint32_t m_gatewayCount = 1; // Gateways that send to the same server.
+    std::uint32_t m_allGatewayCount = 1;
     std::set<data_centre_id> m_evacuated;
     std::map<backend_id, backend_state> m_backends;
+    // Servers at each address: an address may be listed for a server that has ended and for its successor.
+    std::map<endpoint, std::vector<backend_id>> m_backendsAt;
     std::map<deployment_id, deployment_state> m_deployments;
     std::map<group_key, group_monitor> m_groups;
     std::function<void(const backend_server&, std::uint64_t serial)> m_sendPermitRequest;
--- a/coltsfootbend/gateway/backend_picker_test.cpp
+++ b/coltsfootbend/gateway/backend_picker_test.cpp
@@ -111,7 +111,7 @@
         gateways.push_back(std::make_unique<backend_picker>(
             backend_picker::options { .localDataCentre = data_centre_id("here") }, 7919 * i + 1));
         gateways.back()->setServers(m_servers, *m_catalogue);
-        gateways.back()->setGatewayCount(9);
+        gateways.back()->setGatewayCounts(9, 9);
     }
     std::map<backend_id, std::uint32_t> running;
     std::uint32_t most = 0;
@@ -194,7 +194,7 @@
 {
     use(llm, 3);
     reportAll(0, 0);
-    m_picker.setGatewayCount(3);
+    m_picker.setGatewayCounts(3, 3);
     auto returning = request(llm);
     returning.isReturning = true;
     int taken = 0;
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -47,7 +47,8 @@
     : m_runtime(runtime)
     , m_settings(settings)
     , m_codec(std::move(codec))
-    , m_gatewayCount(initialGatewayCount)
+    , m_usedServers(settings.vm, settings.dataCentre)
+    , m_gatewayEstimate(initialGatewayCount)
 {
 }
 
@@ -84,7 +85,7 @@
         .onNotice = {} });
     m_permits
         = std::make_unique<permit_network>(m_runtime, m_settings.vm, m_context->picker.notices(), *m_agents, *m_socket);
-    m_permits->setGateways(m_gatewayCount);
+    m_permits->setGateways(m_gatewayEstimate.all());
     m_context->picker.onPermitRequest(
         [this](const backend_server& server, std::uint64_t serial) { m_permits->requestPermit(server, serial); });
     m_context->onNotice = [this](const backend_server& server) { m_permits->sendLimit(server); };
@@ -95,6 +96,7 @@
     m_watch->onEvacuation([this] {
         m_hasUpdates = true;
         m_context->picker.setEvacuated(m_watch->evacuated());
+        applyServers();
     });
     m_watch->onServers([this] {
         m_hasUpdates = true;
@@ -175,7 +177,9 @@
 {
     if (!m_context->catalogue)
         return;
-    m_context->picker.setServers(m_watch->directory().servers(), *m_context->catalogue);
+    m_usedServers.update(m_watch->directory().servers(), *m_context->catalogue, m_watch->evacuated());
+    m_agents->setUsedEngines(m_usedServers.engines());
+    m_context->picker.setServers(m_usedServers.servers(), *m_context->catalogue);
 }
 
 void gateway_service::applySettings()
@@ -190,7 +194,7 @@
     const double window = toMilliseconds(shared.window) / 1000;
     // Within one window a gateway can spend a full bucket and as much as refills meanwhile, so each is half of its
     // share.
-    const double reserve = std::max(1.0, usedBudgetShare * shared.extra / m_gatewayCount / 2);
+    const double reserve = std::max(1.0, usedBudgetShare * shared.extra / m_gatewayEstimate.all() / 2);
     const retry_budget::options options { .retriesPerSuccess = usedBudgetShare * shared.ratio,
         .reserve = reserve,
         .maxRetries = reserve,
@@ -211,7 +215,7 @@
             .senderIncarnation = {},
             .version = {},
             .content = wire::load_subscribe { m_watch->knowledge() } });
-        for (const auto& agent : m_agents->all())
+        for (const auto& agent : m_agents->subscribed(clock_type::now()))
             m_socket->send(agent, bytes);
         const auto nextAt = clock_type::now() + subscribeInterval;
         m_hasUpdates = false;
@@ -262,12 +266,17 @@
             .ranks = update.ranks,
             .isOpen = update.isOpen },
         now);
-    if (update.subscribers > 0 && update.subscribers != m_gatewayCount && m_context->catalogue) {
-        m_gatewayCount = update.subscribers;
-        m_context->picker.setGatewayCount(m_gatewayCount);
-        m_permits->setGateways(m_gatewayCount);
-        applyBudgets();
-    }
+    const auto& used = m_usedServers.engines();
+    if (m_context->catalogue && std::binary_search(used.begin(), used.end(), *engine)
+        && m_gatewayEstimate.receive(update.subscribers, m_usedServers.listedEngineCount(), used.size()))
+        applyGatewayCounts();
+}
+
+void gateway_service::applyGatewayCounts()
+{
+    m_context->picker.setGatewayCounts(m_gatewayEstimate.perServer(), m_gatewayEstimate.all());
+    m_permits->setGateways(m_gatewayEstimate.all());
+    applyBudgets();
 }
 
 void gateway_service::receiveStoreStatus(const wire::load_update& update)
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -9,8 +9,10 @@
 
 #include "coltsfootbend/gateway/deployment_watch.h"
 #include "coltsfootbend/gateway/exchange.h"
+#include "coltsfootbend/gateway/gateway_estimate.h"
 #include "coltsfootbend/gateway/permit_network.h"
 #include "coltsfootbend/gateway/quarantine_network.h"
+#include "coltsfootbend/gateway/used_servers.h"
 #include "coltsfootbend/net/datagram.h"
 #include "coltsfootbend/settings/settings.h"
 
@@ -41,11 +43,12 @@
     void serveCaller(const byte_stream_ptr&);
     // Responds to requests for readiness and metrics.
     void serveHealth(const http_request&, http_responder&) const;
-    // Subscribes to the load of all engines' agents, and reports to them what this gateway knows of the deployment.
+    // Subscribes to the load of the used engines, and reports to their agents what this gateway knows of the deployment.
     void subscribeLoop();
     // Receives the agents' datagrams.
     void receiveLoop();
     void receiveLoad(const endpoint& sender, const wire::load_update&);
+    void applyGatewayCounts();
     // Records when other gateways last confirmed their tables, and which part this gateway has in following the store.
     void receiveStoreStatus(const wire::load_update&);
     void maintenanceLoop();
@@ -58,6 +61,7 @@
     const std::unique_ptr<header_codec> m_codec;
     deployment_watch* m_watch = nullptr;
     metrics_service* m_metrics = nullptr;
+    used_servers m_usedServers;
     std::unique_ptr<agent_directory> m_agents;
     std::unique_ptr<quarantine_network> m_quarantine;
     std::unique_ptr<gateway_context> m_context;
@@ -68,7 +72,7 @@
     std::shared_ptr<listener> m_callerListener;
     std::shared_ptr<listener> m_healthListener;
     std::size_t m_runningRequests = 0; // Number of requests in progress.
-    std::uint32_t m_gatewayCount; // Number of gateways, including this one, according to the agents.
+    gateway_estimate m_gatewayEstimate; // According to the agents.
     bool m_leaving = false;
     // The deployment has changed since it was last reported to the agents.
     bool m_hasUpdates = false;
--- a/coltsfootbend/gateway/permit_network.h
+++ b/coltsfootbend/gateway/permit_network.h
@@ -19,7 +19,7 @@
 // Sends and receives the messages about limits and permits, and updates `backend_notices` from them.
 class permit_network {
 public:
-    permit_network(fiber_runtime&, vm_id self, backend_notices&, const agent_directory&, datagram_socket&);
+    permit_network(fiber_runtime&, vm_id self, backend_notices&, agent_directory&, datagram_socket&);
 
     // Sets the number of gateways, this one included.
     void setGateways(std::uint32_t count) { m_gateways = count; }
@@ -43,7 +43,7 @@
 
     const vm_id m_self;
     backend_notices& m_notices;
-    const agent_directory& m_agents;
+    agent_directory& m_agents;
     datagram_socket& m_socket;
     permit_service m_localIssuer;
     std::uint32_t m_gateways = 1;
--- a/coltsfootbend/group/load_subscribers.cpp
+++ b/coltsfootbend/group/load_subscribers.cpp
@@ -16,34 +16,46 @@
 void load_subscribers::subscribe(
     const endpoint& address, wire::deployment_knowledge knowledge, time_point expiresAt, time_point now)
 {
+    m_newestRevisions.reset();
     m_subscribers[address] = { .expiresAt = expiresAt, .receivedAt = now, .knowledge = std::move(knowledge) };
 }
 
 void load_subscribers::expire(time_point now)
 {
+    m_newestRevisions.reset();
     std::erase_if(m_subscribers, [now](const auto& entry) { return entry.second.expiresAt < now; });
 }
 
+const load_subscribers::table_revisions& load_subscribers::newestRevisions()
+{
+    if (m_newestRevisions)
+        return *m_newestRevisions;
+    table_revisions newest;
+    for (const auto& [address, gateway] : m_subscribers) {
+        newest.configuration = std::max(newest.configuration, gateway.knowledge.configuration.revision);
+        newest.servers = std::max(newest.servers, gateway.knowledge.servers.revision);
+    }
+    return m_newestRevisions.emplace(newest);
+}
+
 // Returns only a gateway that the store serves, or one that has the newest known revision of both tables, so that it is
 // not itself behind. Prefers the requester's data centre. Chooses at random, because one gateway may be unreachable and
 // so that all up-to-date gateways share the load.
 const endpoint* load_subscribers::findNewerSource(const subscriber& requester)
 {
+    const auto newest = newestRevisions();
+    if (requester.knowledge.configuration.revision >= newest.configuration
+        && requester.knowledge.servers.revision >= newest.servers)
+        return nullptr;
     const auto isNewer = [&](const subscriber& candidate) {
         return candidate.knowledge.configuration.revision > requester.knowledge.configuration.revision
             || candidate.knowledge.servers.revision > requester.knowledge.servers.revision;
     };
-    std::uint64_t configuration = 0;
-    std::uint64_t servers = 0;
-    for (const auto& [address, candidate] : m_subscribers) {
-        configuration = std::max(configuration, candidate.knowledge.configuration.revision);
-        servers = std::max(servers, candidate.knowledge.servers.revision);
-    }
     std::vector<const endpoint*> nearby;
     std::vector<const endpoint*> remote;
     for (const auto& [address, candidate] : m_subscribers) {
-        const bool hasNewestTables = candidate.knowledge.configuration.revision == configuration
-            && candidate.knowledge.servers.revision == servers;
+        const bool hasNewestTables = candidate.knowledge.configuration.revision == newest.configuration
+            && candidate.knowledge.servers.revision == newest.servers;
         if (!isNewer(candidate) || (!candidate.knowledge.isServed && !hasNewestTables))
             continue;
         (candidate.knowledge.dataCentre == requester.knowledge.dataCentre ? nearby : remote).push_back(&address);
--- a/coltsfootbend/group/load_subscribers.h
+++ b/coltsfootbend/group/load_subscribers.h
@@ -36,7 +36,8 @@
     void expire(time_point now);
     const std::map<endpoint, subscriber>& all() const { return m_subscribers; }
 
-    // Returns the address of a gateway that has a newer table of the deployment than `requester`, or null.
+    // Returns the address of a gateway that has a newer table of the deployment than `requester`, or null. O(gateways)
+    // if there is one; otherwise constant until the next call of `subscribe` or `expire`.
     const endpoint* findNewerSource(const subscriber& requester);
 
     // Return the most recent confirmation of a table by any gateway, with its age as of `now`.
@@ -48,10 +49,17 @@
     std::map<endpoint, wire::store_duty> duties() const;
 
 private:
+    struct table_revisions {
+        std::uint64_t configuration = 0;
+        std::uint64_t servers = 0;
+    };
+    // Returns the newest revision of each table that any gateway knows.
+    const table_revisions& newestRevisions();
     wire::store_confirmation newestConfirmation(
         wire::store_confirmation wire::deployment_knowledge::*table, time_point now) const;
 
     std::map<endpoint, subscriber> m_subscribers;
+    std::optional<table_revisions> m_newestRevisions; // None after a change of the subscribers.
     std::minstd_rand m_random;
 };
 
