Cold servers get what they accept from all gateways together

Cause: a server that has just started accepts cold_per_s requests a second and crashes well above that. Nothing in the gateway read cold_remaining_ms, so that after a restart of a data centre all gateways sent as to warm servers. A request that finds only such servers waits for the known time or is refused with it.

--- a/coltsfootbend/gateway/backend_directory.h
+++ b/coltsfootbend/gateway/backend_directory.h
@@ -43,6 +43,8 @@
     std::uint32_t slots = 1;
     bool isLeaving = false;
     backend_incarnation incarnation;
+    // Until then the server has not warmed up since its start, and accepts few requests.
+    time_point coldUntil {};
 
     backend_instance instance() const { return { id, incarnation }; }
 };
--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -38,6 +38,11 @@
 // Part of the slots that returning callers, which were refused before, may fill; the rest is reserved for new ones.
 constexpr double maxReturningSlotShare = 0.8;
 
+bool isExcluded(const pick_request& request, const backend_server& server)
+{
+    return std::find(request.excluded.begin(), request.excluded.end(), server.instance()) != request.excluded.end();
+}
+
 duration jittered(duration base, std::minstd_rand& random)
 {
     return duration(static_cast<duration::rep>(
@@ -68,8 +73,12 @@
     m_backendsAt.clear();
     for (const auto& [id, state] : m_backends)
         m_backendsAt[state.server.address].push_back(id);
-    for (const auto& deployment : catalogue.deployments())
-        m_deployments[deployment.id].engine = deployment.engine;
+    for (const auto& deployment : catalogue.deployments()) {
+        auto& state = m_deployments[deployment.id];
+        state.engine = deployment.engine;
+        state.coldTime = deployment.coldTime;
+        state.coldRequestsPerSecond = deployment.coldRequestsPerSecond;
+    }
     for (auto& [key, monitor] : m_groups) {
         if (const auto& engine = m_deployments[key.deployment].engine)
             monitor.setFormTime(engine->formTime);
@@ -103,8 +112,12 @@
         return;
     for (const auto& id : listed->second) {
         auto& state = m_backends.at(id);
+        const auto listedIncarnation = state.server.incarnation;
         if (!enterIncarnation(state, report.incarnation))
             continue;
+        // The server has restarted under its name, and the list does not state yet how long it is cold.
+        if (state.server.incarnation != listedIncarnation && !listedIncarnation.isNone())
+            state.reportedColdUntil = now + m_deployments[state.server.deployment].coldTime;
         state.report = report;
         state.reportedAt = now;
         std::erase_if(state.unreportedSentAt, [&](time_point sent) { return sent + reportLag < now; });
@@ -266,9 +279,8 @@
     std::vector<backend_state*> notEjected;
     bool canAnyTake = false;
     for (auto& [id, state] : m_backends) {
-        const bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), state.server.instance())
-            != request.excluded.end();
-        if (!isServing(state, request.deployment, now) || isExcluded || now < state.replacedUntil)
+        if (!isServing(state, request.deployment, now) || isExcluded(request, state.server) || now < state.replacedUntil
+            || !mayStartOn(state, now))
             continue;
         all.push_back(&state);
         if (now < state.ejectedUntil)
@@ -281,6 +293,28 @@
     return canAnyTake ? notEjected : all;
 }
 
+// The gateways' first requests to a cold server are spread over the interval at random, so that all of them together
+// keep to the rate that it accepts, also those that cannot reach each other.
+duration backend_picker::coldInterval(const deployment_state& deployment) const
+{
+    return deployment.coldRequestsPerSecond > 0
+        ? fromMilliseconds(1000 * m_gatewayCount / deployment.coldRequestsPerSecond)
+        : duration::zero();
+}
+
+bool backend_picker::mayStartOn(backend_state& state, time_point now)
+{
+    if (!isCold(state, now)) {
+        state.nextColdSendAt.reset();
+        return true;
+    }
+    if (!state.nextColdSendAt) {
+        const auto interval = toMilliseconds(coldInterval(m_deployments[state.server.deployment]));
+        state.nextColdSendAt = now + fromMilliseconds(std::uniform_real_distribution<double>(0, interval)(m_random));
+    }
+    return now >= *state.nextColdSendAt;
+}
+
 refused_pick backend_picker::refuse(
     refusal_reason reason, duration wait, duration startLatency, const pick_request& request, time_point now)
 {
@@ -299,22 +333,28 @@
     const backend_state* first = nullptr;
     bool isAnyInUse = false;
     bool isAnyEvacuated = false;
+    auto reason = refusal_reason::BackingOff;
     for (const auto& [id, state] : m_backends) {
         if (state.server.deployment != request.deployment || state.server.isLeaving)
             continue;
         isAnyInUse = isAnyInUse || isInUse(state);
         isAnyEvacuated = isAnyEvacuated || !isInUse(state);
-        const auto until = m_notices.unavailableUntil(state.server.instance(), now);
-        if (!isInUse(state) || !until || *until >= openAt)
+        if (!isInUse(state))
+            continue;
+        const auto backoffEnd = m_notices.unavailableUntil(state.server.instance(), now);
+        const auto coldEnd = isExcluded(request, state.server) ? std::nullopt : state.nextColdSendAt;
+        const auto until = backoffEnd ? backoffEnd : coldEnd;
+        if (!until || *until >= openAt)
             continue;
         openAt = *until;
         first = &state;
+        reason = backoffEnd ? refusal_reason::BackingOff : refusal_reason::Cold;
     }
     if (!isAnyInUse && isAnyEvacuated)
         return refuse(refusal_reason::Evacuated, evacuationRetryTime, {}, request, now);
     if (!first)
         return refuse(refusal_reason::NoServers, registrationTime, {}, request, now);
-    auto refused = refuse(refusal_reason::BackingOff, openAt - now,
+    auto refused = refuse(reason, openAt - now,
         startLatencyAt(*first, m_deployments[request.deployment]), request, now);
     refused.expectedOpenAt = openAt;
     // A retry before the backoff ends would be refused again, so the time exceeds it even if callers do not wait that
@@ -472,6 +512,8 @@
             return tl::unexpected(
                 refuse(refusal_reason::Overloaded, predictedLatency, startLatencyAt(chosen, deployment), request, now));
     }
+    if (chosen.nextColdSendAt)
+        chosen.nextColdSendAt = now + coldInterval(deployment);
     return picked_backend { .server = chosen.server,
         .predictedLatency = predictedLatency,
         .load = load,
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -135,6 +135,10 @@
         std::vector<time_point> unreportedSentAt;
         std::uint32_t consecutiveBrokenExchanges = 0;
         time_point ejectedUntil {};
+        // End of the cold time of an incarnation that was reported before the list of servers stated it.
+        time_point reportedColdUntil {};
+        // While the server is cold: when this gateway may send it the next request.
+        std::optional<time_point> nextColdSendAt;
         time_point replacedUntil {};
         // Moving average; 1 if every request fails.
         double failureRate = 0;
@@ -143,6 +147,8 @@
     };
     struct deployment_state {
         std::optional<engine_model> engine;
+        duration coldTime {};
+        double coldRequestsPerSecond = 0;
         // Rate at which this gateway sends requests.
         double requestsPerSecond = 0;
         time_point lastSentAt {};
@@ -200,6 +206,14 @@
     bool isServing(const backend_state&, const deployment_id&, time_point now) const;
     // Returns the servers that the request may be sent to, leaving aside their groups and permits.
     std::vector<backend_state*> candidates(const pick_request&, time_point now);
+    bool isCold(const backend_state& state, time_point now) const
+    {
+        return now < std::max(state.server.coldUntil, state.reportedColdUntil);
+    }
+    // Returns the interval at which this gateway may send requests to a cold server of the deployment.
+    duration coldInterval(const deployment_state&) const;
+    // Returns whether the server is warm, or cold and this gateway may send it a request now.
+    bool mayStartOn(backend_state&, time_point now);
     // Refuses a request that has no candidates.
     refused_pick refuseForNoCandidates(const pick_request&, time_point now);
 
--- a/coltsfootbend/gateway/catalogue.h
+++ b/coltsfootbend/gateway/catalogue.h
@@ -95,6 +95,10 @@
     std::uint32_t maxConnections = 0;
     // Cost model of the engines; none for services without engines.
     std::optional<engine_model> engine;
+    // Time for which a server is cold after its start, and the rate of requests that a cold server accepts from all
+    // callers together; 0 if it accepts any rate.
+    duration coldTime {};
+    double coldRequestsPerSecond = 0;
 };
 
 // A customer whose requests are identified by a key.
--- a/coltsfootbend/gateway/pick.cpp
+++ b/coltsfootbend/gateway/pick.cpp
@@ -13,6 +13,8 @@
         return "group_down";
     case refusal_reason::GroupStalled:
         return "group_standing";
+    case refusal_reason::Cold:
+        return "servers_cold";
     case refusal_reason::BackingOff:
         return "servers_resting";
     case refusal_reason::Limited:
--- a/coltsfootbend/gateway/pick.h
+++ b/coltsfootbend/gateway/pick.h
@@ -33,6 +33,7 @@
     Evacuated, // All servers are in evacuated data centres.
     GroupDown, // The engines' group is broken; no engine can run the request now.
     GroupStalled, // The engines' group makes no passes: briefly, or because it is about to be reported as broken.
+    Cold, // All servers have just started, and this gateway's part of what they accept is used up.
     BackingOff, // All servers have asked for a backoff.
     Limited, // All servers have stated a limit, and it is used up.
     Overloaded, // The request could not be served in time.
@@ -84,7 +85,7 @@
     duration requestInterval {};
     // Time to the first event once a slot is free.
     duration startLatency {};
-    // If a group is broken or stalled, or servers back off: when the first one is expected to accept requests again.
+    // If a group is broken or stalled, or servers are cold or back off: when the first one is expected to accept requests again.
     time_point expectedOpenAt {};
 };
 
--- a/coltsfootbend/gateway/waiting_policy.cpp
+++ b/coltsfootbend/gateway/waiting_policy.cpp
@@ -36,7 +36,7 @@
     return limitIfLaterThan(request.isHeld ? now : now + refused.expectedWait, limit);
 }
 
-// Holds a request until servers in backoff accept requests again. They state when, so only a request that can still be
+// Holds a request until servers that are cold or in backoff accept requests again. It is known when, so only a request that can still be
 // served in time then is held; others are refused at once with a retry time.
 std::optional<time_point> holdForBackoff(const refused_pick& refused, const held_request& request, time_point now)
 {
@@ -77,6 +77,7 @@
         return holdForSlot(refused, request, now);
     case refusal_reason::Limited:
         return holdForPermit(refused, request, now);
+    case refusal_reason::Cold:
     case refusal_reason::BackingOff:
         return holdForBackoff(refused, request, now);
     case refusal_reason::GroupStalled:
