A deployment that starts calls the store less often

A single change is read as soon as before. One test waits for its agent to have read the store before it loses it, since the agent no longer does so at once. Result: store_following_test: agents that gateways report to make no call, four of them as well as one; 31 changes in three seconds cost at most five polls a table. While a deployment of engines has no server yet, in the first 10 s, polls go up to 2 s apart (agents 4 s) and checks to 5 s.

--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -70,6 +70,7 @@
         [this](peer_stream& stream, const wire::message&, const wire::deployment_inquiry&) {
             (void)stream.send(knowledge(), true);
         });
+    m_startingUntil = clock_type::now() + m_options.maxStartingTime;
     table_follower::owner& owner = *this;
     for (const auto name : { watched_table::Configuration, watched_table::BackendServers }) {
         m_followers[indexOf(name)]
@@ -201,9 +202,38 @@
         changed();
 }
 
+bool deployment_watch::isDeploymentStarting() const
+{
+    return m_wasStarting && clock_type::now() < m_startingUntil && !isEachDeploymentListed();
+}
+
+bool deployment_watch::isEachDeploymentListed() const
+{
+    if (!m_catalogue)
+        return false;
+    std::set<deployment_id> listed;
+    for (const auto& [id, server] : m_directory.servers())
+        listed.insert(server.deployment);
+    const auto& deployments = m_catalogue->deployments();
+    return std::all_of(deployments.begin(), deployments.end(),
+        [&](const auto& deployment) { return !deployment.engine || listed.contains(deployment.id); });
+}
+
+void deployment_watch::updateStarting()
+{
+    if (!m_wasStarting || isDeploymentStarting())
+        return;
+    m_wasStarting = false;
+    for (const auto& follower : m_followers) {
+        if (follower)
+            follower->onDeploymentStarted();
+    }
+}
+
 void deployment_watch::notifyChange(watched_table name)
 {
     m_updateHintReceivedAt.reset();
+    updateStarting();
     if (name == watched_table::BackendServers) {
         m_directory.removeIsolatedLapses(clock_type::now());
         for (const auto& changed : m_onServers)
@@ -446,10 +476,10 @@
         return copy.revision();
     };
     wire::deployment_reply reply;
-    reply.configurationRevision = append(watched_table::Configuration, asked.configurationRevision,
-        reply.configuration, reply.isConfigurationDifference);
-    reply.serversRevision = append(
-        watched_table::BackendServers, asked.serversRevision, reply.servers, reply.isServersDifference);
+    reply.configurationRevision = append(watched_table::Configuration, asked.configurationRevision, reply.configuration,
+        reply.isConfigurationDifference);
+    reply.serversRevision
+        = append(watched_table::BackendServers, asked.serversRevision, reply.servers, reply.isServersDifference);
     return reply;
 }
 
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -61,6 +61,8 @@
         // Time within which this process's own poll returns an update that other gateways know, its delay after a
         // change included. Later than that the poll is taken to be stalled.
         duration stalledPollDelay = std::chrono::milliseconds(500);
+        // Longest time after the start of this process within which a deployment without engines counts as starting.
+        duration maxStartingTime = std::chrono::seconds(10);
         // Data centre of this process.
         data_centre_id localDataCentre;
         // Peers known at the start; others are added at run time.
@@ -73,6 +75,9 @@
         {
             options chosen;
             chosen.store.pollDelay = std::chrono::seconds(1);
+            // Longer than a gateway takes to read the list of servers, from which it knows the agents, and to report.
+            chosen.store.initialWait = std::chrono::milliseconds(1000);
+            chosen.store.maxStartingPollDelay = std::chrono::seconds(4);
             // Agents follow the store while no gateway does, and there may be thousands of them.
             chosen.store.checkInterval = std::chrono::seconds(5);
             chosen.followsGateways = true;
@@ -141,6 +146,11 @@
     void storeRegained(watched_table) override;
     void storeChecked(watched_table) override;
     bool gatewaysFollowStore() const override;
+    bool isDeploymentStarting() const override;
+    // Returns whether a configuration is known, and each of its deployments of engines has a server.
+    bool isEachDeploymentListed() const;
+    // Notifies the followers when the deployment is no longer starting.
+    void updateStarting();
 
     // Replaces the copy of a table; a page older than the copy is dropped.
     void replaceTable(watched_table, row_page, const char* source);
@@ -172,6 +182,8 @@
     peer_service* m_peerService = nullptr;
     std::array<table_copy, 2> m_tables;
     std::array<std::unique_ptr<table_follower>, 2> m_followers;
+    time_point m_startingUntil {};
+    bool m_wasStarting = true;
     catalogue_ptr m_catalogue;
     std::set<data_centre_id> m_evacuated;
     backend_directory m_directory;
--- a/coltsfootbend/gateway/deployment_watch_test.cpp
+++ b/coltsfootbend/gateway/deployment_watch_test.cpp
@@ -209,7 +209,7 @@
         const endpoint gatewayAddress { "127.0.0.1", 27370 };
         auto& gateway = start(runtime, processes, gatewayAddress, {});
         auto& agent = start(runtime, processes, { "127.0.0.1", 27371 }, deployment_watch::options::forAgents());
-        runtime.sleepFor(100ms);
+        ASSERT_EQ(waitForVersion(runtime, agent, 1, 2s), 1U) << "it follows the store, as no gateway reports to it";
         agent.store.isRefusing = true;
         runtime.sleepFor(500ms);
         EXPECT_FALSE(agent.watch->isStoreAvailable());
--- a/coltsfootbend/gateway/store_following_test.cpp
+++ b/coltsfootbend/gateway/store_following_test.cpp
@@ -136,5 +136,57 @@
     });
 }
 
+// Guards against a start of a whole deployment in which every process polls the store after each registration: 1,045
+// processes made 15,800 calls before they received the first request.
+TEST(DeploymentWatch, AProcessWithoutADutyPollsASeriesOfChangesEverMoreSeldom)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        auto& gateway = start(runtime, processes, { "127.0.0.1", 27430 }, {});
+        waitForVersion(runtime, gateway, 1, 1s);
+        const int before = gateway.store.callCount;
+        for (std::uint64_t version = 2; version <= 31; ++version) {
+            gateway.store.version = version;
+            runtime.sleepFor(100ms);
+        }
+        constexpr int pollsOfATable = 5; // In three seconds: after 0, 0.6, 1.6 and 2.6 s, and one that is pending.
+        EXPECT_LE(gateway.store.callCount - before, 2 * pollsOfATable);
+        EXPECT_EQ(waitForVersion(runtime, gateway, 31, 1100ms), 31U) << "within a second of the last change";
+        runtime.sleepFor(1500ms);
+        gateway.store.version = 32;
+        EXPECT_EQ(waitForVersion(runtime, gateway, 32, 100ms), 32U) << "a single change is read at once";
+    });
+}
+
+// States the growth: agents that gateways report to from their start on cost the store nothing, however many there are.
+TEST(DeploymentWatch, AgentsThatStartBesideGatewaysDoNotCallTheStore)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        const endpoint gatewayAddress { "127.0.0.1", 27431 };
+        auto& gateway = start(runtime, processes, gatewayAddress, {});
+        std::vector<test_process*> agents;
+        for (std::uint16_t port = 27432; port < 27436; ++port)
+            agents.push_back(&start(runtime, processes, { "127.0.0.1", port }, deployment_watch::options::forAgents()));
+        const auto until = clock_type::now() + 4s;
+        while (clock_type::now() < until) {
+            for (auto* agent : agents)
+                agent->watch->receiveGatewayReport(gatewayAddress, gateway.watch->knowledge());
+            runtime.sleepFor(100ms);
+        }
+        for (const auto* agent : agents) {
+            EXPECT_EQ(agent->store.callCount, 0);
+            EXPECT_EQ(agent->version(), 1U) << "read from the gateway";
+        }
+    });
+}
+
+// An agent that receives no gateway's report reads the store soon.
+TEST(DeploymentWatch, AnAgentThatStartsAloneReadsTheStore)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        auto& agent = start(runtime, processes, { "127.0.0.1", 27436 }, deployment_watch::options::forAgents());
+        EXPECT_EQ(waitForVersion(runtime, agent, 1, 2500ms), 1U);
+    });
+}
+
 } // namespace
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/table_follower.cpp
+++ b/coltsfootbend/gateway/table_follower.cpp
@@ -27,6 +27,7 @@
     , m_owner(owner)
     , m_options(options)
     , m_retryDelay(options.initialRetryDelay)
+    , m_pollDelay(options.pollDelay)
 {
 }
 
@@ -47,8 +48,10 @@
 
 void table_follower::follow()
 {
+    awaitCopy();
     while (!m_stopped) {
-        if (m_hasSnapshot && (m_owner.gatewaysFollowStore() || isOnStandby())) {
+        const bool hasCopy = m_hasSnapshot || m_owner.revision(m_table) > 0;
+        if (hasCopy && (m_owner.gatewaysFollowStore() || isOnStandby())) {
             markRegained();
             m_runtime.sleepFor(stateCheckInterval);
             continue;
@@ -64,6 +67,13 @@
     }
 }
 
+void table_follower::awaitCopy()
+{
+    const auto limit = clock_type::now() + m_options.initialWait + jitter(m_options.initialWait / 2);
+    while (!m_stopped && m_owner.revision(m_table) == 0 && clock_type::now() < limit)
+        m_runtime.sleepFor(stateCheckInterval);
+}
+
 result<void> table_follower::readSnapshot()
 {
     const auto sentAt = clock_type::now();
@@ -114,7 +124,18 @@
         return;
     }
     if (m_hasSnapshot)
-        m_runtime.sleepFor(m_options.pollDelay);
+        m_runtime.sleepFor(nextPollDelay(call.sentAt));
+}
+
+duration table_follower::nextPollDelay(time_point pollSentAt)
+{
+    const bool isPrompt = clock_type::now() < pollSentAt + m_options.promptAnswerTime;
+    const auto longest = m_owner.isDeploymentStarting() ? m_options.maxStartingPollDelay : m_options.maxPollDelay;
+    if (m_duty == wire::store_duty::Unknown && isPrompt)
+        m_pollDelay = std::min(2 * m_pollDelay, std::max(longest, m_options.pollDelay));
+    else
+        m_pollDelay = m_options.pollDelay;
+    return m_pollDelay;
 }
 
 void table_follower::checkLoop()
@@ -217,11 +238,28 @@
             - jitter(m_options.dutyJitter / 2);
         break;
     case wire::store_duty::Unknown:
-        m_nextCheckAt = asOf + m_options.checkInterval + jitter(m_options.dutyJitter);
+        m_nextCheckAt = asOf + jitter(m_options.dutyJitter)
+            + (m_owner.isDeploymentStarting() ? m_options.startingCheckInterval : m_options.checkInterval);
         break;
     }
 }
 
+void table_follower::setDuty(wire::store_duty duty)
+{
+    const bool isFirst = m_duty == wire::store_duty::Unknown && duty != wire::store_duty::Unknown;
+    m_duty = duty;
+    if (isFirst)
+        limitNextCheck();
+}
+
+void table_follower::limitNextCheck()
+{
+    if (!m_confirmedAt)
+        return;
+    const time_point latest = clock_type::now() + m_options.checkInterval + jitter(m_options.dutyJitter);
+    m_nextCheckAt = std::min(m_nextCheckAt, latest);
+}
+
 void table_follower::markLost(const error& why)
 {
     if (m_lostSince)
--- a/coltsfootbend/gateway/table_follower.h
+++ b/coltsfootbend/gateway/table_follower.h
@@ -44,6 +44,8 @@
         virtual void storeChecked(watched_table) = 0;
         // Returns whether gateways follow the store on behalf of this process.
         virtual bool gatewaysFollowStore() const = 0;
+        // Returns whether the deployment is just starting, so that this process has nothing to serve yet.
+        virtual bool isDeploymentStarting() const = 0;
     };
 
     struct options {
@@ -54,6 +56,16 @@
         // Delay of the next poll after a change, so that a series of changes costs few calls. Well below the two
         // seconds within which a change must be in force.
         duration pollDelay = std::chrono::milliseconds(300);
+        // Longest delay of the next poll while this process's part in following the store is not known. The delay then
+        // doubles with each poll that is answered at once, because changes come faster than this process polls: when a
+        // whole deployment starts, every server registers, and every process follows the store.
+        duration maxPollDelay = std::chrono::milliseconds(1000);
+        // A poll that is answered within this time found a change that was there before.
+        duration promptAnswerTime = std::chrono::milliseconds(100);
+        // The same while the deployment is starting.
+        duration maxStartingPollDelay = std::chrono::milliseconds(2000);
+        // Time after the start within which a process waits for a gateway's copy instead of reading the store.
+        duration initialWait = duration::zero();
         // Timeout of a snapshot read, and of a call after the store was lost.
         duration readTimeout = std::chrono::milliseconds(1500);
         // Delay between two attempts while the store does not answer; it doubles with each attempt up to the maximum.
@@ -64,6 +76,8 @@
         // Time after the last confirmation from which on an unanswered poll is checked. Half of the two seconds within
         // which a change must be in force: the other half is for notifying the other processes.
         duration checkInterval = std::chrono::milliseconds(1000);
+        // The same while the deployment is starting: until engines are listed, gateways cannot share the checks.
+        duration startingCheckInterval = std::chrono::milliseconds(5000);
         // Timeout of a check; a slow store still answers within 0.2 s.
         duration checkTimeout = std::chrono::milliseconds(700);
         // Additional delay before a process without the check duty checks. Covers the query of the process that has the
@@ -91,7 +105,9 @@
     // clock. Without effect if the owner's copy is older than `revision`.
     void receiveConfirmation(store_revision revision, time_point asOf);
     // Sets this process's part in following the store.
-    void setDuty(wire::store_duty duty) { m_duty = duty; }
+    void setDuty(wire::store_duty);
+    // Called when the deployment is no longer starting, so that the table is checked at the usual interval.
+    void onDeploymentStarted() { limitNextCheck(); }
     // Returns whether other gateways follow the store for this process and have recently confirmed the owner's copy.
     // Without further confirmations the standby ends before the time within which a change must be in force.
     bool isOnStandby() const;
@@ -101,11 +117,16 @@
 
 private:
     void follow();
+    // Waits until the owner has received a copy from a gateway, but not for longer than `initialWait`.
+    void awaitCopy();
+    duration nextPollDelay(time_point pollSentAt);
     void checkLoop();
     result<void> readSnapshot();
     result<void> probeAfterLoss();
     void poll();
     void check();
+    // Moves the next check to within the usual interval if it is later.
+    void limitNextCheck();
     // A call for the changes of the table, with the state of the owner's copy when it was sent.
     struct changes_call {
         const char* name = "";
@@ -138,6 +159,7 @@
     std::optional<time_point> m_confirmedAt;
     time_point m_nextCheckAt = time_point::max();
     duration m_retryDelay;
+    duration m_pollDelay; // Of the last poll.
     // Cancels the pending poll; null when none is pending.
     cancellation* m_poll = nullptr;
     std::minstd_rand m_random { std::random_device {}() };
