Unused names, one comment, and tests that end when an address is in use

Cause: findings of the rewording that were open: names that nothing uses, a comment whose parts add up to another number than the constant, a word that a renaming had put into a sentence, and tests of processes that went on after a process had not started and then crashed. Change: group_envelope, bytesPerMessage and claim_snapshot_row's lifetime are removed; the comment says what the constant counts; such a test ends at once with the error. Result: no behaviour of the programs is changed by this commit.

--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -354,8 +354,8 @@
         return refuse(refusal_reason::Evacuated, evacuationRetryTime, {}, request, now);
     if (!first)
         return refuse(refusal_reason::NoServers, registrationTime, {}, request, now);
-    auto refused = refuse(reason, openAt - now,
-        startLatencyAt(*first, m_deployments[request.deployment]), request, now);
+    auto refused
+        = refuse(reason, openAt - now, startLatencyAt(*first, m_deployments[request.deployment]), request, now);
     refused.expectedOpenAt = openAt;
     // A retry before the backoff ends would be refused again, so the time exceeds it even if callers do not wait that
     // long. Jittered, so that callers do not retry at once.
--- a/coltsfootbend/gateway/cold_servers_test.cpp
+++ b/coltsfootbend/gateway/cold_servers_test.cpp
@@ -43,10 +43,7 @@
         data_centre_id("here"), 10, false, incarnation, coldUntil };
 }
 
-pick_request requestAt(time_point now)
-{
-    return { .deployment = llm, .latencyTarget = 500ms, .deadline = now + 8s };
-}
+pick_request requestAt(time_point now) { return { .deployment = llm, .latencyTarget = 500ms, .deadline = now + 8s }; }
 
 // Servers that start at the same moment, and gateways that do not reach each other and send as much as they may.
 struct cold_start_trial {
@@ -172,7 +169,8 @@
 // The agent beside a server reports its restart before the store lists it, or while the store is unavailable.
 TEST_F(cold_server_test, AServerThatRestartsUnderItsNameIsColdBeforeItIsListedAnew)
 {
-    m_picker.receiveReport({ "10.0.0.1", 80 }, { .incarnation = backend_incarnation(2), .pace = 1, .isOpen = true }, m_now);
+    m_picker.receiveReport(
+        { "10.0.0.1", 80 }, { .incarnation = backend_incarnation(2), .pace = 1, .isOpen = true }, m_now);
     EXPECT_LE(sentInOneSecond(m_now), 1);
     EXPECT_EQ(sentInOneSecond(m_now + coldTime), 100);
 }
@@ -180,7 +178,8 @@
 // The list still states the earlier incarnation, which was warm.
 TEST_F(cold_server_test, AnOlderRegistrationDoesNotMakeARestartedServerWarm)
 {
-    m_picker.receiveReport({ "10.0.0.1", 80 }, { .incarnation = backend_incarnation(2), .pace = 1, .isOpen = true }, m_now);
+    m_picker.receiveReport(
+        { "10.0.0.1", 80 }, { .incarnation = backend_incarnation(2), .pace = 1, .isOpen = true }, m_now);
     list(makeServer(1, backend_incarnation(1), m_now));
     EXPECT_LE(sentInOneSecond(m_now), 1);
 }
--- a/coltsfootbend/gateway/deployment_test_support.h
+++ b/coltsfootbend/gateway/deployment_test_support.h
@@ -11,6 +11,7 @@
 #include "coltsfootbend/gateway/deployment_watch.h"
 #include "coltsfootbend/group/load_subscribers.h"
 
+#include <cstdlib>
 #include <gtest/gtest.h>
 #include <map>
 #include <set>
@@ -144,7 +145,12 @@
             std::make_unique<version_decoder>(), std::move(options));
         watch = made.get();
         core.add(std::move(made));
-        EXPECT_TRUE(core.start());
+        const auto started = core.start();
+        if (!started) {
+            ADD_FAILURE() << toString(address) << ": " << toString(started.error());
+            // The services of this process do not exist, and the fibers of the others cannot be ended from here.
+            std::_Exit(EXIT_FAILURE);
+        }
     }
 
     // Returns the version of the configuration that the process knows; 0 without one.
--- a/coltsfootbend/gateway/evacuation_test.cpp
+++ b/coltsfootbend/gateway/evacuation_test.cpp
@@ -28,10 +28,7 @@
         }
     }
 
-    void exchangeFor(duration length)
-    {
-        exchangeKnowledge(runtime, processes, addresses, clock_type::now() + length);
-    }
+    void exchangeFor(duration length) { exchangeKnowledge(runtime, processes, addresses, clock_type::now() + length); }
 
     // Writes or removes the evacuation of `dataCentre` in the stores of all gateways.
     void setEvacuated(const data_centre_id& dataCentre, bool isEvacuated)
@@ -47,8 +44,7 @@
     duration timeUntilKnown(const data_centres& expected, std::size_t first, duration limit)
     {
         const auto startedAt = clock_type::now();
-        const auto isKnown
-            = [&](const auto& process) { return process->watch->evacuated() == expected; };
+        const auto isKnown = [&](const auto& process) { return process->watch->evacuated() == expected; };
         while (!std::all_of(processes.begin() + static_cast<std::ptrdiff_t>(first), processes.end(), isKnown)
             && clock_type::now() < startedAt + limit)
             exchangeFor(50ms);
@@ -124,7 +120,8 @@
         started.store.version = 2;
         started.store.evacuations["there"] = true;
         bool wasKnown = false;
-        started.watch->onCatalogue([&](const catalogue_ptr&) { wasKnown = started.watch->evacuated().contains(there); });
+        started.watch->onCatalogue(
+            [&](const catalogue_ptr&) { wasKnown = started.watch->evacuated().contains(there); });
         ASSERT_EQ(waitForVersion(runtime, started, 2, 2s), 2U);
         EXPECT_TRUE(wasKnown);
     });
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -43,7 +43,8 @@
     void serveCaller(const byte_stream_ptr&);
     // Responds to requests for readiness and metrics.
     void serveHealth(const http_request&, http_responder&) const;
-    // Subscribes to the load of the used engines, and reports to their agents what this gateway knows of the deployment.
+    // Subscribes to the load of the used engines, and reports to their agents what this gateway knows of the
+    // deployment.
     void subscribeLoop();
     // Receives the agents' datagrams.
     void receiveLoop();
--- a/coltsfootbend/gateway/pass_model.cpp
+++ b/coltsfootbend/gateway/pass_model.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// Passes to a first event once a slot is free: half a pass until the request joins one, one to process the prompt, one
-// to answer.
+// Passes at full slots to a first event once a slot is free. The request waits half a pass, and takes one for its
+// prompt and one for the first event; with a free slot these two and a half passes are as long as two at full slots.
 constexpr double passesToFirstEvent = 2.0;
 // Upper bound of the mean pass as a part of the pause that callers accept: single passes exceed the mean.
 constexpr double maxPassShareOfGap = 0.9;
--- a/coltsfootbend/gateway/permit_network.cpp
+++ b/coltsfootbend/gateway/permit_network.cpp
@@ -9,8 +9,8 @@
 
 namespace coltsfootbend {
 
-permit_network::permit_network(fiber_runtime& runtime, vm_id self, backend_notices& notices,
-    agent_directory& agents, datagram_socket& socket)
+permit_network::permit_network(
+    fiber_runtime& runtime, vm_id self, backend_notices& notices, agent_directory& agents, datagram_socket& socket)
     : m_self(std::move(self))
     , m_notices(notices)
     , m_agents(agents)
--- a/coltsfootbend/gateway/pick.h
+++ b/coltsfootbend/gateway/pick.h
@@ -85,7 +85,8 @@
     duration requestInterval {};
     // Time to the first event once a slot is free.
     duration startLatency {};
-    // If a group is broken or stalled, or servers are cold or back off: when the first one is expected to accept requests again.
+    // If a group is broken or stalled, or servers are cold or back off: when the first one is expected to accept
+    // requests again.
     time_point expectedOpenAt {};
 };
 
--- a/coltsfootbend/gateway/server_subset.cpp
+++ b/coltsfootbend/gateway/server_subset.cpp
@@ -41,8 +41,7 @@
     sortByRank(local);
     sortByRank(remote);
     const auto size = options.localCount + options.remoteCount;
-    const auto localCount
-        = std::min(local.size(), std::max(options.localCount, size - std::min(size, remote.size())));
+    const auto localCount = std::min(local.size(), std::max(options.localCount, size - std::min(size, remote.size())));
     const auto remoteCount = std::min(remote.size(), size - localCount);
     std::map<backend_id, backend_server> chosen;
     for (std::size_t i = 0; i < localCount; ++i)
--- a/coltsfootbend/gateway/server_subset_test.cpp
+++ b/coltsfootbend/gateway/server_subset_test.cpp
@@ -104,8 +104,8 @@
     EXPECT_EQ(kept, 31);
 }
 
-// Requests of each gateway flow to the reachable servers of its subset that have the least load, until no flow moves any
-// more. Returns the load of the busiest server over the mean.
+// Requests of each gateway flow to the reachable servers of its subset that have the least load, until no flow moves
+// any more. Returns the load of the busiest server over the mean.
 double busiestOverMean(const std::vector<int>& gateways, const server_list& servers,
     const std::function<bool(const backend_server&)>& isReachable)
 {
@@ -176,8 +176,8 @@
     std::vector<int> gateways;
     for (int gateway = 2; gateway < 529; gateway += dataCentres)
         gateways.push_back(gateway);
-    EXPECT_LE(busiestOverMean(gateways, servers,
-                  [](const backend_server& server) { return server.dataCentre == dataCentre(2); }),
+    EXPECT_LE(busiestOverMean(
+                  gateways, servers, [](const backend_server& server) { return server.dataCentre == dataCentre(2); }),
         1.15);
 }
 
--- a/coltsfootbend/gateway/used_servers.cpp
+++ b/coltsfootbend/gateway/used_servers.cpp
@@ -15,9 +15,8 @@
         servers.emplace(id, server);
     }
     const subset_options options { .gateway = m_gateway, .localDataCentre = m_localDataCentre };
-    const auto isUsable = [&](const backend_server& server) {
-        return !server.isLeaving && !evacuated.contains(server.dataCentre);
-    };
+    const auto isUsable
+        = [&](const backend_server& server) { return !server.isLeaving && !evacuated.contains(server.dataCentre); };
     std::set<endpoint> listedAddresses;
     std::set<endpoint> addresses;
     for (const auto& [deployment, servers] : engines) {
--- a/coltsfootbend/gateway/waiting_policy.cpp
+++ b/coltsfootbend/gateway/waiting_policy.cpp
@@ -36,8 +36,8 @@
     return limitIfLaterThan(request.isHeld ? now : now + refused.expectedWait, limit);
 }
 
-// Holds a request until servers that are cold or in backoff accept requests again. It is known when, so only a request that can still be
-// served in time then is held; others are refused at once with a retry time.
+// Holds a request until servers that are cold or in backoff accept requests again. It is known when, so only a request
+// that can still be served in time then is held; others are refused at once with a retry time.
 std::optional<time_point> holdForBackoff(const refused_pick& refused, const held_request& request, time_point now)
 {
     const auto limit = std::min(request.deadline,
--- a/coltsfootbend/group/map_messages.h
+++ b/coltsfootbend/group/map_messages.h
@@ -91,12 +91,4 @@
 };
 using rank_message = std::variant<map_loaded, switch_promised, switch_applied, switch_refused>;
 
-// Addresses a message to or from one rank. Both sides ignore messages of another incarnation of the group.
-template <typename Body> struct group_envelope {
-    group_id group;
-    incarnation groupIncarnation;
-    rank_number rank = 0; // Rank that sends the message or is addressed by it.
-    Body body;
-};
-
 } // namespace coltsfootbend
--- a/coltsfootbend/request/claim_ledger.cpp
+++ b/coltsfootbend/request/claim_ledger.cpp
@@ -125,8 +125,7 @@
             .holder = known.holder,
             .closedThrough = known.closedThrough,
             .closed = known.closed,
-            .bodyHash = known.bodyHash,
-            .remainingLifetime = known.expiresAt - now });
+            .bodyHash = known.bodyHash });
     }
     return rows;
 }
--- a/coltsfootbend/request/claim_ledger.h
+++ b/coltsfootbend/request/claim_ledger.h
@@ -66,15 +66,14 @@
     std::optional<claim_holder> holder;
 };
 
-// One key in a snapshot. `remainingLifetime`, the time until its expiry, is a duration because the clocks of two
-// processes differ.
+// One key in a snapshot. States no expiry: the time between the two incarnations is unknown, so each key has a full
+// lifetime after it is restored.
 struct claim_snapshot_row {
     customer_key key;
     std::optional<claim_holder> holder;
     std::uint32_t closedThrough = 0;
     bool closed = false;
     std::uint64_t bodyHash = 0;
-    duration remainingLifetime {};
 };
 
 // Represents the claims of the keys whose home is one worker daemon.
--- a/coltsfootbend/worker/worker_service.cpp
+++ b/coltsfootbend/worker/worker_service.cpp
@@ -22,7 +22,6 @@
 constexpr std::chrono::milliseconds expireInterval { 10 };
 constexpr std::chrono::seconds platformTimeout { 3 };
 constexpr std::chrono::seconds controlTimeout { 1 };
-constexpr std::size_t bytesPerMessage = std::size_t { 64 } * 1024;
 
 std::uint64_t inMicroseconds(duration value)
 {
