Whole tables are sent to few peers at once

Cause: a process held a copy of the whole table for each of the processes that read it at the same time. Change: at most eight replies with whole tables are sent at once; others wait, and are dropped when the peer has given up. Differences do not wait. A reply to a peer that has stopped reading no longer counts after the peer's timeout. Result: PeerReading.WholeTablesAreSentToFewPeersAtOnce: 20 readers, at most 8 replies.

--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -20,6 +20,8 @@
 // Allows for many routes over the link of an agent that serves other readers too: a shorter timeout would restart such
 // a read again and again. An unresponsive peer uses up this much of the time within which an update must be in force.
 constexpr std::chrono::milliseconds peerReadTimeout { 2500 };
+// Interval at which a reply that waits for others checks whether it may be sent.
+constexpr std::chrono::milliseconds replyPollInterval { 10 };
 // Confirmations older than this are ignored.
 constexpr std::uint64_t maxReportedAgeMs = 60'000;
 
@@ -64,7 +66,7 @@
         return tl::unexpected(metrics.error());
     m_peerService->on<wire::deployment_request>(
         [this](peer_stream& stream, const wire::message&, const wire::deployment_request& asked) {
-            (void)stream.send(replyTo(asked), true);
+            serveTables(stream, asked);
         });
     m_peerService->on<wire::deployment_inquiry>(
         [this](peer_stream& stream, const wire::message&, const wire::deployment_inquiry&) {
@@ -462,6 +464,40 @@
     decodeChanges(name, page.rows);
 }
 
+bool deployment_watch::needsSnapshot(const wire::deployment_request& asked) const
+{
+    const auto isWhole = [&](watched_table name, store_revision since) {
+        const auto& copy = table(name);
+        return copy.revision() > since && !(asked.acceptsDifferences && copy.knowsChangesSince(since));
+    };
+    return isWhole(watched_table::Configuration, asked.configurationRevision)
+        || isWhole(watched_table::BackendServers, asked.serversRevision);
+}
+
+// A reply to a peer that has stopped reading does not count any more once the peer's timeout has passed.
+bool deployment_watch::maySendSnapshot(time_point now) const
+{
+    const auto firstCounted = m_snapshotRepliesSince.upper_bound(now - peerReadTimeout);
+    return static_cast<std::size_t>(std::distance(firstCounted, m_snapshotRepliesSince.end())) < maxSnapshotReplies;
+}
+
+void deployment_watch::serveTables(peer_stream& stream, const wire::deployment_request& asked)
+{
+    if (!needsSnapshot(asked)) {
+        (void)stream.send(replyTo(asked), true);
+        return;
+    }
+    const auto limit = clock_type::now() + peerReadTimeout;
+    while (!maySendSnapshot(clock_type::now())) {
+        if (m_stopped || clock_type::now() >= limit)
+            return; // The peer has given up by now.
+        m_runtime.sleepFor(replyPollInterval);
+    }
+    const auto reply = m_snapshotRepliesSince.insert(clock_type::now());
+    (void)stream.send(replyTo(asked), true);
+    m_snapshotRepliesSince.erase(reply);
+}
+
 wire::deployment_reply deployment_watch::replyTo(const wire::deployment_request& asked) const
 {
     // Appends a table to the reply. Returns its revision; 0 if the requester's copy is as recent.
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -124,6 +124,12 @@
     // Returns what this process reports to others.
     wire::deployment_knowledge knowledge() const;
     const std::set<endpoint>& peers() const { return m_peers; }
+    // Returns the number of replies with whole tables that are being sent to peers.
+    std::size_t snapshotReplies() const { return m_snapshotRepliesSince.size(); }
+
+    // Largest number of such replies at once. A table can have thousands of rows, and a reply is held in memory until
+    // the peer has read it.
+    static constexpr std::size_t maxSnapshotReplies = 8;
 
 private:
     static std::size_t indexOf(watched_table table) { return static_cast<std::size_t>(table); }
@@ -174,6 +180,11 @@
     // Decodes changed rows and notifies the owners of the callbacks. The copy holds the rows already.
     void decodeChanges(watched_table, const std::vector<watched_row>&);
     wire::deployment_reply replyTo(const wire::deployment_request&) const;
+    // Sends the tables that the peer requests. A reply with a whole table waits while too many others are being sent.
+    void serveTables(peer_stream&, const wire::deployment_request&);
+    // Returns whether the reply contains a whole table.
+    bool needsSnapshot(const wire::deployment_request&) const;
+    bool maySendSnapshot(time_point now) const;
 
     fiber_runtime& m_runtime;
     const std::unique_ptr<watched_store> m_store;
@@ -194,6 +205,7 @@
     std::optional<time_point> m_behindSince;
     std::optional<time_point> m_configurationReadAt;
     std::optional<endpoint> m_peerBeingRead; // The peer that is being read.
+    std::multiset<time_point> m_snapshotRepliesSince; // Start times of the replies that are being sent.
     // Time of the first hint of newer state since the last change.
     std::optional<time_point> m_updateHintReceivedAt;
     std::vector<std::function<void(const catalogue_ptr&)>> m_onCatalogue;
--- a/coltsfootbend/gateway/peer_reading_test.cpp
+++ b/coltsfootbend/gateway/peer_reading_test.cpp
@@ -1,5 +1,7 @@
 #include "coltsfootbend/gateway/deployment_test_support.h"
 
+#include <algorithm>
+
 namespace coltsfootbend {
 namespace {
 
@@ -69,6 +71,39 @@
     });
 }
 
+// Guards against a process that holds a copy of the whole table in memory for each of the processes that read it at the
+// same time: states that the number is bounded, whatever the number of readers.
+TEST(PeerReading, WholeTablesAreSentToFewPeersAtOnce)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        const endpoint source { "127.0.0.1", 27440 };
+        auto& gateway = start(runtime, processes, source, {});
+        gateway.store.padding = std::string(largeConfiguration, ' ');
+        gateway.store.version = 2;
+        ASSERT_EQ(waitForVersion(runtime, gateway, 2, 2s), 2U);
+        constexpr std::uint16_t readers = 20;
+        std::vector<test_process*> started;
+        for (std::uint16_t i = 1; i <= readers; ++i)
+            started.push_back(&start(runtime, processes, { "127.0.0.1", static_cast<std::uint16_t>(27440 + i) },
+                deployment_watch::options::forAgents()));
+        std::size_t most = 0;
+        const auto areAllRead = [&] {
+            return std::all_of(
+                started.begin(), started.end(), [](const auto* process) { return process->version() == 2; });
+        };
+        const auto until = clock_type::now() + 5s;
+        for (auto* process : started)
+            process->watch->receiveGatewayReport(source, gateway.watch->knowledge());
+        while (!areAllRead() && clock_type::now() < until) {
+            most = std::max(most, gateway.watch->snapshotReplies());
+            runtime.sleepFor(1ms);
+        }
+        EXPECT_TRUE(areAllRead());
+        EXPECT_GE(most, 1U);
+        EXPECT_LE(most, deployment_watch::maxSnapshotReplies);
+    });
+}
+
 // A peer with a slow link. Guards against a timeout that is shorter than its answer takes: each read would be abandoned
 // shortly before its end and would start again.
 class slow_peer {
--- a/coltsfootbend/gateway/table_copy.cpp
+++ b/coltsfootbend/gateway/table_copy.cpp
@@ -93,7 +93,7 @@
 
 std::optional<row_page> table_copy::changesSince(store_revision since) const
 {
-    if (since == 0 || since < m_removalsKnownSince)
+    if (!knowsChangesSince(since))
         return std::nullopt;
     row_page page { {}, m_revision };
     for (const auto& [key, row] : m_rows) {
--- a/coltsfootbend/gateway/table_copy.h
+++ b/coltsfootbend/gateway/table_copy.h
@@ -53,6 +53,8 @@
 
     // Returns all rows.
     row_page snapshot() const;
+    // Returns whether all changes and removals since `since` are known.
+    bool knowsChangesSince(store_revision since) const { return since > 0 && since >= m_removalsKnownSince; }
     // Returns the rows changed or removed since `since`. None if rows may have been removed that are not known any
     // more, so that the other process needs a snapshot. O(rows).
     std::optional<row_page> changesSince(store_revision since) const;
