Agents rely on gateways that are on standby as on those that follow the store

Cause: an agent calls the store itself unless a gateway that follows the store reports to it. Change: a gateway reports that it is on standby, which it is only while others follow the store and confirm its tables; an agent relies on that as well. A gateway that has lost the store is not on standby. Result: DeploymentWatch.AnAgentOfStandbyGatewaysDoesNotCallTheStore...: no call in 3 s of such reports, calls when they are no longer on standby. Not measured on the fleet in full yet.

--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -305,7 +305,8 @@
     return { .configuration = confirmation(watched_table::Configuration),
         .servers = confirmation(watched_table::BackendServers),
         .isServed = hasServerList() && isStoreAvailable() && !m_options.followsGateways && !isOnStandby(),
-        .dataCentre = m_options.localDataCentre.text() };
+        .dataCentre = m_options.localDataCentre.text(),
+        .isOnStandby = hasServerList() && isOnStandby() };
 }
 
 wire::store_confirmation deployment_watch::confirmation(watched_table name) const
@@ -333,7 +334,7 @@
 {
     addPeer(peer);
     const auto now = clock_type::now();
-    if (knowledge.isServed)
+    if (knowledge.isServed || knowledge.isOnStandby)
         m_lastFollowerReportAt = now;
     if (!gatewaysFollowStore())
         return;
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -199,7 +199,7 @@
     std::set<data_centre_id> m_evacuated;
     backend_directory m_directory;
     std::set<endpoint> m_peers;
-    // Time of the last report from a gateway that follows the store.
+    // Time of the last report from a gateway that follows the store, or on whose behalf another one does.
     std::optional<time_point> m_lastFollowerReportAt;
     // Since when gateways have reported newer state than this process has.
     std::optional<time_point> m_behindSince;
--- a/coltsfootbend/gateway/store_following_test.cpp
+++ b/coltsfootbend/gateway/store_following_test.cpp
@@ -179,6 +179,31 @@
     });
 }
 
+// In a large deployment an agent receives reports from a part of the gateways, which may all be on standby. A
+// gateway is on standby only while others follow the store and confirm its tables.
+TEST(DeploymentWatch, AnAgentOfStandbyGatewaysDoesNotCallTheStoreWhileTheyAreOnStandby)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        const endpoint gatewayAddress { "127.0.0.1", 27437 };
+        auto& gateway = start(runtime, processes, gatewayAddress, {});
+        auto& agent = start(runtime, processes, { "127.0.0.1", 27438 }, deployment_watch::options::forAgents());
+        const auto reportFor = [&](duration length, bool isOnStandby) {
+            const auto until = clock_type::now() + length;
+            while (clock_type::now() < until) {
+                auto knowledge = gateway.watch->knowledge();
+                knowledge.isServed = false;
+                knowledge.isOnStandby = isOnStandby;
+                agent.watch->receiveGatewayReport(gatewayAddress, knowledge);
+                runtime.sleepFor(100ms);
+            }
+        };
+        reportFor(3s, true);
+        EXPECT_EQ(agent.store.callCount, 0);
+        reportFor(3s, false);
+        EXPECT_GT(agent.store.callCount, 0);
+    });
+}
+
 // An agent that receives no gateway's report reads the store soon.
 TEST(DeploymentWatch, AnAgentThatStartsAloneReadsTheStore)
 {
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -113,7 +113,7 @@
 static auto fieldsOf(store_confirmation& value) { return std::tie(value.revision, value.ageMs); }
 static auto fieldsOf(deployment_knowledge& value)
 {
-    return std::tie(value.configuration, value.servers, value.isServed, value.dataCentre);
+    return std::tie(value.configuration, value.servers, value.isServed, value.dataCentre, value.isOnStandby);
 }
 static auto fieldsOf(load_subscribe& value) { return std::tie(value.knows); }
 static auto fieldsOf(server_limit& value)
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -299,6 +299,7 @@
     store_confirmation servers;
     bool isServed = false; // The process follows the store itself, and the store answers it.
     std::string dataCentre;
+    bool isOnStandby = false; // Other gateways follow the store for the process and have recently confirmed its tables.
 };
 
 // Gateway to rank agent, as a datagram: subscribes to the load of its engine for a limited time.
