--- a/coltsfootbend/gateway/agent_directory.cpp
+++ b/coltsfootbend/gateway/agent_directory.cpp
@@ -76,7 +76,7 @@
 
 std::optional<endpoint> agent_directory::issuerFor(const backend_server& server, time_point now)
 {
-    const auto issuer = chooseIssuer(server, now);
+    auto issuer = chooseIssuer(server, now);
     if (issuer)
         m_issuerUntil[*issuer] = now + issuerInterest;
     return issuer;
