--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -118,7 +118,8 @@
 static auto fieldsOf(load_subscribe& value) { return std::tie(value.knows); }
 static auto fieldsOf(server_limit& value)
 {
-    return std::tie(value.server, value.serverIncarnation, value.perSecond, value.isNamed, value.ageMs);
+    return std::tie(
+        value.server, value.serverIncarnation, value.perSecond, value.isNamed, value.ageMs, value.issuingForMs);
 }
 static auto fieldsOf(permit_request& value) { return std::tie(value.limit, value.requestsPermit, value.serial); }
 static auto fieldsOf(permit_reply& value)
@@ -287,6 +288,8 @@
 namespace {
 
 constexpr std::uint32_t envelopeFields = 5;
+// Maximum number of items in each array of a message.
+constexpr std::size_t maxItemsOfArray = 65'536;
 // Initial size of a decoder's buffer. Most messages are short and a process may decode a hundred streams at once, for
 // which the library's default of 64 KiB each is wasteful.
 constexpr std::size_t firstBufferBytes = 4096;
@@ -297,11 +300,11 @@
         "Check that both processes are of versions that can talk, and that the port is the right one");
 }
 
-msgpack::unpack_limit limits(std::size_t maxMessageBytes)
+// Limits the memory that the header of an array, a map or a text can request before its content has arrived.
+msgpack::unpack_limit limits(std::size_t maxItems, std::size_t maxBytes)
 {
-    constexpr std::size_t maxItems = 65'536;
     constexpr std::size_t maxDepth = 8;
-    return { maxItems, maxItems, maxMessageBytes, maxMessageBytes, maxMessageBytes, maxDepth };
+    return { maxItems, maxItems, maxBytes, maxBytes, maxBytes, maxDepth };
 }
 
 } // namespace
@@ -321,7 +324,7 @@
 
 struct message_decoder::unpacker {
     explicit unpacker(std::size_t maxMessageBytes)
-        : stream(nullptr, nullptr, firstBufferBytes, limits(maxMessageBytes))
+        : stream(nullptr, nullptr, firstBufferBytes, limits(maxItemsOfArray, maxMessageBytes))
     {
     }
     msgpack::unpacker stream;
@@ -378,7 +381,10 @@
 result<std::vector<claim_snapshot_row>> decodeLedger(std::string_view bytes)
 {
     try {
-        return msgpack::unpack(bytes.data(), bytes.size()).get().as<std::vector<claim_snapshot_row>>();
+        // Each item takes at least one byte, so no valid snapshot exceeds these limits.
+        return msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limits(bytes.size(), bytes.size()))
+            .get()
+            .as<std::vector<claim_snapshot_row>>();
     } catch (const std::exception& exception) {
         return badMessage(exception.what());
     }
--- a/coltsfootbend/wire/codec_test.cpp
+++ b/coltsfootbend/wire/codec_test.cpp
@@ -108,6 +108,16 @@
     EXPECT_TRUE(back->at(0).closed);
 }
 
+// Guards against the allocation of what a header claims, 96 GiB here, before the content has been read.
+TEST(Codec, ALedgerThatClaimsMoreRowsThanItHasBytesIsRefused)
+{
+    const std::string claimsAllRows("\xdd\xff\xff\xff\xff", 5);
+    const auto rows = wire::decodeLedger(claimsAllRows);
+    ASSERT_FALSE(rows);
+    EXPECT_EQ(rows.error().kind, error_kind::BadInput);
+    EXPECT_NE(rows.error().message.find("array size overflow"), std::string::npos) << rows.error().message;
+}
+
 wire::relayed_order relayedArm()
 {
     wire::relayed_order relayed;
