A peer service that has stopped runs no handler

Callers: none are known to have been hit, because a process destroys its services only when it ends. Cause: peer_service::stop closed its listener and left the accepted connections open. Their fibers, and the handlers that they run, refer to the service and went on after its destruction. Change: stop closes the accepted connections and blocks its fiber until no fiber serves one of them.

--- a/coltsfootbend/wire/peer.cpp
+++ b/coltsfootbend/wire/peer.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::size_t maxMessageBytes = std::size_t { 72 } * 1024 * 1024;
 constexpr std::chrono::seconds firstMessageLimit { 10 };
+constexpr std::chrono::milliseconds stopCheckInterval { 1 };
 constexpr const char* streamPath = "/messages";
 
 error streamEnded()
@@ -139,10 +140,7 @@
     if (!m_options.address)
         return {};
     auto opened = listener::open(m_runtime, { .address = *m_options.address, .tls = m_options.serverTls },
-        [this](const byte_stream_ptr& connection) {
-            h2_connection::serve(
-                m_runtime, connection, [this](const std::string&, const h2_stream_ptr& stream) { serve(stream); });
-        });
+        [this](const byte_stream_ptr& connection) { serveConnection(connection); });
     if (!opened)
         return tl::unexpected(opened.error());
     m_listener = *opened;
@@ -151,8 +149,34 @@
 
 void peer_service::stop()
 {
-    if (m_listener)
-        m_listener->close();
+    if (!m_listener)
+        return;
+    m_listener->close();
+    // Connections whose TLS handshake is not complete are not in `m_accepted` yet; the listener counts them.
+    while (closeConnections() || m_listener->connections() > 0)
+        m_runtime.sleepFor(stopCheckInterval);
+}
+
+void peer_service::serveConnection(const byte_stream_ptr& stream)
+{
+    std::erase_if(m_accepted, [](const auto& connection) { return connection.expired(); });
+    const auto connection = std::make_shared<accepted_connection>(accepted_connection { stream });
+    m_accepted.push_back(connection);
+    h2_connection::serve(m_runtime, stream,
+        // The handler exists as long as a fiber serves the connection or one of its streams, and so does `connection`.
+        [this, connection](const std::string&, const h2_stream_ptr& opened) { serve(opened); });
+}
+
+bool peer_service::closeConnections()
+{
+    bool isServing = false;
+    for (const auto& accepted : m_accepted) {
+        if (const auto connection = accepted.lock()) {
+            connection->stream->close();
+            isServing = true;
+        }
+    }
+    return isServing;
 }
 
 void peer_service::serve(const h2_stream_ptr& opened)
--- a/coltsfootbend/wire/peer.h
+++ b/coltsfootbend/wire/peer.h
@@ -15,7 +15,9 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace coltsfootbend {
 
@@ -77,7 +79,8 @@
     std::uint64_t m_bytesOfClosed = 0;
 };
 
-// Accepts streams from other processes and dispatches them to the registered handlers.
+// Accepts streams from other processes and dispatches them to the registered handlers. Must be stopped before it is
+// destroyed, because the fibers that serve streams refer to it.
 class peer_service final : public service {
 public:
     struct options {
@@ -90,6 +93,7 @@
 
     std::string_view name() const override { return "peers"; }
     result<void> start(kernel&) override;
+    // Closes the listener and all accepted connections, and blocks the calling fiber until no handler runs.
     void stop() override;
 
     // Registers the handler of streams that begin with a `Message`. Call before `start` of the process ends.
@@ -105,7 +109,15 @@
     peer_identity& identity() { return m_identity; }
 
 private:
+    // An accepted connection, owned by the fibers that serve it.
+    struct accepted_connection {
+        byte_stream_ptr stream;
+    };
+
+    void serveConnection(const byte_stream_ptr&);
     void serve(const h2_stream_ptr&);
+    // Closes the accepted connections. Returns whether a fiber still serves one of them.
+    bool closeConnections();
 
     fiber_runtime& m_runtime;
     peer_identity m_identity;
@@ -113,6 +125,7 @@
     peer_client m_client;
     std::unordered_map<std::size_t, std::function<void(peer_stream&, const wire::message&)>> m_handlers;
     std::shared_ptr<listener> m_listener;
+    std::vector<std::weak_ptr<accepted_connection>> m_accepted;
 };
 
 // Returns the message that reports `error` to a peer.
