Tests of the crash verifier end their fibers and their thread

Cause: checkServer detached a thread that kept listening for the next test, and that referred to a promise on the stack of the finished one. Change: the services are stopped, the connections closed, all fibers awaited and the thread joined. Checks are unchanged, and that no fiber remains is checked too.

--- a/coltsfootbend/gateway/crash_verifier_test.cpp
+++ b/coltsfootbend/gateway/crash_verifier_test.cpp
@@ -2,7 +2,6 @@
 
 #include "coltsfootbend/metrics/metrics.h"
 
-#include <future>
 #include <gtest/gtest.h>
 #include <optional>
 #include <thread>
@@ -24,17 +23,16 @@
     int asked = 0;
 };
 
-// Runs the check against a server that listens or not, with one agent that answers `finding`, if given.
+// Runs the check against a server that listens or not, with one agent that answers `finding`, if given. Returns when
+// all fibers have ended, so that the next test of the same process can use the agent's address.
 check_result checkServer(
     bool isListening, std::optional<wire::port_finding> finding, const std::vector<endpoint>& agents)
 {
-    std::promise<check_result> result;
+    check_result result;
     std::thread([&] {
-        // Not deleted: fibers of the services run until the process ends.
-        auto& runtime = *new fiber_runtime;
+        fiber_runtime runtime;
+        kernel core;
         runtime.spawn([&] {
-            int asked = 0;
-            auto& core = *new kernel;
             core.add(std::make_unique<metrics_service>());
             core.add(std::make_unique<peer_service>(runtime,
                 peer_identity { .vm = vm_id("agent"), .processIncarnation = incarnation(1) },
@@ -43,7 +41,7 @@
             if (finding) {
                 peers->on<wire::port_inquiry>(
                     [&](peer_stream& stream, const wire::message&, const wire::port_inquiry&) {
-                        ++asked;
+                        ++result.asked;
                         (void)stream.send(*finding, true);
                     });
             }
@@ -54,14 +52,20 @@
             if (!isListening)
                 server->close();
             peer_crash_verifier verifier(runtime, peers->client(), [&](const backend_server&) { return agents; });
-            const bool hasTerminated = verifier.hasTerminated(lost);
-            result.set_value({ hasTerminated, asked });
-            while (true)
-                runtime.sleepFor(1h);
+            result.hasTerminated = verifier.hasTerminated(lost);
+            server->close();
+            core.stop();
+            for (const auto& agent : agents)
+                peers->client().drop(agent);
+            const auto limit = clock_type::now() + 5s;
+            while (runtime.fibers() > 1 && clock_type::now() < limit)
+                runtime.sleepFor(1ms);
+            EXPECT_EQ(runtime.fibers(), 1U);
+            runtime.stop();
         });
         runtime.run();
-    }).detach();
-    return result.get_future().get();
+    }).join();
+    return result;
 }
 
 constexpr wire::port_finding refused { .isKnown = true, .isRefused = true };
