The daemon ends when a service cannot start

Callers: an entry VM whose address is in use for a moment when its daemon starts stays down: the process prints its error and never ends, so that it is not started again. Cause: run() returned after a failed start. The services and the I/O context were destroyed, and the end of the main thread resumed the fibers of the services that had started. Change: a failed start ends the process as a planned stop does, without destroying what fibers refer to. A planned stop is bounded: a second after its drain limit the process ends, even if a service does not stop. child_process moves to measure/, so that tests can start programs.

--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -26,6 +26,8 @@
 
 constexpr int exitSettings = 2;
 constexpr int exitStart = 3;
+// Added to the drain limit for the services to stop. A service that takes longer does not keep the process from ending.
+constexpr std::chrono::seconds stopLimit { 1 };
 
 incarnation drawIncarnation()
 {
@@ -45,13 +47,13 @@
     {
     }
 
-    // Returns only if the process could not be started.
-    int run()
+    // Runs the process until its end.
+    [[noreturn]] void run()
     {
         if (auto composed = compose(); !composed)
-            return reportError(composed.error());
+            failStart(composed.error());
         if (auto started = m_kernel.start(); !started)
-            return reportError(started.error());
+            failStart(started.error());
         registerDrain();
         logEvent(log_event::ProcessStarted,
             "vm=" + m_settings.vm.text() + " life=" + std::to_string(m_incarnation.number()));
@@ -62,23 +64,24 @@
         awaitReload();
         m_runtime.run();
         logEvent(log_event::ProcessStopped, "vm=" + m_settings.vm.text());
-        endProcess();
+        endProcess(EXIT_SUCCESS);
     }
 
 private:
     // Exits without destroying the services: fibers that still wait, such as for the store, refer to them, and the end
     // of the thread would wait for all fibers. The process holds no durable state.
-    [[noreturn]] static void endProcess()
+    [[noreturn]] static void endProcess(int exitCode)
     {
         stopLog();
         std::cout.flush();
-        std::_Exit(0);
+        std::_Exit(exitCode);
     }
 
-    static int reportError(const error& error)
+    // Ends the process after a failed start. Services that did start have fibers already.
+    [[noreturn]] static void failStart(const error& error)
     {
         std::cerr << "coltsfootbend: " << toString(error) << "\n";
-        return exitStart;
+        endProcess(exitStart);
     }
 
     result<void> compose()
@@ -199,11 +202,16 @@
             return;
         m_leaving = true;
         logEvent(log_event::ProcessLeaving, "vm=" + m_settings.vm.text());
-        m_runtime.spawn([this] {
-            m_kernel.leave(clock_type::now() + m_settings.drainLimit);
+        const auto drainEnd = clock_type::now() + m_settings.drainLimit;
+        m_runtime.spawn([this, drainEnd] {
+            m_kernel.leave(drainEnd);
             m_kernel.stop();
             m_runtime.stop();
         });
+        m_runtime.spawn([this, drainEnd] {
+            m_runtime.sleepUntil(drainEnd + stopLimit);
+            m_runtime.stop();
+        });
     }
 
     daemon_settings m_settings;
@@ -247,7 +255,7 @@
         return 0;
     }
     startLog(argv[0], settings->logDirectory);
-    return daemon_process(*settings, path).run();
+    daemon_process(*settings, path).run();
 }
 
 } // namespace
--- a/platform/soak/child_process.cpp
+++ b/coltsfootbend/measure/child_process.cpp
@@ -1,4 +1,4 @@
-#include "platform/soak/child_process.h"
+#include "coltsfootbend/measure/child_process.h"
 
 #include <csignal>
 #include <fcntl.h>
@@ -8,7 +8,7 @@
 
 extern char** environ;
 
-namespace coltsfootbend::soak {
+namespace coltsfootbend {
 
 child_process::~child_process()
 {
@@ -52,4 +52,4 @@
     return m_processId != 0;
 }
 
-} // namespace coltsfootbend::soak
+} // namespace coltsfootbend
--- a/platform/soak/child_process.h
+++ b/coltsfootbend/measure/child_process.h
@@ -1,8 +1,8 @@
 #pragma once
 
-// A child process that the soak starts, signals and terminates. Signals go only to the process id that the start
-// returned. The child's standard output and error are appended to a log file. Limits: for the soak only; the product
-// itself starts no processes.
+// A child process that a test or the soak starts, signals and terminates. Signals go only to the process id that the
+// start returned. The child's standard output and error are appended to a log file. Not for the product, which starts
+// no processes.
 //
 //     child_process gateway({ "build/bin/coltsfootbend", "--settings", path }, logPath);
 //     gateway.start();
@@ -12,7 +12,7 @@
 #include <sys/types.h>
 #include <vector>
 
-namespace coltsfootbend::soak {
+namespace coltsfootbend {
 
 // Represents a command and, while it runs, its process.
 class child_process {
@@ -43,4 +43,4 @@
     int m_exitStatus = 0;
 };
 
-} // namespace coltsfootbend::soak
+} // namespace coltsfootbend
