Servers are kept if most registrations lapse in an unnoticed outage of the store

Callers: all requests are refused for about a second after an outage of the store that is shorter than the interval of its checks, if all registrations lapse in it. Seen in the code only; now in a test. Cause: registrations that lapse were kept only after an outage that the process had noticed. Change: if more than half of a deployment vanishes in one page without having announced it, its servers are kept for 1.5 s or until they register again. Servers that announced their leaving are removed at once, as before. Result: backend_directory_test.IfMostRegistrationsVanishAtOnceTheyMayBeRenewed failed before and passes; the other tests of the directory pass unchanged.

--- a/coltsfootbend/gateway/backend_directory.cpp
+++ b/coltsfootbend/gateway/backend_directory.cpp
@@ -1,6 +1,7 @@
 #include "coltsfootbend/gateway/backend_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace coltsfootbend {
 
@@ -22,10 +23,13 @@
 
 void backend_directory::remove(const backend_id& id, time_point now)
 {
-    if (!m_servers.contains(id))
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end())
         return;
     if (now >= m_keepLapsedUntil && !m_failingSince) {
-        m_servers.erase(id);
+        if (!found->second.isLeaving)
+            m_justRemoved.push_back(found->second);
+        m_servers.erase(found);
         m_lapsed.erase(id);
         return;
     }
@@ -59,12 +63,32 @@
     m_failingSince.reset();
 }
 
+void backend_directory::restoreMassRemovals(time_point now)
+{
+    const auto removed = std::exchange(m_justRemoved, {});
+    std::map<deployment_id, std::size_t> removedCounts;
+    for (const auto& server : removed)
+        ++removedCounts[server.deployment];
+    std::map<deployment_id, std::size_t> listedCounts;
+    for (const auto& [id, server] : m_servers)
+        listedCounts[server.deployment] += server.isLeaving ? 0 : 1;
+    const auto keptUntil = now + m_options.unnoticedOutageGracePeriod;
+    for (const auto& server : removed) {
+        if (removedCounts[server.deployment] <= listedCounts[server.deployment] || m_servers.contains(server.id))
+            continue;
+        m_servers.emplace(server.id, server);
+        m_lapsed.emplace(server.id, keptUntil);
+        m_massLapses.try_emplace(server.deployment, keptUntil);
+    }
+}
+
 // A process that was cut off from the store sees the same as one whose store was unavailable to all. A server that left
 // during the cut must get no further requests.
 void backend_directory::removeIsolatedLapses(time_point now)
 {
     if (m_failingSince)
         return;
+    restoreMassRemovals(now);
     struct tally {
         std::size_t listed = 0;
         std::size_t lapsed = 0;
--- a/coltsfootbend/gateway/backend_directory.h
+++ b/coltsfootbend/gateway/backend_directory.h
@@ -2,7 +2,8 @@
 
 // The backend servers that are registered in the store. A server that announces that it leaves gets no new work; one
 // whose registration has vanished is removed at once, unless the store has just been unavailable: registrations lapse
-// during an outage and are renewed after it, so they are kept for a grace period after its end. Deterministic. Doesn't
+// during an outage and are renewed after it, so they are kept for a grace period after its end. An outage may be too
+// short to be noticed otherwise than by most registrations of a deployment lapsing at once. Deterministic. Doesn't
 // track how well a server answers: see `gateway/backend_picker.h`.
 //
 //     directory.put(server);
@@ -56,6 +57,9 @@
         // Grace period after the store's return, within which registrations that lapsed during the outage must be
         // renewed. The platform states "about two seconds".
         duration registrationGracePeriod = std::chrono::milliseconds(2200);
+        // The same where most registrations lapse without a noticed outage. Shorter, because the servers may have left:
+        // these must get no requests two seconds later.
+        duration unnoticedOutageGracePeriod = std::chrono::milliseconds(1500);
         // Shorter outages let no registration lapse: heartbeats are sent about every second.
         duration outageThreshold = std::chrono::milliseconds(800);
     };
@@ -84,7 +88,8 @@
     void storeAnswered(time_point now);
 
     // Removes the lapsed servers of each deployment of which most servers are still registered: after an outage of the
-    // store itself, most registrations have lapsed. To be called after all changes of a page are applied. O(servers).
+    // store itself, most registrations have lapsed. Takes back the servers that were removed since the last call if
+    // they were most of their deployment. To be called after all changes of a page are applied. O(servers).
     void removeIsolatedLapses(time_point now);
 
     // Removes servers whose registration was not renewed in time. Returns how many.
@@ -95,8 +100,12 @@
     const backend_server* find(const backend_id&) const;
 
 private:
+    void restoreMassRemovals(time_point now);
+
     const options m_options;
     std::map<backend_id, backend_server> m_servers;
+    // Servers in service that were removed since the last call of `removeIsolatedLapses`.
+    std::vector<backend_server> m_justRemoved;
     // Servers whose registration lapsed, and until when each is kept.
     std::map<backend_id, time_point> m_lapsed;
     // Deployments of which most registrations lapsed, and until when their renewal is awaited.
--- a/coltsfootbend/gateway/backend_directory_test.cpp
+++ b/coltsfootbend/gateway/backend_directory_test.cpp
@@ -112,5 +112,37 @@
     EXPECT_EQ(m_directory.expire(m_now), 1U);
 }
 
+// Guards against refusing every request after an outage of the store that this process did not notice, because it was
+// shorter than the interval of its checks: all registrations lapse in one page and are renewed a second later.
+TEST_F(backend_directory_test, IfMostRegistrationsVanishAtOnceTheyMayBeRenewed)
+{
+    for (const char* id : { "a", "b", "c" })
+        m_directory.put(server(id));
+    for (const char* id : { "a", "b", "c" })
+        m_directory.remove(backend_id(id), m_now);
+    m_directory.removeIsolatedLapses(m_now);
+    EXPECT_TRUE(m_directory.find(backend_id("a")));
+    EXPECT_TRUE(m_directory.find(backend_id("b")));
+    m_now += 1s;
+    m_directory.put(server("b"));
+    m_directory.removeIsolatedLapses(m_now);
+    EXPECT_TRUE(m_directory.find(backend_id("a")));
+    m_now += 500ms;
+    EXPECT_EQ(m_directory.expire(m_now), 2U) << "a server that has left gets no requests two seconds later";
+    EXPECT_TRUE(m_directory.find(backend_id("b")));
+}
+
+TEST_F(backend_directory_test, ServersThatAnnouncedTheirLeavingAreRemovedEvenIfAllVanishAtOnce)
+{
+    for (const char* id : { "a", "b", "c" }) {
+        auto leaving = server(id);
+        leaving.isLeaving = true;
+        m_directory.put(leaving);
+    }
+    m_directory.retainOnly({}, m_now);
+    m_directory.removeIsolatedLapses(m_now);
+    EXPECT_TRUE(m_directory.servers().empty());
+}
+
 } // namespace
 } // namespace coltsfootbend
