Retry times of limited servers are not earlier than the expected permit

Callers: where all servers state a limit, a refused caller is told to return before its turn, is refused again, and gives up. Cause: scheduleRetry cut the time to a third of the caller's remaining time, which is what callers wait at most. Seen in the code only; now in tests. Change: the expected time is stated. A caller whose turn comes after its deadline takes none, so that the times do not grow without bound. Result: restricted_servers_test.RetryTimeIsNotEarlierThanTheExpectedPermit and CallersThatCannotBeServedInTimeTakeNoTurn failed with the cut and pass.

--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -467,11 +467,14 @@
         earliestPermitAt = std::min(earliestPermitAt, m_notices.expectedAt(state->server.instance(), now));
     }
     const auto requestInterval = fromMilliseconds(1000 / std::max(permitsPerSecond, minPermitsPerSecond));
-    auto& deployment = m_deployments[request.deployment];
     const auto wait = earliestPermitAt - now + static_cast<int>(ahead) * requestInterval;
-    auto refused = refuse(refusal_reason::Limited, wait, startLatencyAt(*servers.front(), deployment), request, now);
-    refused.requestInterval = requestInterval;
-    return refused;
+    // A caller that returns before its turn is refused again, so the time is stated even if it does not wait that long.
+    return { .reason = refusal_reason::Limited,
+        .retryAfter = std::max<duration>(jittered(wait, m_random), minRetryAfter),
+        .expectedWait = wait,
+        .requestInterval = requestInterval,
+        .startLatency = startLatencyAt(*servers.front(), m_deployments[request.deployment]),
+        .expectedOpenAt = {} };
 }
 
 duration backend_picker::scheduleRetry(const pick_request& request, const refused_pick& refused, time_point now)
@@ -479,10 +482,10 @@
     if (refused.requestInterval <= duration::zero())
         return refused.retryAfter;
     auto& last = m_deployments[request.deployment].lastScheduledRetryAt;
-    const auto maxHonoured = std::max<duration>((request.deadline - now) / retryAfterDivisor, minRetryAfter);
     const auto retryAt = std::max(now + refused.retryAfter, last + refused.requestInterval);
-    last = std::min(retryAt, now + maxHonoured);
-    return last - now;
+    if (retryAt < request.deadline)
+        last = retryAt;
+    return retryAt - now;
 }
 
 tl::expected<picked_backend, refused_pick> backend_picker::pick(const pick_request& request, time_point now)
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -91,7 +91,8 @@
     tl::expected<picked_backend, refused_pick> pick(const pick_request&, time_point now);
 
     // Returns after which time a refused caller should retry. If servers are limited, assigns each caller a retry time
-    // of its own, because callers that retry at the same time would be refused again.
+    // of its own, because callers that retry at the same time would be refused again. The time may exceed the caller's
+    // deadline.
     duration scheduleRetry(const pick_request&, const refused_pick&, time_point now);
 
     // Records that a request was sent to the server.
@@ -154,7 +155,7 @@
         time_point lastSentAt {};
         // Requests that wait for limited servers.
         waiting_queue queue;
-        // Latest retry time assigned to a caller that was refused because of limits.
+        // Latest retry time before its deadline that was assigned to a caller refused because of limits.
         time_point lastScheduledRetryAt {};
     };
 
--- a/coltsfootbend/gateway/restricted_servers_test.cpp
+++ b/coltsfootbend/gateway/restricted_servers_test.cpp
@@ -131,6 +131,38 @@
     }
 }
 
+// Guards against callers that return before their turn and are refused again: the stated time was cut to a third of the
+// time that the caller has left.
+TEST_F(restricted_servers_test, RetryTimeIsNotEarlierThanTheExpectedPermit)
+{
+    setLimit(1, 0.2);
+    setLimit(2, 0.2);
+    while (m_requestedServers.size() < 2) {
+        (void)m_picker.pick(request(), m_now);
+        m_picker.notices().expectPermit(idOf(1), m_lastSerial, m_now + 5s, 1);
+        m_picker.notices().expectPermit(idOf(2), m_lastSerial, m_now + 5s, 1);
+    }
+    const auto refused = m_picker.pick(request(), m_now);
+    ASSERT_FALSE(refused);
+    EXPECT_GE(m_picker.scheduleRetry(request(), refused.error(), m_now), 5s);
+}
+
+// Guards against retry times that grow without bound: a caller whose turn comes after its deadline takes none.
+TEST_F(restricted_servers_test, CallersThatCannotBeServedInTimeTakeNoTurn)
+{
+    setLimit(1, 1);
+    setLimit(2, 1);
+    (void)m_picker.pick(request(), m_now);
+    (void)m_picker.pick(request(), m_now);
+    const auto refused = m_picker.pick(request(), m_now);
+    ASSERT_FALSE(refused);
+    auto last = duration::zero();
+    for (int i = 0; i < 50; ++i)
+        last = m_picker.scheduleRetry(request(), refused.error(), m_now);
+    EXPECT_GE(last, 8s) << "no earlier turn is free";
+    EXPECT_LE(last, 9s) << "turns that no caller can use are not assigned";
+}
+
 TEST_F(restricted_servers_test, HeldRequestWaitsForPermitWhileItCanBeServedInTime)
 {
     const refused_pick refused { .reason = refusal_reason::Limited, .retryAfter = 1s, .expectedWait = 600ms };
