A permit that the first request in the queue cannot use goes to the next one

Callers: where all servers state a limit, a permit expires unused and everybody in the line waits 0.5 s longer. Cause: a request that was sent to a server before does not use that server's permits, but counted as ahead of all requests behind it. Seen in the code only; now in a test. Change: the queue keeps which servers each request cannot use; only requests ahead that can use one of the permits count. queue.aheadOfNew(priority) is queue.ahead(queue.nextPlace(priority)) now, in its test too: the same checks. Result: restricted_servers_test.PermitThatTheFirstInTheQueueCannotUseGoesToTheSecond failed before and passes; WaitingQueue.RequestsThatCannotUseTheFreeResourcesAreNotAhead.

--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -49,6 +49,11 @@
         static_cast<double>(base.count()) * std::uniform_real_distribution<double>(1, 1 + retryJitterRatio)(random)));
 }
 
+queued_resource resourceOf(const backend_instance& server)
+{
+    return queued_resource(server.id.text() + "/" + std::to_string(server.incarnation.number()));
+}
+
 } // namespace
 
 backend_picker::backend_picker(options options, std::minstd_rand::result_type seed)
@@ -448,15 +453,31 @@
         [&](const auto* state) { return m_notices.canAcquire(state->server.instance(), now); });
     const bool isAnyUnlimited = std::any_of(servers.begin(), withoutPermit,
         [&](const auto* state) { return !m_notices.isLimited(state->server.instance()); });
-    const auto permits = static_cast<std::size_t>(std::distance(servers.begin(), withoutPermit));
-    const auto& queue = m_deployments[request.deployment].queue;
-    const auto ahead = request.place ? queue.ahead(*request.place) : queue.aheadOfNew(request.priority);
-    if (!isAnyUnlimited && ahead >= permits)
-        return refuseForLimits(servers, ahead - permits, request, now);
+    if (!isAnyUnlimited) {
+        std::vector<queued_resource> permits;
+        for (auto permitted = servers.begin(); permitted != withoutPermit; ++permitted)
+            permits.push_back(resourceOf((*permitted)->server.instance()));
+        const auto& queue = m_deployments[request.deployment].queue;
+        const auto place = request.place.value_or(queue.nextPlace(request.priority));
+        // A request ahead that cannot use any of these permits does not keep this one from using them.
+        if (queue.aheadFor(place, permits) >= permits.size()) {
+            const auto ahead = queue.ahead(place);
+            return refuseForLimits(servers, ahead - std::min(ahead, permits.size()), request, now);
+        }
+    }
     servers.erase(withoutPermit, servers.end());
     return std::nullopt;
 }
 
+waiting_queue::place backend_picker::joinQueue(const pick_request& request)
+{
+    std::vector<queued_resource> unusable;
+    unusable.reserve(request.excluded.size());
+    for (const auto& server : request.excluded)
+        unusable.push_back(resourceOf(server));
+    return m_deployments[request.deployment].queue.join(request.priority, std::move(unusable));
+}
+
 refused_pick backend_picker::refuseForLimits(
     const std::vector<backend_state*>& servers, std::size_t ahead, const pick_request& request, time_point now)
 {
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -70,8 +70,12 @@
     {
         m_sendPermitRequest = std::move(sendPermitRequest);
     }
-    // Returns the queue of requests that wait for limited servers of `deployment`.
-    waiting_queue& queueOf(const deployment_id& deployment) { return m_deployments[deployment].queue; }
+    // Adds a request to the queue of those that wait for limited servers. The caller must remove it with `leaveQueue`.
+    waiting_queue::place joinQueue(const pick_request&);
+    void leaveQueue(const deployment_id& deployment, const waiting_queue::place& place)
+    {
+        m_deployments[deployment].queue.leave(place);
+    }
 
     // Sets the number of gateways that send to the same server, on average, and that of all; both include this one.
     void setGatewayCounts(std::uint32_t perServer, std::uint32_t all)
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -76,7 +76,7 @@
 void exchange::leaveQueue()
 {
     if (m_queuePlace)
-        m_context.picker.queueOf(m_deployment).leave(*m_queuePlace);
+        m_context.picker.leaveQueue(m_deployment, *m_queuePlace);
     m_queuePlace.reset();
 }
 
@@ -178,7 +178,7 @@
         .isHeld = m_wasHeld };
     const auto until = holdUntil(refused, held, clock_type::now());
     if (until && refused.reason == refusal_reason::Limited && !m_queuePlace)
-        m_queuePlace = m_context.picker.queueOf(m_deployment).join(priority());
+        m_queuePlace = m_context.picker.joinQueue(pickRequest());
     if (until && sleepUntilNextPoll(*until)) {
         m_wasHeld = true;
         return next_step::TryAgain;
--- a/coltsfootbend/limits/waiting_queue.h
+++ b/coltsfootbend/limits/waiting_queue.h
@@ -1,20 +1,27 @@
 #pragma once
 
-// Orders requests that wait for the same resource by priority, then by arrival. Keeps no time and wakes no request:
-// each waiting request checks how many are ahead of it.
+// Orders requests that wait for any of several resources, such as permits for servers, by priority, then by arrival.
+// Keeps no time and wakes no request: each waiting request checks how many are ahead of it.
 //
-//     const auto place = queue.join(priority);
-//     if (queue.ahead(place) < free) { queue.leave(place); ... }
+//     const auto place = queue.join(priority, unusable);
+//     if (queue.aheadFor(place, free) < free.size()) { queue.leave(place); ... }
 
+#include "coltsfootbend/base/id.h"
+
+#include <algorithm>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <iterator>
-#include <set>
+#include <map>
+#include <vector>
 
 namespace coltsfootbend {
 
-// A queue of requests for one resource.
+// Names a resource that queued requests wait for.
+using queued_resource = text_id<struct queued_resource_tag>;
+
+// A queue of requests that can each use most of the same resources.
 class waiting_queue {
 public:
     // The position of one request in the queue.
@@ -24,27 +31,36 @@
         auto operator<=>(const place&) const = default;
     };
 
-    // Adds a request. The caller must remove it with `leave`.
-    place join(std::uint32_t priority)
+    // Adds a request that cannot use the resources `unusable`. The caller must remove it with `leave`.
+    place join(std::uint32_t priority, std::vector<queued_resource> unusable = {})
     {
         const place joined { .priority = priority, .number = ++m_last };
-        m_places.insert(joined);
+        m_unusable.emplace(joined, std::move(unusable));
         return joined;
     }
-    void leave(const place& place) { m_places.erase(place); }
+    void leave(const place& place) { m_unusable.erase(place); }
 
-    // Returns the number of requests ahead of a waiting one. O(n).
-    std::size_t ahead(const place& place) const { return countBefore(place); }
-    // Returns the number of requests that would be ahead of a new one of this priority. O(n).
-    std::size_t aheadOfNew(std::uint32_t priority) const { return countBefore({ priority, m_last + 1 }); }
+    // Returns the place that a new request of this priority would get.
+    place nextPlace(std::uint32_t priority) const { return { .priority = priority, .number = m_last + 1 }; }
 
-private:
-    std::size_t countBefore(const place& place) const
+    // Returns the number of requests ahead of `place`. O(n).
+    std::size_t ahead(const place& place) const
     {
-        return static_cast<std::size_t>(std::distance(m_places.begin(), m_places.lower_bound(place)));
+        return static_cast<std::size_t>(std::distance(m_unusable.begin(), m_unusable.lower_bound(place)));
+    }
+    // Returns the number of requests ahead of `place` that can use one of the resources `free`. O(n * free).
+    std::size_t aheadFor(const place& place, const std::vector<queued_resource>& free) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_unusable.begin(), m_unusable.lower_bound(place), [&](const auto& entry) {
+                return std::any_of(free.begin(), free.end(), [&](const auto& resource) {
+                    return std::find(entry.second.begin(), entry.second.end(), resource) == entry.second.end();
+                });
+            }));
     }
 
-    std::set<place> m_places;
+private:
+    std::map<place, std::vector<queued_resource>> m_unusable; // Of each request in the queue.
     std::uint64_t m_last = 0;
 };
 
