Gateways that reach different agents agree on one issuer of permits

Callers: a server that states a limit gets twice that rate while gateways use two agents as issuers of its permits, because their lists of servers differ or a link is cut (LIMIT above 1.5 requests a second). Seen in the code only; now in a trial. Cause: each gateway chose the issuer by rank from the agents that it reaches, and did not know that another one was in use. Change: agents report since when they issue permits of a server, and a gateway uses the reachable issuing agent that began last. One that is not the first choice is in use only because some gateway does not reach the first choice. Result: LimitTrial.NoServerGetsMoreThanItsLimitWhileGatewaysReachDifferentAgents (3 agents, a link of 20 to 80% of the gateways cut for 12 s) failed after 5 cases with the choice as it was and passes; the older trials pass unchanged.

--- a/coltsfootbend/gateway/agent_directory.cpp
+++ b/coltsfootbend/gateway/agent_directory.cpp
@@ -76,16 +76,14 @@
 
 std::optional<endpoint> agent_directory::issuerFor(const backend_server& server, time_point now)
 {
-    auto issuer = chooseIssuer(server, now);
+    auto issuer = m_issuers.choose(permit_subject(server.id.text()), rankIssuers(server, now), now);
     if (issuer)
         m_issuerUntil[*issuer] = now + issuerInterest;
     return issuer;
 }
 
-std::optional<endpoint> agent_directory::chooseIssuer(const backend_server& server, time_point now) const
+std::vector<endpoint> agent_directory::rankIssuers(const backend_server& server, time_point now) const
 {
-    if (hasAgent(server) && mayBeReachable(agentOf(server), now))
-        return agentOf(server);
     std::set<endpoint> near;
     std::set<endpoint> all;
     for (const auto& [id, other] : m_watch.directory().servers()) {
@@ -95,19 +93,25 @@
         if (other.dataCentre == server.dataCentre)
             near.insert(agentOf(other));
     }
-    std::vector<vm_id> candidates;
+    const auto own = hasAgent(server) ? std::optional(agentOf(server)) : std::nullopt;
+    std::vector<vm_id> others;
     for (const auto& agent : near.empty() ? all : near) {
-        if (mayBeReachable(agent, now))
-            candidates.emplace_back(toString(agent));
+        if (agent != own && mayBeReachable(agent, now))
+            others.emplace_back(toString(agent));
     }
-    if (candidates.empty())
-        return std::nullopt;
-    const auto chosen = parseEndpoint(candidates[rendezvousIndex(server.id.text(), candidates)].text());
-    return chosen ? std::optional(*chosen) : std::nullopt;
+    std::vector<endpoint> ranked;
+    if (own && mayBeReachable(*own, now))
+        ranked.push_back(*own);
+    for (const auto& agent : rendezvousRanking(server.id.text(), others, others.size())) {
+        if (const auto address = parseEndpoint(agent.text()))
+            ranked.push_back(*address);
+    }
+    return ranked;
 }
 
 void agent_directory::expire(time_point now)
 {
+    m_issuers.expire(now);
     std::erase_if(m_reachableUntil, [now](const auto& entry) { return now >= entry.second; });
 }
 
--- a/coltsfootbend/gateway/agent_directory.h
+++ b/coltsfootbend/gateway/agent_directory.h
@@ -10,6 +10,7 @@
 //     const auto witnesses = agents.near(server);
 
 #include "coltsfootbend/gateway/deployment_watch.h"
+#include "coltsfootbend/permits/issuer_selector.h"
 
 #include <map>
 #include <optional>
@@ -42,10 +43,16 @@
 
     // Records that a report has been received from the agent.
     void recordReport(const endpoint& agent, time_point now) { m_reachableUntil[agent] = now + reportTimeout; }
-    // Returns the agent that issues permits for the server: the one on its VM, or else one of its data centre, or one
-    // of all agents if the data centre has none. Gateways with different subsets choose alike, so an agent counts as
-    // unreachable only if this gateway has subscribed to it in vain. Returns none while none of these is reachable.
-    // O(servers).
+    // Records the agent's report that it has issued permits of the server for the time `issuingFor`.
+    void recordIssuing(const backend_id& server, const endpoint& agent, duration issuingFor, time_point now)
+    {
+        m_issuers.recordIssuing(permit_subject(server.text()), agent, issuingFor, now);
+    }
+    // Returns the agent that issues permits for the server. The first choice is the one on its VM, or else one of its
+    // data centre, or one of all agents if the data centre has none; another one is used while gateways that do not
+    // reach the first choice use that one. Gateways with different subsets choose alike, so an agent counts as
+    // unreachable only if this gateway has subscribed to it without receiving a report. Returns none while none of
+    // these is reachable. O(servers).
     std::optional<endpoint> issuerFor(const backend_server&, time_point now);
     // Drops the agents that are no longer reachable.
     void expire(time_point now);
@@ -65,12 +72,14 @@
     bool isReachable(const endpoint& agent, time_point now) const;
     // Returns whether the agent is reachable, or its reports have not been awaited for long enough to tell.
     bool mayBeReachable(const endpoint& agent, time_point now) const;
-    std::optional<endpoint> chooseIssuer(const backend_server&, time_point now) const;
+    // Returns the reachable agents that may issue permits for the server, the first choice first.
+    std::vector<endpoint> rankIssuers(const backend_server&, time_point now) const;
 
     const deployment_watch& m_watch;
     const std::uint16_t m_port;
     std::map<endpoint, time_point> m_reachableUntil;
     std::vector<endpoint> m_usedAgents;
+    issuer_selector m_issuers;
     std::map<endpoint, time_point> m_issuerUntil; // Agents that permits were requested from recently.
     std::map<endpoint, time_point> m_subscribedSince;
     std::minstd_rand m_random { std::random_device {}() };
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -249,7 +249,7 @@
     receiveStoreStatus(update);
     m_quarantine->receiveDigest(sender, update.crashes);
     m_agents->recordReport(sender, now);
-    m_permits->receiveLimits(update.limits);
+    m_permits->receiveLimits(sender, update.limits);
     if (const auto informedGateway = parseEndpoint(update.newerDeploymentAt))
         m_watch->receiveUpdateHint(*informedGateway);
     const auto engine = parseEndpoint(update.engine);
--- a/coltsfootbend/gateway/limit_trial_test.cpp
+++ b/coltsfootbend/gateway/limit_trial_test.cpp
@@ -1,11 +1,14 @@
 // Simulates many gateways and one server with a rate limit in virtual time. Messages are delayed or lost, gateways and
-// the agent that issues permits restart, and gateways freeze. The checks apply to the requests that reach the server.
+// the agents that issue permits restart, gateways freeze, and some of them lose the first agent for a time. The checks
+// apply to the requests that reach the server.
 
 #include "coltsfootbend/gateway/backend_notices.h"
+#include "coltsfootbend/permits/issuer_selector.h"
 
 #include <algorithm>
 #include <functional>
 #include <gtest/gtest.h>
+#include <map>
 #include <memory>
 #include <random>
 #include <rapidcheck/gtest.h>
@@ -28,14 +31,23 @@
     double restartsPerSecond = 0.1; // Restarts of gateways.
     double agentRestartsPerSecond = 0.05;
     double freezesPerSecond = 0.1;
+    int agents = 1;
+    // Part of the gateways that does not reach the first agent between `cutFrom` and `cutUntil`.
+    double cutShare = 0;
+    duration cutFrom = 6s;
+    duration cutUntil = 18s;
     unsigned seed = 1;
 };
 
+// Time after its last report for which an agent counts as reachable.
+constexpr auto reachableTime = 1500ms;
+
 class limit_trial {
 public:
     explicit limit_trial(const trial_options& options)
         : m_options(options)
         , m_gateways(static_cast<std::size_t>(options.gateways))
+        , m_agents(static_cast<std::size_t>(options.agents))
         , m_random(options.seed)
     {
     }
@@ -63,8 +75,13 @@
 private:
     static constexpr std::chrono::milliseconds tick { 5 };
 
+    struct agent_state {
+        std::unique_ptr<permit_issuer> issuer = std::make_unique<permit_issuer>();
+    };
     struct gateway_state {
         std::unique_ptr<backend_notices> notices = std::make_unique<backend_notices>();
+        std::unique_ptr<issuer_selector> issuers = std::make_unique<issuer_selector>();
+        std::map<std::size_t, time_point> lastReportAt; // Of each agent.
         std::optional<time_point> limitReceivedAt;
         time_point frozenUntil {};
         int restarts = 0;
@@ -115,14 +132,16 @@
             action();
         }
         if (occurs(m_options.agentRestartsPerSecond))
-            m_issuer = std::make_unique<permit_issuer>();
+            m_agents[m_agents.size() == 1 ? 0 : m_random() % m_agents.size()] = {};
         injectFaults();
         for (std::size_t i = 0; i < m_gateways.size(); ++i) {
             if (m_now >= m_gateways[i].frozenUntil && occurs(m_options.requestsPerSecond))
                 request(i);
         }
-        for (const auto& permit : m_issuer->issue(m_now))
-            reply(std::stoul(permit.requester.text()), permit.serial, true);
+        for (std::size_t agent = 0; agent < m_agents.size(); ++agent) {
+            for (const auto& permit : m_agents[agent].issuer->issue(m_now))
+                reply(agent, std::stoul(permit.requester.text()), permit.serial, true);
+        }
         // Agents report the limits of servers to all gateways.
         if ((m_now - start) % 100ms == duration::zero())
             reportLimits();
@@ -140,18 +159,52 @@
         }
     }
 
+    bool isCut(std::size_t agent, std::size_t gateway) const
+    {
+        const auto affected = m_options.cutShare * static_cast<double>(m_gateways.size());
+        return agent == 0 && static_cast<double>(gateway) < affected && m_now >= start + m_options.cutFrom
+            && m_now < start + m_options.cutUntil;
+    }
+    static endpoint addressOf(std::size_t agent) { return { "agent", static_cast<std::uint16_t>(agent) }; }
+
     void reportLimits()
     {
-        for (const auto& [named, statement] : m_issuer->statements(m_now)) {
+        for (std::size_t agent = 0; agent < m_agents.size(); ++agent) {
             for (std::size_t i = 0; i < m_gateways.size(); ++i) {
-                sendDatagram([this, i, restarts = m_gateways[i].restarts, statement = statement] {
-                    deliver(i, restarts, [this, statement](gateway_state& gateway) {
-                        (void)gateway.notices->receiveStatement(server.id, statement, m_now);
-                    });
-                });
+                if (!isCut(agent, i))
+                    reportLimits(agent, i);
             }
         }
     }
+    void reportLimits(std::size_t agent, std::size_t number)
+    {
+        const auto statements = m_agents[agent].issuer->statements(m_now);
+        const auto issuingFor = m_agents[agent].issuer->issuingFor(subject, m_now);
+        if (statements.empty() && m_agents.size() == 1)
+            return;
+        sendDatagram([this, agent, number, restarts = m_gateways[number].restarts, statements, issuingFor] {
+            deliver(number, restarts, [this, agent, statements, issuingFor](gateway_state& gateway) {
+                gateway.lastReportAt[agent] = m_now;
+                for (const auto& [named, statement] : statements)
+                    (void)gateway.notices->receiveStatement(server.id, statement, m_now);
+                if (issuingFor)
+                    gateway.issuers->recordIssuing(subject, addressOf(agent), *issuingFor, m_now);
+            });
+        });
+    }
+
+    // Returns the agent that the gateway uses.
+    std::size_t issuerFor(const gateway_state& gateway) const
+    {
+        std::vector<endpoint> ranked;
+        for (std::size_t agent = 0; agent < m_agents.size(); ++agent) {
+            const auto last = gateway.lastReportAt.find(agent);
+            if (last == gateway.lastReportAt.end() || m_now < last->second + reachableTime)
+                ranked.push_back(addressOf(agent));
+        }
+        const auto chosen = gateway.issuers->choose(subject, ranked, m_now);
+        return chosen ? chosen->port : 0;
+    }
 
     void request(std::size_t number)
     {
@@ -167,18 +220,25 @@
     void sendToIssuer(std::size_t number, std::uint64_t serial, bool requestsPermit)
     {
         const auto limit = m_gateways[number].notices->limitOf(server);
-        sendDatagram([this, number, serial, requestsPermit, limit = *limit] {
-            m_issuer->receiveStatement(subject, limit, m_now);
+        const auto agent = issuerFor(m_gateways[number]);
+        if (isCut(agent, number))
+            return;
+        sendDatagram([this, agent, number, serial, requestsPermit, limit = *limit] {
+            auto& issuer = *m_agents[agent].issuer;
+            issuer.receiveStatement(subject, limit, m_now);
             if (!requestsPermit)
                 return;
-            m_issuer->requestPermit(subject, permit_requester(std::to_string(number)), serial, m_now);
-            reply(number, serial, false);
+            issuer.requestPermit(subject, permit_requester(std::to_string(number)), serial, m_now);
+            reply(agent, number, serial, false);
         });
     }
 
-    void reply(std::size_t number, std::uint64_t serial, bool isGranted)
+    void reply(std::size_t agent, std::size_t number, std::uint64_t serial, bool isGranted)
     {
-        const auto outlook = m_issuer->estimateWait(subject, permit_requester(std::to_string(number)), m_now);
+        if (isCut(agent, number))
+            return;
+        const auto outlook
+            = m_agents[agent].issuer->estimateWait(subject, permit_requester(std::to_string(number)), m_now);
         sendDatagram([this, number, serial, isGranted, outlook, restarts = m_gateways[number].restarts] {
             deliver(number, restarts, [this, serial, isGranted, outlook](gateway_state& gateway) {
                 gateway.notices->expectPermit(server.id, serial, outlook.expectedAt, outlook.waitingGateways);
@@ -209,7 +269,7 @@
 
     const trial_options m_options;
     std::vector<gateway_state> m_gateways;
-    std::unique_ptr<permit_issuer> m_issuer = std::make_unique<permit_issuer>();
+    std::vector<agent_state> m_agents;
     std::minstd_rand m_random;
     std::set<scheduled_event> m_events;
     std::uint64_t m_order = 0;
@@ -234,6 +294,23 @@
     RC_ASSERT(static_cast<double>(trial.maxRequestsInWindow()) <= allowed(options.limit));
 }
 
+// Guards against two agents that issue permits for one server at the same time, which doubles its rate: some gateways
+// do not reach the agent that the others use, because their list of servers lacks it or a link is cut.
+RC_GTEST_PROP(LimitTrial, NoServerGetsMoreThanItsLimitWhileGatewaysReachDifferentAgents, ())
+{
+    const trial_options options { .gateways = *rc::gen::element(3, 8, 46),
+        .limit = *rc::gen::element(0.2, 1.0, 3.0, 4.0, 20.0),
+        .requestsPerSecond = *rc::gen::element(3.0, 12.0),
+        .lossShare = *rc::gen::element(0.0, 0.05),
+        .agentRestartsPerSecond = *rc::gen::element(0.0, 0.05),
+        .agents = 3,
+        .cutShare = *rc::gen::element(0.2, 0.5, 0.8),
+        .seed = *rc::gen::inRange(1U, 1'000'000U) };
+    limit_trial trial(options);
+    trial.run(25s);
+    RC_ASSERT(static_cast<double>(trial.maxRequestsInWindow()) <= allowed(options.limit));
+}
+
 TEST(LimitTrial, AServerGetsNearlyItsLimitFromAnyNumberOfGateways)
 {
     for (const int gateways : { 1, 8, 99 }) {
--- a/coltsfootbend/gateway/permit_network.cpp
+++ b/coltsfootbend/gateway/permit_network.cpp
@@ -9,6 +9,13 @@
 
 namespace coltsfootbend {
 
+namespace {
+
+// Longer than any time that matters, and short enough that it can be subtracted from the time.
+constexpr std::uint64_t maxIssuingMs = 86'400'000;
+
+} // namespace
+
 permit_network::permit_network(
     fiber_runtime& runtime, vm_id self, backend_notices& notices, agent_directory& agents, datagram_socket& socket)
     : m_self(std::move(self))
@@ -61,11 +68,15 @@
         m_notices.grant(server, reply.serial, now);
 }
 
-void permit_network::receiveLimits(const std::vector<wire::server_limit>& limits)
+void permit_network::receiveLimits(const endpoint& agent, const std::vector<wire::server_limit>& limits)
 {
     const auto now = clock_type::now();
-    for (const auto& limit : limits)
+    for (const auto& limit : limits) {
         receiveLimit(limit, now);
+        if (limit.issuingForMs > 0)
+            m_agents.recordIssuing(backend_id(limit.server), agent,
+                std::chrono::milliseconds(std::min(limit.issuingForMs, maxIssuingMs)), now);
+    }
 }
 
 void permit_network::receiveLimit(const wire::server_limit& limit, time_point now)
--- a/coltsfootbend/gateway/permit_network.h
+++ b/coltsfootbend/gateway/permit_network.h
@@ -30,8 +30,8 @@
     void sendLimit(const backend_server&);
     // Applies an agent's reply to a permit request.
     void receiveReply(const wire::permit_reply&);
-    // Applies the limits that an agent reports for the servers for which it issues permits.
-    void receiveLimits(const std::vector<wire::server_limit>&);
+    // Applies the limits that `agent` reports, and for which of the servers it issues permits.
+    void receiveLimits(const endpoint& agent, const std::vector<wire::server_limit>&);
     // Drops expired state of the local issuer.
     void expire(time_point now) { m_localIssuer.expire(now); }
     void stop() { m_localIssuer.stop(); }
--- a/coltsfootbend/permits/permit_issuer.cpp
+++ b/coltsfootbend/permits/permit_issuer.cpp
@@ -62,6 +62,9 @@
         return;
     auto& state = found->second;
     state.lastReferencedAt = now;
+    if (now >= state.issuingUntil)
+        state.issuingSince = now;
+    state.issuingUntil = now + std::max(m_options.minIssuingTime, 2 * interval(state.statement));
     if (m_options.delaySeed && state.requests.empty() && dueAt(state) <= now) {
         const auto delayMs
             = std::uniform_real_distribution<double>()(m_random) * toMilliseconds(interval(state.statement));
@@ -102,6 +105,14 @@
     return next;
 }
 
+std::optional<duration> permit_issuer::issuingFor(const permit_subject& subject, time_point now) const
+{
+    const auto found = m_subjects.find(subject);
+    if (found == m_subjects.end() || now >= found->second.issuingUntil)
+        return std::nullopt;
+    return now - found->second.issuingSince;
+}
+
 permit_issuer::wait_estimate permit_issuer::estimateWait(
     const permit_subject& subject, const permit_requester& requester, time_point now) const
 {
--- a/coltsfootbend/permits/permit_issuer.h
+++ b/coltsfootbend/permits/permit_issuer.h
@@ -61,6 +61,9 @@
         std::optional<std::uint32_t> delaySeed;
         // How long the end of a limit is reported to the other processes.
         duration endReportedFor = std::chrono::seconds(5);
+        // This process counts as issuing permits of a server for this time after a request for one, or for two of the
+        // server's intervals if that is longer.
+        duration minIssuingTime = std::chrono::seconds(2);
     };
 
     // The permission for one request of a gateway to a server.
@@ -99,6 +102,8 @@
     std::vector<permit> issue(time_point now);
     // Returns when the next permit is due; none if no gateway waits.
     std::optional<time_point> nextAt() const;
+    // Returns for how long gateways have used this process as the issuer of the server; none if they do not.
+    std::optional<duration> issuingFor(const permit_subject&, time_point now) const;
     // Estimates when a gateway's permit will be issued.
     wait_estimate estimateWait(const permit_subject&, const permit_requester&, time_point now) const;
 
@@ -114,6 +119,8 @@
         limit_statement statement;
         time_point lastReferencedAt {};
         time_point lastPermitAt {}; // Initially the time at which this process began to issue.
+        time_point issuingSince {};
+        time_point issuingUntil {};
         std::map<permit_requester, pending_request> requests;
         std::map<permit_requester, time_point> lastGrantedAt; // Time of each gateway's last permit.
     };
--- a/coltsfootbend/permits/permit_service.cpp
+++ b/coltsfootbend/permits/permit_service.cpp
@@ -68,8 +68,11 @@
 std::vector<wire::server_limit> permit_service::limits(time_point now) const
 {
     std::vector<wire::server_limit> reported;
-    for (const auto& [subject, statement] : m_issuer.statements(now))
+    for (const auto& [subject, statement] : m_issuer.statements(now)) {
         reported.push_back(toWire(subject, statement, now));
+        if (const auto issuingFor = m_issuer.issuingFor(subject, now))
+            reported.back().issuingForMs = 1 + static_cast<std::uint64_t>(toMilliseconds(*issuingFor));
+    }
     // The newest statements come first, so that removed servers are the ones left out of the message.
     std::sort(reported.begin(), reported.end(), [](const auto& a, const auto& b) { return a.ageMs < b.ageMs; });
     reported.resize(std::min(reported.size(), maxReportedLimits));
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -313,6 +313,7 @@
     double perSecond = 0;
     bool isNamed = false; // False once the server states no limit any more.
     std::uint64_t ageMs = 0; // Time since a gateway received the statement.
+    std::uint64_t issuingForMs = 0; // Time for which the sender has issued permits of the server; 0 if it does not.
 };
 // Gateway to rank agent, as a datagram: reports a server's limit and may ask for a permit to send it a request.
 struct permit_request {
