--- a/coltsfootbend/group/order_relay.cpp
+++ b/coltsfootbend/group/order_relay.cpp
@@ -1,7 +1,6 @@
 #include "coltsfootbend/group/order_relay.h"
 
 #include "coltsfootbend/group/relayed_states.h"
-#include "coltsfootbend/net/fiber_signal.h"
 
 #include <algorithm>
 #include <memory>
@@ -50,39 +49,29 @@
 
 // State of one call of `deliver`. Outlives the call, because a branch may answer after the deadline.
 struct order_relay::delivery {
-    delivery(fiber_runtime& runtime, const wire::rank_order& order)
+    delivery(fiber_runtime& runtime, const wire::rank_order& order, std::size_t branches)
         : order(order)
-        , answered(runtime)
+        , pending(runtime, branches)
     {
     }
 
     const wire::rank_order order;
     gathered_states gathered;
-    std::size_t pending = 0;
-    fiber_signal answered;
+    pending_answers pending;
 };
 
 gathered_states order_relay::deliver(
     const wire::rank_order& order, const target_list& targets, time_point deadline, const rank_heartbeat& heartbeat)
 {
-    auto current = std::make_shared<delivery>(m_runtime, order);
     auto branches = splitTargets(targets, m_options.fanOut);
-    current->pending = branches.size();
+    auto current = std::make_shared<delivery>(m_runtime, order, branches.size());
     for (auto& branch : branches) {
         m_runtime.spawn([this, current, branch = std::move(branch), deadline] {
             deliverBranch(*current, branch, deadline);
-            --current->pending;
-            current->answered.notify();
+            current->pending.onAnswered();
         });
     }
-    auto nextHeartbeatAt = heartbeat.send ? clock_type::now() + heartbeat.interval : time_point::max();
-    while (current->pending > 0 && clock_type::now() < deadline) {
-        (void)current->answered.waitUntil(std::min(deadline, nextHeartbeatAt));
-        if (clock_type::now() >= nextHeartbeatAt) {
-            heartbeat.send();
-            nextHeartbeatAt = clock_type::now() + heartbeat.interval;
-        }
-    }
+    current->pending.wait(deadline, heartbeat);
     return std::move(current->gathered);
 }
 
--- a/coltsfootbend/group/order_relay.h
+++ b/coltsfootbend/group/order_relay.h
@@ -11,6 +11,7 @@
 
 #include "coltsfootbend/base/error.h"
 #include "coltsfootbend/base/time.h"
+#include "coltsfootbend/group/pending_answers.h"
 #include "coltsfootbend/net/fiber_runtime.h"
 #include "coltsfootbend/wire/messages.h"
 
@@ -30,12 +31,6 @@
     virtual result<wire::relayed_answers> send(const wire::relayed_order&, time_point deadline) = 0;
 };
 
-// Heartbeat that is sent periodically while a call waits for answers.
-struct rank_heartbeat {
-    duration interval {};
-    std::function<void()> send;
-};
-
 // Answers of ranks to one order: their states in any order, and their demand counts summed over the ranks.
 struct gathered_states {
     std::vector<wire::rank_state> states;
--- a/coltsfootbend/group/rank_channel.cpp
+++ b/coltsfootbend/group/rank_channel.cpp
@@ -16,20 +16,20 @@
 // Time to wait after the deadline for the fiber that collects direct answers, which ends at the same deadline.
 constexpr std::chrono::milliseconds directAnswerGrace { 10 };
 
+tl::unexpected<error> noAnswerError() { return fail(error_kind::TimedOut, "the rank did not answer", ""); }
+
 // Answers to one call of `direct_dispatcher::dispatch`. Outlive the call, because a rank may answer after the deadline.
 struct direct_requests {
-    explicit direct_requests(fiber_runtime& runtime)
-        : answered(runtime)
+    direct_requests(fiber_runtime& runtime, std::size_t count)
+        : answers(count, noAnswerError())
+        , pending(runtime, count)
     {
     }
 
     std::vector<result<wire::rank_state>> answers;
-    std::size_t pending = 0;
-    fiber_signal answered;
+    pending_answers pending;
 };
 
-tl::unexpected<error> noAnswerError() { return fail(error_kind::TimedOut, "the rank did not answer", ""); }
-
 // Sorts the targets so that those of one data centre are adjacent, with the leader's data centre (number 0) first. The
 // same ranks always give the same tree.
 std::vector<wire::relay_target> sortedByDataCentre(std::vector<wire::relay_target> targets)
@@ -102,24 +102,14 @@
 dispatch_result direct_dispatcher::dispatch(const wire::rank_order& order, const std::vector<addressee>& to,
     time_point deadline, const rank_heartbeat& heartbeat)
 {
-    auto requests = std::make_shared<direct_requests>(m_runtime);
-    requests->pending = to.size();
-    requests->answers.assign(to.size(), noAnswerError());
+    auto requests = std::make_shared<direct_requests>(m_runtime, to.size());
     for (std::size_t i = 0; i < to.size(); ++i) {
         m_runtime.spawn([requests, i, to = to[i], order, deadline] {
             requests->answers[i] = to.channel->ask(orderFor(order, to.incarnation, to.reportsDemand), deadline);
-            --requests->pending;
-            requests->answered.notify();
+            requests->pending.onAnswered();
         });
     }
-    auto nextHeartbeatAt = heartbeat.send ? clock_type::now() + heartbeat.interval : time_point::max();
-    while (requests->pending > 0 && clock_type::now() < deadline) {
-        (void)requests->answered.waitUntil(std::min(deadline, nextHeartbeatAt));
-        if (clock_type::now() >= nextHeartbeatAt) {
-            heartbeat.send();
-            nextHeartbeatAt = clock_type::now() + heartbeat.interval;
-        }
-    }
+    requests->pending.wait(deadline, heartbeat);
     return { requests->answers, {} };
 }
 
