--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets `demo` and `check` do all of the set-up on a fresh Debian machine.
-PACKAGES = cmake g++ ninja-build ccache clang-format clang-tidy curl openssl libboost-dev libboost-fiber-dev \
+PACKAGES = cmake g++ ninja-build ccache clang-format clang-tidy curl jq openssl libboost-dev libboost-fiber-dev \
   libboost-context-dev libnghttp2-dev libtomlplusplus-dev libcxxopts-dev libgoogle-glog-dev libexpected-dev \
   libmsgpack-cxx-dev nlohmann-json3-dev libxxhash-dev libssl-dev librapidcheck-dev libgtest-dev libgmock-dev \
   libbenchmark-dev
