--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -49,6 +49,7 @@
         static_cast<double>(base.count()) * std::uniform_real_distribution<double>(1, 1 + retryJitterRatio)(random)));
 }
 
+// Returns the name that the queue uses for the permits of a server.
 queued_resource resourceOf(const backend_instance& server)
 {
     return queued_resource(server.id.text() + "/" + std::to_string(server.incarnation.number()));
