--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -17,7 +17,7 @@
   command=$(jq -r --arg file "$root/$1" '.[] | select(.file == $file) | .command' build/compile_commands.json)
   # The launcher and the outputs do not matter to the linter.
   command=$(sed -E 's/^[^ ]*ccache //; s/ -o [^ ]+ -c / -c /' <<<"$command")
-  preprocessed=$(cd build && eval "${command/ -c / -E -dD -dI -CC }") || return 1
+  preprocessed=$(cd build && eval "${command/ -c / -E -dD -dI -C }" 2>/dev/null) || return 1
   printf '%s\n' "$common" "$command" "$preprocessed" | sed "s#$root/##g" | sha256sum | cut -d ' ' -f 1
 }
 
