The lint cache never takes a file without a compile command as checked

Cause: a file that the compile commands do not name would have had the hash of an empty input, the same for all such files. Change: such a file is always linted. Result: the hash of a known file is printed, an unknown one fails with 1 (by hand).

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -15,9 +15,11 @@
 # Prints the hash of all that the linter reads for source file $1.
 input_hash() {
   command=$(jq -r --arg file "$root/$1" '.[] | select(.file == $file) | .command' build/compile_commands.json)
+  [ -n "$command" ] || return 1
   # The launcher and the outputs do not matter to the linter.
   command=$(sed -E 's/^[^ ]*ccache //; s/ -o [^ ]+ -c / -c /' <<<"$command")
   preprocessed=$(cd build && eval "${command/ -c / -E -dD -dI -C }" 2>/dev/null) || return 1
+  [ -n "$preprocessed" ] || return 1
   printf '%s\n' "$common" "$command" "$preprocessed" | sed "s#$root/##g" | sha256sum | cut -d ' ' -f 1
 }
 
