The era of the store's answers is logged and exposed as a gauge

Cause: the logs of the incident show that revisions were given out twice, and not what the store itself says of it: no line names its era, and the line of a refused table has neither revision. No decision reads the era. Result: compiles; no test changes.

--- a/coltsfootbend/gateway/table_follower.cpp
+++ b/coltsfootbend/gateway/table_follower.cpp
@@ -36,6 +36,8 @@
     // A pending call that is never answered is logged only at its timeout; until then this age shows it.
     m_metrics.gauge(std::string(toString(m_table)) + "_unconfirmed_seconds",
         [this] { return m_confirmedAt ? toMilliseconds(clock_type::now() - *m_confirmedAt) / 1000 : -1.0; });
+    m_metrics.gauge(
+        std::string(toString(m_table)) + "_store_era", [this] { return static_cast<double>(m_observedEra.number()); });
     m_runtime.spawn([this] { follow(); });
     m_runtime.spawn([this] { checkLoop(); });
 }
@@ -82,7 +84,10 @@
     if (!page)
         return tl::unexpected(page.error());
     if (page->revision < m_owner.position(m_table))
-        return fail(error_kind::Stale, "the store returned an older revision than before", "Read the table again");
+        return fail(error_kind::Stale,
+            "the store returned an older revision than before: page=" + std::to_string(page->revision)
+                + " known=" + std::to_string(m_owner.position(m_table)) + " era=" + std::to_string(page->era.number()),
+            "Read the table again");
     m_hasSnapshot = true;
     markRegained();
     recordConfirmation(sentAt);
@@ -202,13 +207,25 @@
 {
     m_metrics.count("store_calls_total",
         { { "table", toString(m_table) }, { "call", name }, { "outcome", done ? "ok" : toString(done.error().kind) } });
-    if (done)
+    if (done) {
+        observeEra(*done);
         return;
+    }
     logEvent(log_event::StoreCallFailed,
         tableLabel(m_table) + " call=" + name + " waited_ms="
             + std::to_string(remaining(sentAt, clock_type::now()).count()) + " why=\"" + toString(done.error()) + "\"");
 }
 
+void table_follower::observeEra(const row_page& page)
+{
+    const auto before = std::exchange(m_observedEra, page.era);
+    if (m_confirmedAt && before != page.era)
+        logEvent(log_event::StoreEraChanged,
+            tableLabel(m_table) + " from=" + std::to_string(before.number())
+                + " to=" + std::to_string(page.era.number()) + " known=" + std::to_string(m_owner.position(m_table))
+                + " page=" + std::to_string(page.revision));
+}
+
 bool table_follower::isOnStandby() const
 {
     return m_duty == wire::store_duty::Standby && m_hasSnapshot && clock_type::now() < m_nextCheckAt;
--- a/coltsfootbend/gateway/table_follower.h
+++ b/coltsfootbend/gateway/table_follower.h
@@ -139,6 +139,8 @@
     // was sent. Fails as the call did.
     result<void> completeCall(const changes_call&, const result<row_page>& done, time_point asOf);
     void recordCall(const char* name, time_point sentAt, const result<row_page>& done);
+    // Logs a change of the era in which the store answers.
+    void observeEra(const row_page&);
     void recordConfirmation(time_point asOf);
     void markLost(const error&);
     void markRegained();
@@ -157,6 +159,7 @@
     bool m_hasSnapshot = false;
     std::optional<time_point> m_lostSince;
     std::optional<time_point> m_confirmedAt;
+    store_era m_observedEra; // Of the store's last answer.
     time_point m_nextCheckAt = time_point::max();
     duration m_retryDelay;
     duration m_pollDelay; // Of the last poll.
--- a/coltsfootbend/store/watched_store.h
+++ b/coltsfootbend/store/watched_store.h
@@ -8,6 +8,7 @@
 //     auto next = store.changes(watched_table::BackendServers, page->revision, waitUntil, deadline, nullptr);
 
 #include "coltsfootbend/base/error.h"
+#include "coltsfootbend/base/id.h"
 #include "coltsfootbend/base/time.h"
 #include "coltsfootbend/net/cancellation.h"
 
@@ -27,6 +28,10 @@
     return table == watched_table::Configuration ? "configuration" : "backend_servers";
 }
 
+// Era of the store, which rises by one each time the store comes back from an older copy of its data; none if the store
+// reports no eras.
+using store_era = number_id<struct store_era_tag>;
+
 // Position in the sequence of all changes of the store; comparable between processes.
 using store_revision = std::uint64_t;
 
@@ -41,6 +46,7 @@
     std::vector<watched_row> rows;
     // Includes all changes up to this revision.
     store_revision revision = 0;
+    store_era era {};
 };
 
 class watched_store {
