Failing tests: changes after the store came back from an older copy

The store gave out revisions again, and processes refuse all below the one that they know, or take the same number for the same state. Change: the fake store of the tests can come back from a copy: its era rises, revisions go back, positions that it does not have are refused, pending polls are reset.

--- a/coltsfootbend/gateway/deployment_test_support.h
+++ b/coltsfootbend/gateway/deployment_test_support.h
@@ -26,7 +26,8 @@
 inline const std::string evacuationPrefix = "evacuate/";
 
 // Fake store as one process sees it: one row in each table, whose value is the table's version, and the evacuations.
-// Tests raise the versions and switch on faults.
+// Tests raise the versions and switch on faults. A row that holds a version has the version as its revision, less
+// `numbersGivenAgain`.
 struct fake_store {
     // Appended to the configuration, to make it as large as one with many routes.
     std::string padding;
@@ -34,6 +35,10 @@
     std::uint64_t serversVersion = 0; // Version of the list of servers if it is higher than `version`.
     // Evacuations that were ever in force, and whether each still is. Their rows change with the version.
     std::map<std::string, bool> evacuations;
+    // Raised each time that the store has come back from an older copy. Polls that are pending then lose their
+    // connection.
+    store_era era { 1 };
+    std::uint64_t numbersGivenAgain = 0; // Revisions that were given out again after such returns.
     std::uint64_t position = 0; // Revision of the last change in other tables, reported by polls if it is higher.
     bool isRefusing = false; // All calls fail.
     bool stallsPolls = false; // Polls return no changes until their time is over.
@@ -46,6 +51,19 @@
     {
         return table == watched_table::Configuration ? version : std::max(version, serversVersion);
     }
+    // Returns the revision of the last change of `table`.
+    std::uint64_t revisionOf(watched_table table) const { return versionOf(table) - numbersGivenAgain; }
+    // Returns the revision of the last change of any table.
+    std::uint64_t newestRevision() const { return std::max(revisionOf(watched_table::BackendServers), position); }
+
+    // Comes back from a copy that holds `copiedVersion` in both tables, under the revision `copiedRevision`.
+    void restore(std::uint64_t copiedVersion, std::uint64_t copiedRevision)
+    {
+        era = store_era(era.number() + 1);
+        version = copiedVersion;
+        serversVersion = 0;
+        numbersGivenAgain = copiedVersion - copiedRevision;
+    }
 };
 
 // Store client of one process, which serves all calls from its fake store.
@@ -75,16 +93,21 @@
         if (m_store.unansweredTables.contains(table))
             return waitWithoutReply(deadline, poll);
         const int generation = m_store.pollGeneration;
-        while (!m_store.isRefusing && (m_store.stallsPolls || m_store.versionOf(table) <= after)
+        const auto era = m_store.era;
+        while (!m_store.isRefusing && (m_store.stallsPolls || m_store.revisionOf(table) <= after)
             && clock_type::now() < waitUntil) {
             if (generation != m_store.pollGeneration)
                 return waitWithoutReply(deadline, poll);
+            if (era != m_store.era)
+                return fail(error_kind::Lost, "the connection was reset");
             if (poll && poll->isCancelled())
                 return fail(error_kind::Lost, "cancelled");
             m_runtime.sleepFor(std::chrono::milliseconds(2));
         }
-        return m_store.versionOf(table) <= after && !m_store.isRefusing
-            ? row_page { {}, std::max(after, m_store.position) }
+        if (!m_store.isRefusing && m_store.newestRevision() < after)
+            return fail(error_kind::Stale, "the store does not have this revision");
+        return m_store.revisionOf(table) <= after && !m_store.isRefusing
+            ? row_page { {}, std::max(after, m_store.position), m_store.era }
             : page(table);
     }
 
@@ -93,12 +116,13 @@
     {
         if (m_store.isRefusing)
             return fail(error_kind::Unavailable, "refused");
-        const auto version = m_store.versionOf(table);
-        const auto value = std::to_string(version) + (table == watched_table::Configuration ? m_store.padding : "");
-        row_page rows { { { toString(table), value, version, false } }, version };
+        const auto value
+            = std::to_string(m_store.versionOf(table)) + (table == watched_table::Configuration ? m_store.padding : "");
+        const auto revision = m_store.revisionOf(table);
+        row_page rows { { { toString(table), value, revision, false } }, revision, m_store.era };
         if (table == watched_table::Configuration) {
             for (const auto& [dataCentre, isInForce] : m_store.evacuations)
-                rows.rows.push_back({ evacuationPrefix + dataCentre, "", version, !isInForce });
+                rows.rows.push_back({ evacuationPrefix + dataCentre, "", revision, !isInForce });
         }
         return rows;
     }
