--- a/coltsfootbend/base/log_event.h
+++ b/coltsfootbend/base/log_event.h
@@ -29,7 +29,7 @@
     DeploymentPageDropped = 209,
     StorePollStalled = 210,
     EvacuationsInForce = 211,
-    StoreEraChanged = 212,
+    StoreRestored = 212,
     WorkerJoined = 300,
     WorkerSuspected = 301,
     WorkerLeaving = 302,
--- a/coltsfootbend/gateway/backend_directory.cpp
+++ b/coltsfootbend/gateway/backend_directory.cpp
@@ -11,10 +11,31 @@
     if (known != m_servers.end() && server.incarnation < known->second.incarnation)
         return false;
     m_lapsed.erase(server.id);
+    m_departures.erase(server.id);
     m_servers[server.id] = server;
     return true;
 }
 
+bool backend_directory::putRestored(const backend_server& server)
+{
+    const auto departed = m_departures.find(server.id);
+    if (departed != m_departures.end() && server.incarnation <= departed->second.incarnation)
+        return false;
+    const auto* known = find(server.id);
+    auto restored = server;
+    restored.isLeaving = server.isLeaving || (known && known->isLeaving && known->instance() == server.instance());
+    return put(restored);
+}
+
+void backend_directory::erase(const backend_id& id, time_point now)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end())
+        return;
+    m_departures[id] = { found->second.incarnation, now };
+    m_servers.erase(found);
+}
+
 void backend_directory::discard(const backend_id& id)
 {
     m_lapsed.erase(id);
@@ -29,7 +50,7 @@
     if (now >= m_keepLapsedUntil && !m_failingSince) {
         if (!found->second.isLeaving)
             m_justRemoved.push_back(found->second);
-        m_servers.erase(found);
+        erase(id, now);
         m_lapsed.erase(id);
         return;
     }
@@ -63,6 +84,14 @@
     m_failingSince.reset();
 }
 
+void backend_directory::storeRestored(time_point now)
+{
+    m_restoredUntil = now + m_options.registrationGracePeriod;
+    m_keepLapsedUntil = std::max(m_keepLapsedUntil, m_restoredUntil);
+    for (auto& [id, until] : m_lapsed)
+        until = std::max(until, m_restoredUntil);
+}
+
 void backend_directory::restoreMassRemovals(time_point now)
 {
     const auto removed = std::exchange(m_justRemoved, {});
@@ -77,6 +106,7 @@
         if (removedCounts[server.deployment] <= listedCounts[server.deployment] || m_servers.contains(server.id))
             continue;
         m_servers.emplace(server.id, server);
+        m_departures.erase(server.id);
         m_lapsed.emplace(server.id, keptUntil);
         m_massLapses.try_emplace(server.deployment, keptUntil);
     }
@@ -86,7 +116,7 @@
 // during the cut must get no further requests.
 void backend_directory::removeIsolatedLapses(time_point now)
 {
-    if (m_failingSince)
+    if (m_failingSince || now < m_restoredUntil)
         return;
     restoreMassRemovals(now);
     struct tally {
@@ -106,20 +136,22 @@
     std::erase_if(m_lapsed, [&](const auto& entry) {
         if (m_massLapses.contains(m_servers.at(entry.first).deployment))
             return false;
-        m_servers.erase(entry.first);
+        erase(entry.first, now);
         return true;
     });
 }
 
 std::size_t backend_directory::expire(time_point now)
 {
+    std::erase_if(
+        m_departures, [&](const auto& entry) { return now >= entry.second.at + m_options.departureRetention; });
     // While the store is unavailable no registration can be renewed, so none is removed.
     if (m_failingSince)
         return 0;
     return std::erase_if(m_lapsed, [&](const auto& entry) {
         if (now < entry.second)
             return false;
-        m_servers.erase(entry.first);
+        erase(entry.first, now);
         return true;
     });
 }
--- a/coltsfootbend/gateway/backend_directory.h
+++ b/coltsfootbend/gateway/backend_directory.h
@@ -3,8 +3,9 @@
 // The backend servers that are registered in the store. A server that announces that it leaves gets no new work; one
 // whose registration has vanished is removed at once, unless the store has just been unavailable: registrations lapse
 // during an outage and are renewed after it, so they are kept for a grace period after its end. An outage may be too
-// short to be noticed otherwise than by most registrations of a deployment lapsing at once. Deterministic. Doesn't
-// track how well a server answers: see `gateway/backend_picker.h`.
+// short to be noticed otherwise than by most registrations of a deployment lapsing at once. If the store comes back
+// from an older copy, registrations are missing until they are renewed, and those of servers that have left are back.
+// Deterministic. Doesn't track how well a server answers: see `gateway/backend_picker.h`.
 //
 //     directory.put(server);
 //     directory.removeIsolatedLapses(now);
@@ -62,6 +63,8 @@
         duration unnoticedOutageGracePeriod = std::chrono::milliseconds(1500);
         // Shorter outages let no registration lapse: heartbeats are sent about every second.
         duration outageThreshold = std::chrono::milliseconds(800);
+        // Time for which a server that has left is remembered. The store's copies are some seconds old.
+        duration departureRetention = std::chrono::seconds(60);
     };
 
     backend_directory()
@@ -76,6 +79,10 @@
     // Adds or replaces a registration; one of an earlier incarnation than the known one is dropped. Returns whether it
     // was accepted.
     bool put(const backend_server&);
+    // Adds or replaces a registration that the store has brought back from an older copy, as above. An incarnation that
+    // has announced its leaving remains leaving. One that has left is not added; a later registration of it is. Returns
+    // whether it was accepted.
+    bool putRestored(const backend_server&);
     // Removes a server whose registration cannot be decoded, whether or not the store is available.
     void discard(const backend_id& id);
     // Removes a server whose registration was deleted, at once or after the grace period.
@@ -86,6 +93,9 @@
     // Record that the store stopped answering, or answers again, at `now`.
     void storeFailed(time_point now);
     void storeAnswered(time_point now);
+    // Records that the store has come back from an older copy at `now`. Missing registrations are awaited for the grace
+    // period.
+    void storeRestored(time_point now);
 
     // Removes the lapsed servers of each deployment of which most servers are still registered: after an outage of the
     // store itself, most registrations have lapsed. Takes back the servers that were removed since the last call if
@@ -100,7 +110,15 @@
     const backend_server* find(const backend_id&) const;
 
 private:
+    // A server that is no longer registered.
+    struct departure {
+        backend_incarnation incarnation;
+        time_point at {};
+    };
+
     void restoreMassRemovals(time_point now);
+    // Removes a server of the list and records its departure.
+    void erase(const backend_id&, time_point now);
 
     const options m_options;
     std::map<backend_id, backend_server> m_servers;
@@ -110,8 +128,12 @@
     std::map<backend_id, time_point> m_lapsed;
     // Deployments of which most registrations lapsed, and until when their renewal is awaited.
     std::map<deployment_id, time_point> m_massLapses;
+    // The latest departures.
+    std::map<backend_id, departure> m_departures;
     std::optional<time_point> m_failingSince;
     time_point m_keepLapsedUntil {};
+    // Until then registrations may be missing because the store came back from an older copy.
+    time_point m_restoredUntil {};
 };
 
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/backend_directory_test.cpp
+++ b/coltsfootbend/gateway/backend_directory_test.cpp
@@ -144,5 +144,66 @@
     EXPECT_TRUE(m_directory.servers().empty());
 }
 
+// The store comes back from an older copy, away for too short a time for an outage.
+TEST_F(backend_directory_test, AServerThatRegisteredSinceTheCopyWasMadeIsKeptUntilItRegistersAgain)
+{
+    for (const char* id : { "a", "b", "c", "d" })
+        m_directory.put(server(id));
+    m_directory.storeRestored(m_now);
+    m_directory.retainOnly({ backend_id("a"), backend_id("b") }, m_now);
+    m_directory.removeIsolatedLapses(m_now);
+    EXPECT_TRUE(m_directory.find(backend_id("c"))) << "most servers are listed, which does not mean that it left";
+    m_now += 1500ms;
+    m_directory.put(server("c"));
+    m_directory.removeIsolatedLapses(m_now);
+    EXPECT_EQ(m_directory.expire(m_now), 0U);
+    m_now += 1s;
+    EXPECT_EQ(m_directory.expire(m_now), 1U);
+    EXPECT_TRUE(m_directory.find(backend_id("c")));
+    EXPECT_FALSE(m_directory.find(backend_id("d")));
+}
+
+TEST_F(backend_directory_test, AServerThatAnnouncedItsLeavingSinceTheCopyWasMadeRemainsLeaving)
+{
+    auto leaving = server("a");
+    leaving.isLeaving = true;
+    m_directory.put(leaving);
+    m_directory.storeRestored(m_now);
+    EXPECT_TRUE(m_directory.putRestored(server("a")));
+    EXPECT_TRUE(m_directory.find(backend_id("a"))->isLeaving);
+    auto restarted = server("a");
+    restarted.incarnation = backend_incarnation(1);
+    EXPECT_TRUE(m_directory.putRestored(restarted));
+    EXPECT_FALSE(m_directory.find(backend_id("a"))->isLeaving);
+}
+
+TEST_F(backend_directory_test, AServerThatLeftSinceTheCopyWasMadeGetsNoRequestsUntilItRegistersAgain)
+{
+    m_directory.put(server("a"));
+    m_directory.put(server("b"));
+    m_directory.put(server("c"));
+    m_directory.remove(backend_id("a"), m_now);
+    m_directory.removeIsolatedLapses(m_now);
+    m_now += 5s;
+    m_directory.expire(m_now);
+    m_directory.storeRestored(m_now);
+    EXPECT_FALSE(m_directory.putRestored(server("a")));
+    EXPECT_FALSE(m_directory.find(backend_id("a")));
+    EXPECT_TRUE(m_directory.put(server("a"))) << "a registration of the new era";
+    EXPECT_TRUE(m_directory.find(backend_id("a")));
+}
+
+TEST_F(backend_directory_test, TheEarlierIncarnationOfARestartedServerIsNotBroughtBack)
+{
+    auto restarted = server("a");
+    restarted.incarnation = backend_incarnation(2);
+    m_directory.put(restarted);
+    m_directory.storeRestored(m_now);
+    auto earlier = server("a");
+    earlier.incarnation = backend_incarnation(1);
+    EXPECT_FALSE(m_directory.putRestored(earlier));
+    EXPECT_EQ(m_directory.find(backend_id("a"))->incarnation, backend_incarnation(2));
+}
+
 } // namespace
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/deployment_test_support.h
+++ b/coltsfootbend/gateway/deployment_test_support.h
@@ -35,9 +35,10 @@
     std::uint64_t serversVersion = 0; // Version of the list of servers if it is higher than `version`.
     // Evacuations that were ever in force, and whether each still is. Their rows change with the version.
     std::map<std::string, bool> evacuations;
-    // Raised each time that the store has come back from an older copy. Polls that are pending then lose their
-    // connection.
+    // Raised each time that the store has come back from an older copy.
     store_era era { 1 };
+    // Polls that are pending when the store comes back from a copy remain open, instead of losing their connection.
+    bool keepsPollsOpen = false;
     std::uint64_t numbersGivenAgain = 0; // Revisions that were given out again after such returns.
     std::uint64_t position = 0; // Revision of the last change in other tables, reported by polls if it is higher.
     bool isRefusing = false; // All calls fail.
@@ -46,15 +47,19 @@
     std::set<watched_table> unansweredTables;
     int pollGeneration = 0; // Raising it makes the polls that are open remain unanswered.
     int callCount = 0; // Number of calls that the store has received.
+    int readCount = 0; // Of these, the number of reads of whole tables.
 
     std::uint64_t versionOf(watched_table table) const
     {
         return table == watched_table::Configuration ? version : std::max(version, serversVersion);
     }
     // Returns the revision of the last change of `table`.
-    std::uint64_t revisionOf(watched_table table) const { return versionOf(table) - numbersGivenAgain; }
+    store_revision revisionOf(watched_table table) const { return { era, versionOf(table) - numbersGivenAgain }; }
     // Returns the revision of the last change of any table.
-    std::uint64_t newestRevision() const { return std::max(revisionOf(watched_table::BackendServers), position); }
+    store_revision newestRevision() const
+    {
+        return { era, std::max(revisionOf(watched_table::BackendServers).number, position) };
+    }
 
     // Comes back from a copy that holds `copiedVersion` in both tables, under the revision `copiedRevision`.
     void restore(std::uint64_t copiedVersion, std::uint64_t copiedRevision)
@@ -78,6 +83,7 @@
     result<row_page> readAll(watched_table table, time_point deadline) override
     {
         ++m_store.callCount;
+        ++m_store.readCount;
         if (m_store.unansweredTables.contains(table))
             return waitWithoutReply(deadline);
         auto whole = page(table);
@@ -94,32 +100,37 @@
             return waitWithoutReply(deadline, poll);
         const int generation = m_store.pollGeneration;
         const auto era = m_store.era;
-        while (!m_store.isRefusing && (m_store.stallsPolls || m_store.revisionOf(table) <= after)
+        while (!m_store.isRefusing && (m_store.stallsPolls || m_store.revisionOf(table).number <= after.number)
             && clock_type::now() < waitUntil) {
             if (generation != m_store.pollGeneration)
                 return waitWithoutReply(deadline, poll);
-            if (era != m_store.era)
+            if (era != m_store.era && !m_store.keepsPollsOpen)
                 return fail(error_kind::Lost, "the connection was reset");
             if (poll && poll->isCancelled())
                 return fail(error_kind::Lost, "cancelled");
             m_runtime.sleepFor(std::chrono::milliseconds(2));
         }
-        if (!m_store.isRefusing && m_store.newestRevision() < after)
+        if (!m_store.isRefusing)
+            m_latestEra = m_store.era;
+        if (!m_store.isRefusing && m_store.newestRevision().number < after.number)
             return fail(error_kind::Stale, "the store does not have this revision");
-        return m_store.revisionOf(table) <= after && !m_store.isRefusing
-            ? row_page { {}, std::max(after, m_store.position), m_store.era }
+        return m_store.revisionOf(table).number <= after.number && !m_store.isRefusing
+            ? row_page { {}, { m_store.era, std::max(after.number, m_store.position) } }
             : page(table);
     }
 
+    store_era latestEra() const override { return m_latestEra; }
+
 private:
-    result<row_page> page(watched_table table) const
+    result<row_page> page(watched_table table)
     {
         if (m_store.isRefusing)
             return fail(error_kind::Unavailable, "refused");
+        m_latestEra = m_store.era;
         const auto value
             = std::to_string(m_store.versionOf(table)) + (table == watched_table::Configuration ? m_store.padding : "");
         const auto revision = m_store.revisionOf(table);
-        row_page rows { { { toString(table), value, revision, false } }, revision, m_store.era };
+        row_page rows { { { toString(table), value, revision, false } }, revision };
         if (table == watched_table::Configuration) {
             for (const auto& [dataCentre, isInForce] : m_store.evacuations)
                 rows.rows.push_back({ evacuationPrefix + dataCentre, "", revision, !isInForce });
@@ -137,6 +148,7 @@
 
     fiber_runtime& m_runtime;
     fake_store& m_store;
+    store_era m_latestEra;
 };
 
 // Decodes a configuration to a catalogue that has only its version. The fake stores list no servers to decode.
--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -22,27 +22,44 @@
 constexpr std::chrono::milliseconds peerReadTimeout { 2500 };
 // Interval at which a reply that waits for others checks whether it may be sent.
 constexpr std::chrono::milliseconds replyPollInterval { 10 };
+// Time after the store's return within which the operator writes again what the store has lost.
+constexpr std::chrono::milliseconds rewriteGracePeriod { 3000 };
 // Confirmations older than this are ignored.
 constexpr std::uint64_t maxReportedAgeMs = 60'000;
 
+wire::stored_row toWire(watched_row row)
+{
+    return { std::move(row.key), std::move(row.value), row.revision.number, row.isDeleted, row.revision.era.number() };
+}
+
 std::vector<wire::stored_row> toWire(std::vector<watched_row> rows)
 {
     std::vector<wire::stored_row> copied;
     copied.reserve(rows.size());
     for (auto& row : rows)
-        copied.push_back({ std::move(row.key), std::move(row.value), row.revision, row.isDeleted });
+        copied.push_back(toWire(std::move(row)));
     return copied;
 }
 
+watched_row fromWire(const wire::stored_row& row)
+{
+    return { row.key, row.value, { store_era(row.era), row.revision }, row.isDeleted };
+}
+
 row_page fromWire(store_revision revision, const std::vector<wire::stored_row>& rows)
 {
     row_page page { {}, revision };
     page.rows.reserve(rows.size());
     for (const auto& row : rows)
-        page.rows.push_back({ row.key, row.value, row.revision, row.isDeleted });
+        page.rows.push_back(fromWire(row));
     return page;
 }
 
+store_revision revisionOf(const wire::store_confirmation& confirmation)
+{
+    return { store_era(confirmation.era), confirmation.revision };
+}
+
 } // namespace
 
 deployment_watch::deployment_watch(fiber_runtime& runtime, std::unique_ptr<watched_store> store,
@@ -72,6 +89,7 @@
         [this](peer_stream& stream, const wire::message&, const wire::deployment_inquiry&) {
             (void)stream.send(knowledge(), true);
         });
+    (*metrics)->gauge("store_era", [this] { return static_cast<double>(m_store->latestEra().number()); });
     m_startingUntil = clock_type::now() + m_options.maxStartingTime;
     table_follower::owner& owner = *this;
     for (const auto name : { watched_table::Configuration, watched_table::BackendServers }) {
@@ -105,14 +123,16 @@
     present.reserve(page.rows.size());
     for (const auto& row : page.rows)
         present.emplace_back(row.key);
+    const auto before = table(name).revision();
     const auto changed = table(name).replace(std::move(page));
     if (!changed)
         return;
     logEvent(log_event::DeploymentRead,
-        "table=" + std::string(toString(name)) + " source=" + source + " rows=" + std::to_string(present.size())
-            + " revision=" + std::to_string(revision));
+        "table=" + std::string(toString(name)) + " source=" + source + " rows=" + std::to_string(present.size()) + " "
+            + toString(revision));
+    const bool isRestored = beginEra(name, before, source);
     for (const auto& row : *changed)
-        applyRow(name, row);
+        applyRow(name, row, isRestored);
     if (name == watched_table::BackendServers)
         m_directory.retainOnly(present, clock_type::now());
     notifyChange(name);
@@ -122,33 +142,68 @@
 {
     table(name).apply(page);
     if (!page.rows.empty())
-        decodeChanges(name, page.rows);
+        decodeChanges(name, page.rows, false);
+}
+
+bool deployment_watch::beginEra(watched_table name, store_revision before, const char* source)
+{
+    const auto after = table(name).revision();
+    if (before.isNone() || after.isInEraOf(before))
+        return false;
+    const auto now = clock_type::now();
+    logEvent(log_event::StoreRestored,
+        "table=" + std::string(toString(name)) + " from=" + std::to_string(before.era.number())
+            + " to=" + std::to_string(after.era.number()) + " before=" + std::to_string(before.number)
+            + " after=" + std::to_string(after.number) + " source=" + source
+            + " version_in_force=" + std::to_string(version().number()));
+    follower(name).onEraChanged();
+    if (name == watched_table::BackendServers)
+        m_directory.storeRestored(now);
+    else
+        keepMissingEvacuations();
+    for (const auto& restored : m_onStoreRestored)
+        restored();
+    return true;
+}
+
+void deployment_watch::keepMissingEvacuations()
+{
+    const auto& rows = table(watched_table::Configuration).rows();
+    auto missing = m_evacuated;
+    for (const auto& [key, row] : rows) {
+        if (const auto dataCentre = m_decoder->evacuated(row))
+            missing.erase(*dataCentre);
+    }
+    for (const auto& dataCentre : missing)
+        m_keptEvacuations[dataCentre] = clock_type::now() + rewriteGracePeriod;
 }
 
-void deployment_watch::decodeChanges(watched_table name, const std::vector<watched_row>& rows)
+void deployment_watch::decodeChanges(watched_table name, const std::vector<watched_row>& rows, bool isRestored)
 {
     for (const auto& row : rows) {
         if (!row.isDeleted) {
-            applyRow(name, row);
+            applyRow(name, row, isRestored);
             continue;
         }
         if (name == watched_table::BackendServers)
             m_directory.remove(backend_id(row.key), clock_type::now());
+        else if (const auto dataCentre = m_decoder->evacuated(row); dataCentre && !isRestored)
+            m_keptEvacuations.erase(*dataCentre);
         logEvent(log_event::DeploymentRowRemoved,
-            "table=" + std::string(toString(name)) + " key=" + row.key + " revision=" + std::to_string(row.revision));
+            "table=" + std::string(toString(name)) + " key=" + row.key + " " + toString(row.revision));
     }
     notifyChange(name);
 }
 
-void deployment_watch::applyRow(watched_table name, const watched_row& row)
+void deployment_watch::applyRow(watched_table name, const watched_row& row, bool isRestored)
 {
     if (name == watched_table::BackendServers)
-        applyBackend(row);
+        applyBackend(row, isRestored);
     else if (!m_decoder->evacuated(row))
         applyConfiguration(row);
 }
 
-void deployment_watch::applyBackend(const watched_row& row)
+void deployment_watch::applyBackend(const watched_row& row, bool isRestored)
 {
     const auto server = m_decoder->backend(row);
     if (!server) {
@@ -158,14 +213,15 @@
     }
     const auto* found = m_directory.find(server->id);
     const auto known = found ? std::optional(*found) : std::nullopt;
-    if (!m_directory.put(*server))
+    if (!(isRestored ? m_directory.putRestored(*server) : m_directory.put(*server)))
         return;
-    if (!known || known->isLeaving != server->isLeaving || known->address != server->address
-        || known->incarnation != server->incarnation) {
+    const auto& listed = *m_directory.find(server->id);
+    if (!known || known->isLeaving != listed.isLeaving || known->address != listed.address
+        || known->incarnation != listed.incarnation) {
         logEvent(log_event::BackendListed,
-            "backend=" + server->id.text() + " life=" + std::to_string(server->incarnation.number())
-                + " deployment=" + server->deployment.text() + " address=" + toString(server->address)
-                + " leaving=" + (server->isLeaving ? "yes" : "no") + " revision=" + std::to_string(row.revision));
+            "backend=" + listed.id.text() + " life=" + std::to_string(listed.incarnation.number())
+                + " deployment=" + listed.deployment.text() + " address=" + toString(listed.address)
+                + " leaving=" + (listed.isLeaving ? "yes" : "no") + " " + toString(row.revision));
     }
 }
 
@@ -179,9 +235,10 @@
     if (m_catalogue && (*next)->version() < m_catalogue->version())
         return;
     m_catalogue = *next;
+    m_configurationInForce = row;
     logEvent(log_event::ConfigurationInForce,
         "version=" + std::to_string(m_catalogue->version().number())
-            + " routes=" + std::to_string(m_catalogue->routes().size()) + " revision=" + std::to_string(row.revision));
+            + " routes=" + std::to_string(m_catalogue->routes().size()) + " " + toString(row.revision));
 }
 
 void deployment_watch::updateEvacuated()
@@ -189,9 +246,13 @@
     const auto& copy = table(watched_table::Configuration);
     std::set<data_centre_id> evacuated;
     for (const auto& [key, row] : copy.rows()) {
-        if (auto dataCentre = m_decoder->evacuated(row))
+        if (auto dataCentre = m_decoder->evacuated(row)) {
+            m_keptEvacuations.erase(*dataCentre); // Written again.
             evacuated.insert(std::move(*dataCentre));
+        }
     }
+    for (const auto& [dataCentre, keptUntil] : m_keptEvacuations)
+        evacuated.insert(dataCentre);
     if (evacuated == m_evacuated)
         return;
     m_evacuated = std::move(evacuated);
@@ -199,11 +260,17 @@
     for (const auto& dataCentre : m_evacuated)
         names += (names.empty() ? "" : ",") + dataCentre.text();
     logEvent(log_event::EvacuationsInForce,
-        "data_centres=" + (names.empty() ? "none" : names) + " revision=" + std::to_string(copy.revision()));
+        "data_centres=" + (names.empty() ? "none" : names) + " " + toString(copy.revision()));
     for (const auto& changed : m_onEvacuation)
         changed();
 }
 
+void deployment_watch::expireEvacuations(time_point now)
+{
+    if (std::erase_if(m_keptEvacuations, [now](const auto& kept) { return now >= kept.second; }) > 0)
+        updateEvacuated();
+}
+
 bool deployment_watch::isDeploymentStarting() const
 {
     return m_wasStarting && clock_type::now() < m_startingUntil && !isEachDeploymentListed();
@@ -237,6 +304,7 @@
     m_updateHintReceivedAt.reset();
     updateStarting();
     if (name == watched_table::BackendServers) {
+        m_hasServerList = m_hasServerList || !table(name).position().isNone();
         m_directory.removeIsolatedLapses(clock_type::now());
         for (const auto& changed : m_onServers)
             changed();
@@ -289,6 +357,7 @@
 {
     while (!m_stopped) {
         m_runtime.sleepFor(expiryInterval);
+        expireEvacuations(clock_type::now());
         if (m_directory.expire(clock_type::now()) > 0)
             notifyChange(watched_table::BackendServers);
     }
@@ -306,12 +375,14 @@
         .servers = confirmation(watched_table::BackendServers),
         .isServed = hasServerList() && isStoreAvailable() && !m_options.followsGateways && !isOnStandby(),
         .dataCentre = m_options.localDataCentre.text(),
-        .isOnStandby = hasServerList() && isOnStandby() };
+        .isOnStandby = hasServerList() && isOnStandby(),
+        .version = version().number() };
 }
 
 wire::store_confirmation deployment_watch::confirmation(watched_table name) const
 {
-    wire::store_confirmation reported { .revision = table(name).revision() };
+    const auto revision = table(name).revision();
+    wire::store_confirmation reported { .revision = revision.number, .era = revision.era.number() };
     if (const auto confirmedAt = follower(name).confirmedAt())
         reported.ageMs = static_cast<std::uint64_t>(remaining(*confirmedAt, clock_type::now()).count());
     return reported;
@@ -324,7 +395,7 @@
     const auto receive = [&](watched_table name, const wire::store_confirmation& reported) {
         follower(name).setDuty(duty);
         if (reported.ageMs <= maxReportedAgeMs)
-            follower(name).receiveConfirmation(reported.revision, now - std::chrono::milliseconds(reported.ageMs));
+            follower(name).receiveConfirmation(revisionOf(reported), now - std::chrono::milliseconds(reported.ageMs));
     };
     receive(watched_table::Configuration, configuration);
     receive(watched_table::BackendServers, servers);
@@ -354,14 +425,16 @@
 
 bool deployment_watch::needsServers(const wire::deployment_knowledge& knowledge) const
 {
-    return knowledge.servers.revision > table(watched_table::BackendServers).revision();
+    return revisionOf(knowledge.servers) > table(watched_table::BackendServers).revision();
 }
 
 bool deployment_watch::needsConfiguration(const wire::deployment_knowledge& knowledge, time_point now) const
 {
-    if (knowledge.configuration.revision <= table(watched_table::Configuration).revision())
+    const auto offered = revisionOf(knowledge.configuration);
+    const auto known = table(watched_table::Configuration).revision();
+    if (offered <= known && knowledge.version <= version().number())
         return false;
-    if (!m_options.followsGateways || !m_configurationReadAt)
+    if (!m_options.followsGateways || !m_configurationReadAt || offered.era > known.era)
         return true;
     return now > *m_configurationReadAt + m_options.configurationReadInterval;
 }
@@ -372,10 +445,16 @@
     const auto now = clock_type::now();
     if (!m_updateHintReceivedAt)
         m_updateHintReceivedAt = now;
-    if (lostSince() || isOnStandby() || now > *m_updateHintReceivedAt + m_options.stalledPollDelay)
+    if (lostSince() || isOnStandby() || awaitsTable() || now > *m_updateHintReceivedAt + m_options.stalledPollDelay)
         readPeer(peer, true);
 }
 
+bool deployment_watch::awaitsTable() const
+{
+    return std::any_of(m_followers.begin(), m_followers.end(),
+        [](const auto& follower) { return follower && follower->awaitsTable(); });
+}
+
 // Reads one peer at a time, because a large configuration saturates a small link.
 void deployment_watch::readPeer(const endpoint& peer, bool withConfiguration)
 {
@@ -429,11 +508,16 @@
 
 void deployment_watch::fetchFromPeer(const endpoint& peer, bool withConfiguration)
 {
-    constexpr auto none = std::numeric_limits<store_revision>::max();
-    const wire::deployment_request request { .configurationRevision
-        = withConfiguration ? table(watched_table::Configuration).revision() : none,
-        .serversRevision = table(watched_table::BackendServers).revision(),
-        .acceptsDifferences = true };
+    constexpr auto none = std::numeric_limits<std::uint64_t>::max();
+    const auto configuration
+        = withConfiguration ? table(watched_table::Configuration).revision() : store_revision { store_era(none), none };
+    const auto servers = table(watched_table::BackendServers).revision();
+    const wire::deployment_request request { .configurationRevision = configuration.number,
+        .serversRevision = servers.number,
+        .acceptsDifferences = true,
+        .configurationEra = configuration.era.number(),
+        .serversEra = servers.era.number(),
+        .version = withConfiguration ? version().number() : none };
     const auto reply = m_peerService->client().ask(peer, request, clock_type::now() + peerReadTimeout);
     if (!reply) {
         m_peerService->client().drop(peer); // The next round may read another peer.
@@ -442,10 +526,22 @@
     const auto* reported = std::get_if<wire::deployment_reply>(&reply->content);
     if (!reported)
         return;
-    applyFromPeer(watched_table::Configuration, fromWire(reported->configurationRevision, reported->configuration),
+    applyFromPeer(watched_table::Configuration,
+        fromWire({ store_era(reported->configurationEra), reported->configurationRevision }, reported->configuration),
         reported->isConfigurationDifference);
-    applyFromPeer(watched_table::BackendServers, fromWire(reported->serversRevision, reported->servers),
+    applyFromPeer(watched_table::BackendServers,
+        fromWire({ store_era(reported->serversEra), reported->serversRevision }, reported->servers),
         reported->isServersDifference);
+    applyInForceFromPeer(reported->configurationInForce);
+}
+
+void deployment_watch::applyInForceFromPeer(const std::vector<wire::stored_row>& rows)
+{
+    const auto before = version();
+    for (const auto& row : rows)
+        applyConfiguration(fromWire(row));
+    if (version() != before)
+        notifyChange(watched_table::Configuration);
 }
 
 void deployment_watch::applyFromPeer(watched_table name, row_page page, bool isDifference)
@@ -459,10 +555,12 @@
         return;
     }
     logEvent(log_event::DeploymentRead,
-        "table=" + std::string(toString(name)) + " source=peer changed_rows=" + std::to_string(page.rows.size())
-            + " revision=" + std::to_string(page.revision));
+        "table=" + std::string(toString(name)) + " source=peer changed_rows=" + std::to_string(page.rows.size()) + " "
+            + toString(page.revision));
+    const auto before = copy.revision();
     copy.applyDifference(page);
-    decodeChanges(name, page.rows);
+    const bool isRestored = beginEra(name, before, "peer");
+    decodeChanges(name, page.rows, isRestored);
 }
 
 bool deployment_watch::needsSnapshot(const wire::deployment_request& asked) const
@@ -471,8 +569,8 @@
         const auto& copy = table(name);
         return copy.revision() > since && !(asked.acceptsDifferences && copy.knowsChangesSince(since));
     };
-    return isWhole(watched_table::Configuration, asked.configurationRevision)
-        || isWhole(watched_table::BackendServers, asked.serversRevision);
+    return isWhole(watched_table::Configuration, { store_era(asked.configurationEra), asked.configurationRevision })
+        || isWhole(watched_table::BackendServers, { store_era(asked.serversEra), asked.serversRevision });
 }
 
 // A reply to a peer that has stopped reading does not count any more once the peer's timeout has passed.
@@ -501,23 +599,37 @@
 
 wire::deployment_reply deployment_watch::replyTo(const wire::deployment_request& asked) const
 {
-    // Appends a table to the reply. Returns its revision; 0 if the requester's copy is as recent.
+    // Appends a table to the reply. Returns its revision; none if the requester's copy is as recent.
     const auto append = [&](watched_table name, store_revision since, std::vector<wire::stored_row>& rows,
                             bool& isDifference) -> store_revision {
         const auto& copy = table(name);
         if (copy.revision() <= since)
-            return 0;
+            return {};
         auto difference = asked.acceptsDifferences ? copy.changesSince(since) : std::nullopt;
         isDifference = difference.has_value();
         rows = toWire(difference ? std::move(difference->rows) : copy.snapshot().rows);
         return copy.revision();
     };
     wire::deployment_reply reply;
-    reply.configurationRevision = append(watched_table::Configuration, asked.configurationRevision, reply.configuration,
-        reply.isConfigurationDifference);
-    reply.serversRevision
-        = append(watched_table::BackendServers, asked.serversRevision, reply.servers, reply.isServersDifference);
+    const auto configuration
+        = append(watched_table::Configuration, { store_era(asked.configurationEra), asked.configurationRevision },
+            reply.configuration, reply.isConfigurationDifference);
+    const auto servers = append(watched_table::BackendServers, { store_era(asked.serversEra), asked.serversRevision },
+        reply.servers, reply.isServersDifference);
+    reply.configurationRevision = configuration.number;
+    reply.configurationEra = configuration.era.number();
+    reply.serversRevision = servers.number;
+    reply.serversEra = servers.era.number();
+    if (version().number() > asked.version && !isInForceRowInTable())
+        reply.configurationInForce.push_back(toWire(m_configurationInForce));
     return reply;
 }
 
+bool deployment_watch::isInForceRowInTable() const
+{
+    const auto& rows = table(watched_table::Configuration).rows();
+    const auto found = rows.find(m_configurationInForce.key);
+    return found != rows.end() && found->second.revision == m_configurationInForce.revision;
+}
+
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -5,7 +5,9 @@
 // Follows the store (`gateway/table_follower.h`), or stays on standby while other gateways do and reads changes from
 // them. While the store does not serve this VM, it asks other processes, which the store may still serve. Rank agents
 // follow the gateways instead, and the store only while no gateway does. The copy never goes back to an older revision
-// while the process runs. Registered in the kernel as "deployment".
+// while the process runs. If the store comes back from an older copy of its data, the copy follows it into the next
+// era, but the configuration in force never goes back to an older version, and what the store lacks is kept until it
+// has had the time to be written again. Registered in the kernel as "deployment".
 //
 //     watch.onCatalogue([](const catalogue_ptr& next) { ... });
 //     if (watch.catalogue()) ... watch.directory().servers() ...
@@ -21,6 +23,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -96,7 +99,7 @@
     // Returns the data centres to whose backend servers no requests may be sent. Known as soon as a configuration is.
     const std::set<data_centre_id>& evacuated() const { return m_evacuated; }
     // Returns whether the list of backend servers has been read.
-    bool hasServerList() const { return table(watched_table::BackendServers).position() > 0; }
+    bool hasServerList() const { return m_hasServerList; }
     const backend_directory& directory() const { return m_directory; }
     // Returns whether the store answers about both tables.
     bool isStoreAvailable() const { return !lostSince(); }
@@ -108,6 +111,9 @@
     // Registers a callback for each time that this process has queried the store in place of the other gateways, which
     // should be notified soon.
     void onStoreChecked(std::function<void()> checked) { m_onStoreChecked.push_back(std::move(checked)); }
+    // Registers a callback for each time that this process learns that the store has come back from an older copy, so
+    // that everything written to it before may be missing.
+    void onStoreRestored(std::function<void()> restored) { m_onStoreRestored.push_back(std::move(restored)); }
 
     // Adds a peer from which this process may read.
     void addPeer(const endpoint& peer) { m_peers.insert(peer); }
@@ -142,6 +148,8 @@
     std::optional<time_point> lostSince() const;
     // Returns whether other gateways follow at least one of the tables for this process.
     bool isOnStandby() const;
+    // Returns whether the store has dropped what this process would need to continue with one of the tables.
+    bool awaitsTable() const;
     wire::store_confirmation confirmation(watched_table) const;
 
     store_revision revision(watched_table name) const override { return table(name).revision(); }
@@ -153,6 +161,7 @@
     void storeChecked(watched_table) override;
     bool gatewaysFollowStore() const override;
     bool isDeploymentStarting() const override;
+    std::size_t processCount() const override { return m_directory.servers().size() + m_peers.size() + 1; }
     // Returns whether a configuration is known, and each of its deployments of engines has a server.
     bool isEachDeploymentListed() const;
     // Notifies the followers when the deployment is no longer starting.
@@ -160,11 +169,20 @@
 
     // Replaces the copy of a table; a page older than the copy is dropped.
     void replaceTable(watched_table, row_page, const char* source);
-    void applyRow(watched_table, const watched_row&);
+    // Prepares for the rows of a later era if the copy of a table has moved to one from the state `before`. Returns
+    // whether it has.
+    bool beginEra(watched_table, store_revision before, const char* source);
+    // `isRestored` tells rows that a later era of the store brought back, which may be older than the known ones.
+    void applyRow(watched_table, const watched_row&, bool isRestored);
     void applyConfiguration(const watched_row&);
-    void applyBackend(const watched_row&);
-    // Derives the evacuated data centres from the rows of the configuration's table. O(rows).
+    void applyBackend(const watched_row&, bool isRestored);
+    // Keeps the evacuations whose rows a later era of the store lacks until these have had the time to be written
+    // again.
+    void keepMissingEvacuations();
+    // Derives the evacuated data centres from the rows of the configuration's table and the kept evacuations. O(rows).
     void updateEvacuated();
+    // Ends the evacuations that were kept for long enough.
+    void expireEvacuations(time_point now);
     void notifyChange(watched_table);
     void expireLoop();
     void inquiryLoop();
@@ -177,11 +195,17 @@
     bool needsServers(const wire::deployment_knowledge&) const;
     bool needsConfiguration(const wire::deployment_knowledge&, time_point now) const;
     void applyFromPeer(watched_table, row_page, bool isDifference);
+    // Puts the configuration that is in force at a peer into force here if it is newer.
+    void applyInForceFromPeer(const std::vector<wire::stored_row>&);
     // Decodes changed rows and notifies the owners of the callbacks. The copy holds the rows already.
-    void decodeChanges(watched_table, const std::vector<watched_row>&);
+    void decodeChanges(watched_table, const std::vector<watched_row>&, bool isRestored);
+    // Returns the version of the configuration in force; none without one.
+    config_version version() const { return m_catalogue ? m_catalogue->version() : config_version(); }
     wire::deployment_reply replyTo(const wire::deployment_request&) const;
     // Sends the tables that the peer requests. A reply with a whole table waits while too many others are being sent.
     void serveTables(peer_stream&, const wire::deployment_request&);
+    // Returns whether the copy of the table holds the configuration in force, and not an older one.
+    bool isInForceRowInTable() const;
     // Returns whether the reply contains a whole table.
     bool needsSnapshot(const wire::deployment_request&) const;
     bool maySendSnapshot(time_point now) const;
@@ -196,7 +220,11 @@
     time_point m_startingUntil {};
     bool m_wasStarting = true;
     catalogue_ptr m_catalogue;
+    watched_row m_configurationInForce; // The row of `m_catalogue`.
     std::set<data_centre_id> m_evacuated;
+    // Evacuations whose rows the store lacks since it came back from an older copy, and until when each is kept.
+    std::map<data_centre_id, time_point> m_keptEvacuations;
+    bool m_hasServerList = false;
     backend_directory m_directory;
     std::set<endpoint> m_peers;
     // Time of the last report from a gateway that follows the store, or on whose behalf another one does.
@@ -212,6 +240,7 @@
     std::vector<std::function<void()>> m_onEvacuation;
     std::vector<std::function<void()>> m_onServers;
     std::vector<std::function<void()>> m_onStoreChecked;
+    std::vector<std::function<void()>> m_onStoreRestored;
     std::minstd_rand m_random { std::random_device {}() };
     bool m_stopped = false;
 };
--- a/coltsfootbend/gateway/store_restore_test.cpp
+++ b/coltsfootbend/gateway/store_restore_test.cpp
@@ -3,6 +3,8 @@
 
 #include "coltsfootbend/gateway/deployment_test_support.h"
 
+#include <numeric>
+
 namespace coltsfootbend {
 namespace {
 
@@ -58,5 +60,182 @@
     });
 }
 
+// A poll that stays open while the store comes back from a copy is answered by the new era, from the number that it
+// has.
+TEST(StoreRestore, APollThatTheNextEraAnswersDoesNotHideEarlierChanges)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        auto& gateway = start(runtime, processes, { "127.0.0.1", 27453 }, {});
+        gateway.store.version = 50;
+        ASSERT_EQ(waitForVersion(runtime, gateway, 50, 1s), 50U);
+        runtime.sleepFor(500ms); // A poll is pending.
+        gateway.store.keepsPollsOpen = true;
+        gateway.store.restore(48, 40);
+        gateway.store.evacuations["east"] = true; // At revision 40, below the position of the poll.
+        gateway.store.version = 60; // At revision 52.
+        EXPECT_EQ(waitForVersion(runtime, gateway, 60, maxApplyTime), 60U);
+        EXPECT_EQ(gateway.watch->evacuated().size(), 1U);
+    });
+}
+
+// A table that was read before the store came back from a copy must not be continued by changes of the next era.
+TEST(StoreRestore, AStoreThatIsRestoredTwiceWithinASecondIsFollowed)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        auto& gateway = startAndRestore(runtime, processes, 27454);
+        runtime.sleepFor(300ms);
+        gateway.store.isRefusing = true;
+        runtime.sleepFor(200ms);
+        gateway.store.restore(46, 38);
+        gateway.store.isRefusing = false;
+        gateway.store.version = 52;
+        EXPECT_EQ(waitForVersion(runtime, gateway, 52, maxApplyTime), 52U);
+    });
+}
+
+TEST(StoreRestore, AProcessThatHasJustStartedFollowsARestoredStore)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        auto& gateway = start(runtime, processes, { "127.0.0.1", 27455 }, {});
+        gateway.store.version = 50;
+        gateway.store.restore(48, 40);
+        gateway.store.version = 52;
+        EXPECT_EQ(waitForVersion(runtime, gateway, 52, maxApplyTime), 52U);
+    });
+}
+
+// Guards against a configuration that goes back to the one in the store's copy: a revoked key would be accepted again.
+TEST(StoreRestore, TheConfigurationInForceDoesNotGoBackToTheCopy)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        auto& gateway = startAndRestore(runtime, processes, 27456);
+        const auto until = clock_type::now() + 3s;
+        while (clock_type::now() < until) {
+            ASSERT_EQ(gateway.version(), 50U);
+            runtime.sleepFor(10ms);
+        }
+        EXPECT_EQ(gateway.watch->knowledge().configuration.era, 2U) << "the table itself follows the store";
+    });
+}
+
+// A process that starts before the operator has written the configuration again reads an older one from the store.
+TEST(StoreRestore, AProcessThatStartsMeanwhileTakesTheNewestConfigurationOfAPeer)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        startAndRestore(runtime, processes, 27457);
+        const std::vector<endpoint> addresses { { "127.0.0.1", 27457 }, { "127.0.0.1", 27458 } };
+        exchangeKnowledge(runtime, processes, { addresses.front() }, clock_type::now() + 2s);
+        auto& started = start(runtime, processes, addresses.back(), {});
+        started.store = processes.front()->store;
+        exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 1500ms);
+        EXPECT_EQ(started.version(), 50U);
+    });
+}
+
+// A gateway that the store refuses learns of the next era from its peers as fast as of a configuration.
+TEST(StoreRestore, AGatewayThatOnlyPeersReachFollowsThemIntoTheNextEra)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        const std::vector<endpoint> addresses { { "127.0.0.1", 27459 }, { "127.0.0.1", 27460 } };
+        for (const auto& address : addresses)
+            start(runtime, processes, address, {}).store.version = 50;
+        exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 1s);
+        auto& cutOff = *processes.back();
+        cutOff.store.isRefusing = true;
+        exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 1s);
+        processes.front()->store.restore(48, 40);
+        processes.front()->store.version = 52;
+        exchangeKnowledge(runtime, processes, addresses, clock_type::now() + maxApplyTime);
+        EXPECT_EQ(cutOff.version(), 52U);
+        EXPECT_EQ(cutOff.watch->knowledge().configuration.era, 2U);
+    });
+}
+
+// Guards against a copy that is confirmed by a gateway which knows the same number of another era.
+TEST(StoreRestore, AConfirmationOfAnotherEraConfirmsNothing)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        auto& gateway = start(runtime, processes, { "127.0.0.1", 27461 }, {});
+        gateway.store.version = 50;
+        ASSERT_EQ(waitForVersion(runtime, gateway, 50, 1s), 50U);
+        gateway.store.isRefusing = true;
+        runtime.sleepFor(600ms);
+        const auto receive = [&](std::uint64_t era) {
+            const wire::store_confirmation confirmation { .revision = 50, .ageMs = 0, .era = era };
+            gateway.watch->receiveConfirmations(confirmation, confirmation, wire::store_duty::Standby);
+            return gateway.watch->knowledge().configuration.ageMs;
+        };
+        EXPECT_GT(receive(2), 400U);
+        EXPECT_GT(receive(0), 400U) << "an era that the store does not name";
+        EXPECT_LT(receive(1), 100U);
+    });
+}
+
+// An evacuation that was written since the copy was made is missing until the operator writes it again.
+TEST(StoreRestore, AnEvacuationThatTheCopyLacksRemainsInForceUntilItCanBeWrittenAgain)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        auto& gateway = start(runtime, processes, { "127.0.0.1", 27462 }, {});
+        gateway.store.evacuations["east"] = true;
+        gateway.store.evacuations["west"] = true;
+        gateway.store.version = 50;
+        ASSERT_EQ(waitForVersion(runtime, gateway, 50, 1s), 50U);
+        ASSERT_EQ(gateway.watch->evacuated().size(), 2U);
+        gateway.store.evacuations.clear();
+        gateway.store.restore(48, 40);
+        runtime.sleepFor(1500ms);
+        EXPECT_EQ(gateway.watch->knowledge().configuration.era, 2U);
+        EXPECT_EQ(gateway.watch->evacuated().size(), 2U);
+        gateway.store.evacuations["east"] = true;
+        gateway.store.version = 52;
+        runtime.sleepFor(3500ms);
+        EXPECT_EQ(gateway.watch->evacuated(), std::set { data_centre_id("east") });
+        gateway.store.evacuations["east"] = false;
+        gateway.store.version = 53;
+        runtime.sleepFor(1s);
+        EXPECT_TRUE(gateway.watch->evacuated().empty()) << "lifted by the operator";
+    });
+}
+
+// States the growth: of twice as many gateways hardly more read the whole tables from the store, and all know the next
+// change in time. The calls that each process makes to notice the store's return are not counted.
+TEST(StoreRestore, FewGatewaysReadTheTablesOfARestoredStore)
+{
+    constexpr std::uint16_t firstPort = 27470;
+    constexpr std::size_t largestCount = 40;
+    for (const std::size_t count : { largestCount / 2, largestCount }) {
+        onRuntime([count](fiber_runtime& runtime, test_processes& processes) {
+            std::vector<endpoint> addresses;
+            for (std::size_t i = 0; i < count; ++i) {
+                addresses.push_back({ "127.0.0.1", static_cast<std::uint16_t>(firstPort + i) });
+                start(runtime, processes, addresses.back(), {}).store.version = 50;
+            }
+            exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 1500ms);
+            for (const auto& process : processes) {
+                for (const auto& peer : addresses)
+                    process->watch->addPeer(peer);
+                process->store.isRefusing = true;
+            }
+            exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 1500ms);
+            for (const auto& process : processes) {
+                process->store.restore(48, 40);
+                process->store.readCount = 0;
+                process->store.isRefusing = false;
+            }
+            exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 2500ms);
+            const auto reads = std::accumulate(processes.begin(), processes.end(), 0,
+                [](int sum, const auto& process) { return sum + process->store.readCount; });
+            constexpr int tables = 2;
+            EXPECT_GE(reads, tables);
+            EXPECT_LE(reads, tables * static_cast<int>(largestCount) / 4) << "with " << count << " gateways";
+            for (const auto& process : processes)
+                process->store.version = 52;
+            exchangeKnowledge(runtime, processes, addresses, clock_type::now() + maxApplyTime);
+            for (const auto& process : processes)
+                EXPECT_EQ(process->version(), 52U);
+        });
+    }
+}
+
 } // namespace
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/table_copy.cpp
+++ b/coltsfootbend/gateway/table_copy.cpp
@@ -5,21 +5,38 @@
 
 namespace coltsfootbend {
 
+namespace {
+
+// Returns whether two rows with the same key come from the same write, or from writes of the same value.
+bool isSameState(const watched_row& known, const watched_row& row)
+{
+    return known.revision == row.revision || known.value == row.value;
+}
+
+} // namespace
+
 std::optional<std::vector<watched_row>> table_copy::replace(row_page snapshot)
 {
     if (snapshot.revision < m_revision)
         return std::nullopt;
-    // What was removed before the first snapshot is not known.
-    if (m_revision == 0)
-        m_removalsKnownSince = snapshot.revision;
-    m_revision = snapshot.revision;
+    const auto before = m_revision;
+    // A row may have come and gone since `before`, so the states in between are not known.
+    m_knownStates.push_back({ snapshot.revision, snapshot.revision });
+    advance(snapshot.revision);
     m_position = std::max(m_position, snapshot.revision);
     std::vector<watched_row> changed;
     std::map<std::string, watched_row> rows;
     for (auto& row : snapshot.rows) {
         const auto known = m_rows.find(row.key);
-        if (known == m_rows.end() || known->second.revision < row.revision)
+        if (known != m_rows.end() && isSameState(known->second, row)) {
+            const bool isLaterEra = !snapshot.revision.isInEraOf(before);
+            row.revision = isLaterEra ? known->second.revision : std::max(known->second.revision, row.revision);
+        } else {
+            // A row that another process carried over from an earlier era may have changed since `before`.
+            if (row.revision <= before)
+                row.revision = snapshot.revision;
             changed.push_back(row);
+        }
         m_removed.erase(row.key);
         auto key = row.key;
         rows[std::move(key)] = std::move(row);
@@ -33,11 +50,24 @@
     return changed;
 }
 
+void table_copy::advance(store_revision revision)
+{
+    if (revision < m_revision)
+        return;
+    if (m_knownStates.empty() || !revision.isInEraOf(m_knownStates.back().last))
+        m_knownStates.push_back({ revision, revision });
+    m_knownStates.back().last = revision;
+    m_revision = revision;
+    if (m_knownStates.size() > m_options.maxKnownSeries)
+        m_knownStates.erase(m_knownStates.begin());
+}
+
 void table_copy::apply(const row_page& changes)
 {
     m_position = std::max(m_position, changes.revision);
     for (const auto& row : changes.rows) {
-        m_revision = std::max(m_revision, row.revision);
+        if (row.revision.isInEraOf(m_revision))
+            advance(row.revision);
         if (row.isDeleted) {
             remove(row.key, row.revision);
             continue;
@@ -52,8 +82,8 @@
 
 void table_copy::applyDifference(const row_page& difference)
 {
+    advance(difference.revision);
     apply(difference);
-    m_revision = std::max(m_revision, difference.revision);
 }
 
 void table_copy::remove(const std::string& key, store_revision revision)
@@ -91,6 +121,13 @@
     return page;
 }
 
+bool table_copy::knowsChangesSince(store_revision since) const
+{
+    const auto includes = [&](const known_states& states) { return states.first <= since && since <= states.last; };
+    return !since.isNone() && since >= m_removalsKnownSince
+        && std::any_of(m_knownStates.begin(), m_knownStates.end(), includes);
+}
+
 std::optional<row_page> table_copy::changesSince(store_revision since) const
 {
     if (!knowsChangesSince(since))
--- a/coltsfootbend/gateway/table_follower.cpp
+++ b/coltsfootbend/gateway/table_follower.cpp
@@ -3,6 +3,7 @@
 #include "coltsfootbend/base/log_event.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace coltsfootbend {
@@ -36,8 +37,6 @@
     // A pending call that is never answered is logged only at its timeout; until then this age shows it.
     m_metrics.gauge(std::string(toString(m_table)) + "_unconfirmed_seconds",
         [this] { return m_confirmedAt ? toMilliseconds(clock_type::now() - *m_confirmedAt) / 1000 : -1.0; });
-    m_metrics.gauge(
-        std::string(toString(m_table)) + "_store_era", [this] { return static_cast<double>(m_observedEra.number()); });
     m_runtime.spawn([this] { follow(); });
     m_runtime.spawn([this] { checkLoop(); });
 }
@@ -52,16 +51,25 @@
 {
     awaitCopy();
     while (!m_stopped) {
-        const bool hasCopy = m_hasSnapshot || m_owner.revision(m_table) > 0;
+        noticeLaterEra();
+        const bool hasCopy = m_hasSnapshot || !m_owner.revision(m_table).isNone();
         if (hasCopy && (m_owner.gatewaysFollowStore() || isOnStandby())) {
             markRegained();
             m_runtime.sleepFor(stateCheckInterval);
             continue;
         }
+        if (!m_hasSnapshot && hasReceivedTable()) {
+            m_hasSnapshot = true;
+            continue;
+        }
         if (m_hasSnapshot && !m_lostSince) {
             poll();
             continue;
         }
+        if (!m_hasSnapshot && clock_type::now() < m_awaitTableUntil) {
+            m_runtime.sleepUntil(std::min(m_awaitTableUntil, clock_type::now() + stateCheckInterval));
+            continue;
+        }
         if (auto done = m_hasSnapshot ? probeAfterLoss() : readSnapshot(); !done) {
             markLost(done.error());
             backOffAfterFailure();
@@ -72,7 +80,7 @@
 void table_follower::awaitCopy()
 {
     const auto limit = clock_type::now() + m_options.initialWait + jitter(m_options.initialWait / 2);
-    while (!m_stopped && m_owner.revision(m_table) == 0 && clock_type::now() < limit)
+    while (!m_stopped && m_owner.revision(m_table).isNone() && clock_type::now() < limit)
         m_runtime.sleepFor(stateCheckInterval);
 }
 
@@ -83,15 +91,16 @@
     recordCall("read", sentAt, page);
     if (!page)
         return tl::unexpected(page.error());
-    if (page->revision < m_owner.position(m_table))
+    const auto known = m_owner.position(m_table);
+    if (page->revision < known)
         return fail(error_kind::Stale,
-            "the store returned an older revision than before: page=" + std::to_string(page->revision)
-                + " known=" + std::to_string(m_owner.position(m_table)) + " era=" + std::to_string(page->era.number()),
+            "the store returned an older revision than before: page " + toString(page->revision) + ", known "
+                + toString(known),
             "Read the table again");
     m_hasSnapshot = true;
     markRegained();
-    recordConfirmation(sentAt);
     m_owner.receiveSnapshot(m_table, std::move(*page));
+    recordConfirmation(sentAt);
     return {};
 }
 
@@ -146,6 +155,7 @@
 void table_follower::checkLoop()
 {
     while (!m_stopped) {
+        noticeLaterEra();
         const auto now = clock_type::now();
         if (m_poll && !m_lostSince && now >= m_nextCheckAt && !m_owner.gatewaysFollowStore())
             check();
@@ -183,19 +193,21 @@
     recordCall(call.name, call.sentAt, done);
     if (!done && done.error().kind != error_kind::Stale)
         return tl::unexpected(done.error());
+    if (done && done->revision.era < m_owner.position(m_table).era)
+        return fail(error_kind::Lost, "the store's answer is of an earlier era", "Call the store again");
     markRegained();
-    if (!done) {
-        m_hasSnapshot = false;
-        cancelPoll();
-        return {};
-    }
     // A peer may have provided a newer state in the meantime, to which these changes do not apply.
     const auto known = m_owner.revision(m_table);
     if (known != call.known) {
-        if (!done->rows.empty())
+        if (done && !done->rows.empty())
             logEvent(log_event::DeploymentPageDropped,
-                tableLabel(m_table) + " asked_for=" + std::to_string(call.known) + " known=" + std::to_string(known)
-                    + " page=" + std::to_string(done->revision));
+                tableLabel(m_table) + " asked_for=" + std::to_string(call.known.number)
+                    + " known=" + std::to_string(known.number) + " page=" + std::to_string(done->revision.number));
+        return {};
+    }
+    // The store compares numbers only, so a page of another era may lack changes.
+    if (!done || !done->revision.isInEraOf(call.after)) {
+        abandonPosition();
         return {};
     }
     m_owner.receiveChanges(m_table, *done);
@@ -203,29 +215,49 @@
     return {};
 }
 
+void table_follower::abandonPosition()
+{
+    m_hasSnapshot = false;
+    m_abandonedPosition = m_owner.position(m_table);
+    const bool isLaterEra = m_store.latestEra() > m_abandonedPosition.era;
+    m_awaitTableUntil = clock_type::now() + (isLaterEra ? restoreDelay() : duration::zero());
+    cancelPoll();
+}
+
+void table_follower::noticeLaterEra()
+{
+    if (m_hasSnapshot && m_store.latestEra() > m_owner.position(m_table).era)
+        abandonPosition();
+}
+
+bool table_follower::hasReceivedTable() const
+{
+    return !m_abandonedPosition.isNone() && m_owner.position(m_table).era > m_abandonedPosition.era;
+}
+
+// All processes notice at about the same time that the store has come back from an older copy. The delays are
+// distributed so that, of any number of processes, few draw a short one. These read the table and provide it to the
+// others before the delays of the others have passed.
+duration table_follower::restoreDelay()
+{
+    constexpr std::size_t minProcesses = 2;
+    const auto processes = static_cast<double>(std::max(m_owner.processCount(), minProcesses));
+    const double drawn = std::uniform_real_distribution<double>(1 / processes, 1)(m_random);
+    const double share = 1 + std::log(drawn) / std::log(processes); // From 0, rarely, to 1.
+    return fromMilliseconds(share * toMilliseconds(m_options.maxRestoreDelay));
+}
+
 void table_follower::recordCall(const char* name, time_point sentAt, const result<row_page>& done)
 {
     m_metrics.count("store_calls_total",
         { { "table", toString(m_table) }, { "call", name }, { "outcome", done ? "ok" : toString(done.error().kind) } });
-    if (done) {
-        observeEra(*done);
+    if (done)
         return;
-    }
     logEvent(log_event::StoreCallFailed,
         tableLabel(m_table) + " call=" + name + " waited_ms="
             + std::to_string(remaining(sentAt, clock_type::now()).count()) + " why=\"" + toString(done.error()) + "\"");
 }
 
-void table_follower::observeEra(const row_page& page)
-{
-    const auto before = std::exchange(m_observedEra, page.era);
-    if (m_confirmedAt && before != page.era)
-        logEvent(log_event::StoreEraChanged,
-            tableLabel(m_table) + " from=" + std::to_string(before.number())
-                + " to=" + std::to_string(page.era.number()) + " known=" + std::to_string(m_owner.position(m_table))
-                + " page=" + std::to_string(page.revision));
-}
-
 bool table_follower::isOnStandby() const
 {
     return m_duty == wire::store_duty::Standby && m_hasSnapshot && clock_type::now() < m_nextCheckAt;
@@ -233,10 +265,18 @@
 
 void table_follower::receiveConfirmation(store_revision revision, time_point asOf)
 {
-    if (m_owner.revision(m_table) >= revision)
+    const auto known = m_owner.revision(m_table);
+    if (known.isInEraOf(revision) && known >= revision)
         recordConfirmation(asOf);
 }
 
+void table_follower::onEraChanged()
+{
+    m_confirmedAt.reset();
+    const time_point latest = clock_type::now() + m_options.checkInterval + m_options.dutyDelay + m_options.dutyJitter;
+    m_nextCheckAt = latest - jitter(m_options.dutyJitter);
+}
+
 void table_follower::recordConfirmation(time_point asOf)
 {
     if (m_confirmedAt && asOf <= *m_confirmedAt)
--- a/coltsfootbend/gateway/table_follower.h
+++ b/coltsfootbend/gateway/table_follower.h
@@ -4,11 +4,14 @@
 // looks the same whether nothing changed or the answer was lost, so the store is also queried by short calls that it
 // answers at once. This process makes them, or another one that knows the same revision and reports when it last
 // queried the store. Each table has its own follower, and an answer about one table confirms nothing about the other.
+// After the store has come back from an older copy, the table is read again: few processes read it from the store, and
+// the others wait a moment for these to provide it.
 // Doesn't interpret rows or read from other processes: see `gateway/deployment_watch.h`.
 //
 //     table_follower follower(runtime, store, metrics, watched_table::Configuration, owner, {});
 //     follower.start();
 //     follower.receiveConfirmation(revision, askedAt); // Another process has queried the store.
+//     if (follower.awaitsTable()) ... // Another process may provide the table sooner than the store.
 
 #include "coltsfootbend/metrics/metrics.h"
 #include "coltsfootbend/net/cancellation.h"
@@ -46,6 +49,8 @@
         virtual bool gatewaysFollowStore() const = 0;
         // Returns whether the deployment is just starting, so that this process has nothing to serve yet.
         virtual bool isDeploymentStarting() const = 0;
+        // Returns about how many processes follow the store, this one included.
+        virtual std::size_t processCount() const = 0;
     };
 
     struct options {
@@ -86,6 +91,9 @@
         // Checks of processes without the check duty are spread over this time, so that the first one to query the
         // store saves the others the call.
         duration dutyJitter = std::chrono::milliseconds(500);
+        // Longest delay from the notice that the store has come back from an older copy to the read of the table. Every
+        // process notices within about a second, and must be current within three.
+        duration maxRestoreDelay = std::chrono::milliseconds(1200);
     };
 
     table_follower(fiber_runtime&, watched_store&, metrics_service&, watched_table, owner&, options);
@@ -102,12 +110,16 @@
     std::optional<time_point> confirmedAt() const { return m_confirmedAt; }
 
     // Receives another process's report that the store had nothing newer than `revision` at `asOf`, by this process's
-    // clock. Without effect if the owner's copy is older than `revision`.
+    // clock. Without effect if the owner's copy is older than `revision`, or of another era.
     void receiveConfirmation(store_revision revision, time_point asOf);
     // Sets this process's part in following the store.
     void setDuty(wire::store_duty);
     // Called when the deployment is no longer starting, so that the table is checked at the usual interval.
     void onDeploymentStarted() { limitNextCheck(); }
+    // Returns whether the store has dropped what this process would need to continue, so that it needs the whole table.
+    bool awaitsTable() const { return !m_hasSnapshot; }
+    // Called when the owner's copy has moved to a later era: what confirmed it before does not count any more.
+    void onEraChanged();
     // Returns whether other gateways follow the store for this process and have recently confirmed the owner's copy.
     // Without further confirmations the standby ends before the time within which a change must be in force.
     bool isOnStandby() const;
@@ -131,17 +143,24 @@
     struct changes_call {
         const char* name = "";
         time_point sentAt {};
-        store_revision after = 0; // Position after which changes are requested.
-        store_revision known = 0; // Revision of the copy that the changes apply to.
+        store_revision after {}; // Position after which changes are requested.
+        store_revision known {}; // Revision of the copy that the changes apply to.
     };
     changes_call beginCall(const char* name) const;
     // Applies the answer, which describes the store at `asOf`, if the copy is still at the revision from which the call
-    // was sent. Fails as the call did.
+    // was sent. Fails as the call did, and with `Lost` if the answer is of an earlier era than the copy.
     result<void> completeCall(const changes_call&, const result<row_page>& done, time_point asOf);
     void recordCall(const char* name, time_point sentAt, const result<row_page>& done);
-    // Logs a change of the era in which the store answers.
-    void observeEra(const row_page&);
     void recordConfirmation(time_point asOf);
+    // Records that the store cannot provide the changes since the owner's position, and when the whole table may be
+    // read from it.
+    void abandonPosition();
+    // Abandons the position if the store has answered any call in a later era.
+    void noticeLaterEra();
+    // Returns whether the owner has received the table of a later era since `abandonPosition`.
+    bool hasReceivedTable() const;
+    // Returns a random delay for reading the table after the store has come back from an older copy.
+    duration restoreDelay();
     void markLost(const error&);
     void markRegained();
     void cancelPoll();
@@ -157,9 +176,11 @@
     wire::store_duty m_duty = wire::store_duty::Unknown;
     // False before the first snapshot, and after the store has dropped the changes since the last one.
     bool m_hasSnapshot = false;
+    // Position that the store cannot continue from, and until when the table is awaited from another process.
+    store_revision m_abandonedPosition {};
+    time_point m_awaitTableUntil {};
     std::optional<time_point> m_lostSince;
     std::optional<time_point> m_confirmedAt;
-    store_era m_observedEra; // Of the store's last answer.
     time_point m_nextCheckAt = time_point::max();
     duration m_retryDelay;
     duration m_pollDelay; // Of the last poll.
--- a/coltsfootbend/group/load_subscribers.cpp
+++ b/coltsfootbend/group/load_subscribers.cpp
@@ -16,47 +16,54 @@
 void load_subscribers::subscribe(
     const endpoint& address, wire::deployment_knowledge knowledge, time_point expiresAt, time_point now)
 {
-    m_newestRevisions.reset();
+    m_newestState.reset();
     m_subscribers[address] = { .expiresAt = expiresAt, .receivedAt = now, .knowledge = std::move(knowledge) };
 }
 
 void load_subscribers::expire(time_point now)
 {
-    m_newestRevisions.reset();
+    m_newestState.reset();
     std::erase_if(m_subscribers, [now](const auto& entry) { return entry.second.expiresAt < now; });
 }
 
-const load_subscribers::table_revisions& load_subscribers::newestRevisions()
+load_subscribers::known_state load_subscribers::stateOf(const subscriber& gateway)
 {
-    if (m_newestRevisions)
-        return *m_newestRevisions;
-    table_revisions newest;
+    const auto& known = gateway.knowledge;
+    return { .configuration = { store_era(known.configuration.era), known.configuration.revision },
+        .servers = { store_era(known.servers.era), known.servers.revision },
+        .version = known.version };
+}
+
+const load_subscribers::known_state& load_subscribers::newestState()
+{
+    if (m_newestState)
+        return *m_newestState;
+    known_state newest;
     for (const auto& [address, gateway] : m_subscribers) {
-        newest.configuration = std::max(newest.configuration, gateway.knowledge.configuration.revision);
-        newest.servers = std::max(newest.servers, gateway.knowledge.servers.revision);
+        const auto known = stateOf(gateway);
+        newest.configuration = std::max(newest.configuration, known.configuration);
+        newest.servers = std::max(newest.servers, known.servers);
+        newest.version = std::max(newest.version, known.version);
     }
-    return m_newestRevisions.emplace(newest);
+    return m_newestState.emplace(newest);
 }
 
-// Returns only a gateway that the store serves, or one that has the newest known revision of both tables, so that it is
-// not itself behind. Prefers the requester's data centre. Chooses at random, because one gateway may be unreachable and
-// so that all up-to-date gateways share the load.
+// Returns only a gateway that the store serves, or one that has the newest known state of both tables, so that it is
+// not itself behind, or the newest version in force, which the store may have lost. Prefers the requester's data
+// centre. Chooses at random, because one gateway may be unreachable and so that all up-to-date gateways share the load.
 const endpoint* load_subscribers::findNewerSource(const subscriber& requester)
 {
-    const auto newest = newestRevisions();
-    if (requester.knowledge.configuration.revision >= newest.configuration
-        && requester.knowledge.servers.revision >= newest.servers)
+    const auto newest = newestState();
+    const auto known = stateOf(requester);
+    if (!newest.isAheadOf(known))
         return nullptr;
-    const auto isNewer = [&](const subscriber& candidate) {
-        return candidate.knowledge.configuration.revision > requester.knowledge.configuration.revision
-            || candidate.knowledge.servers.revision > requester.knowledge.servers.revision;
-    };
     std::vector<const endpoint*> nearby;
     std::vector<const endpoint*> remote;
     for (const auto& [address, candidate] : m_subscribers) {
-        const bool hasNewestTables = candidate.knowledge.configuration.revision == newest.configuration
-            && candidate.knowledge.servers.revision == newest.servers;
-        if (!isNewer(candidate) || (!candidate.knowledge.isServed && !hasNewestTables))
+        const auto offered = stateOf(candidate);
+        const bool hasNewestTables = offered.configuration == newest.configuration && offered.servers == newest.servers;
+        const bool hasNewerVersion = offered.version == newest.version && offered.version > known.version;
+        if (!offered.isAheadOf(known) || (!candidate.knowledge.isServed && !hasNewestTables && !hasNewerVersion))
             continue;
         (candidate.knowledge.dataCentre == requester.knowledge.dataCentre ? nearby : remote).push_back(&address);
     }
@@ -82,11 +89,13 @@
     wire::store_confirmation found;
     for (const auto& [address, candidate] : m_subscribers) {
         const auto& confirmation = candidate.knowledge.*table;
-        if (confirmation.ageMs == wire::store_confirmation::never)
+        if (confirmation.era > found.era)
+            found = { .era = confirmation.era };
+        if (confirmation.era < found.era || confirmation.ageMs == wire::store_confirmation::never)
             continue;
         const auto age = confirmation.ageMs + static_cast<std::uint64_t>(remaining(candidate.receivedAt, now).count());
         if (age < found.ageMs)
-            found = { .revision = confirmation.revision, .ageMs = age };
+            found = { .revision = confirmation.revision, .ageMs = age, .era = confirmation.era };
     }
     return found;
 }
--- a/coltsfootbend/group/load_subscribers.h
+++ b/coltsfootbend/group/load_subscribers.h
@@ -9,6 +9,7 @@
 
 #include "coltsfootbend/base/time.h"
 #include "coltsfootbend/net/byte_stream.h"
+#include "coltsfootbend/store/store_revision.h"
 #include "coltsfootbend/wire/messages.h"
 
 #include <map>
@@ -36,7 +37,8 @@
     void expire(time_point now);
     const std::map<endpoint, subscriber>& all() const { return m_subscribers; }
 
-    // Returns the address of a gateway that has a newer table of the deployment than `requester`, or null. O(gateways)
+    // Returns the address of a gateway that has a newer table of the deployment than `requester`, or a newer
+    // configuration in force, or null. O(gateways)
     // if there is one; otherwise constant until the next call of `subscribe` or `expire`.
     const endpoint* findNewerSource(const subscriber& requester);
 
@@ -49,17 +51,27 @@
     std::map<endpoint, wire::store_duty> duties() const;
 
 private:
-    struct table_revisions {
-        std::uint64_t configuration = 0;
-        std::uint64_t servers = 0;
+    // What a gateway knows of the deployment.
+    struct known_state {
+        store_revision configuration;
+        store_revision servers;
+        std::uint64_t version = 0; // Of the configuration in force.
+
+        // Returns whether this is newer than `other` in any respect.
+        bool isAheadOf(const known_state& other) const
+        {
+            return configuration > other.configuration || servers > other.servers || version > other.version;
+        }
     };
-    // Returns the newest revision of each table that any gateway knows.
-    const table_revisions& newestRevisions();
+    static known_state stateOf(const subscriber&);
+    // Returns the newest state of each table, and the newest version in force, that any gateway knows.
+    const known_state& newestState();
+    // Returns the latest confirmation in the latest era in which a gateway knows the table.
     wire::store_confirmation newestConfirmation(
         wire::store_confirmation wire::deployment_knowledge::*table, time_point now) const;
 
     std::map<endpoint, subscriber> m_subscribers;
-    std::optional<table_revisions> m_newestRevisions; // None after a change of the subscribers.
+    std::optional<known_state> m_newestState; // None after a change of the subscribers.
     std::minstd_rand m_random;
 };
 
--- a/coltsfootbend/group/load_subscribers_test.cpp
+++ b/coltsfootbend/group/load_subscribers_test.cpp
@@ -89,5 +89,38 @@
     EXPECT_EQ(*subscribers.findNewerSource(requester), second);
 }
 
+// Guards against confirmations and sources that are chosen by numbers which the store gave out twice.
+TEST(LoadSubscribers, AGatewayOfALaterEraIsTheNewerSourceWithALowerNumber)
+{
+    load_subscribers subscribers(1);
+    auto restored = knowing(30, 200);
+    restored.configuration.era = restored.servers.era = 2;
+    auto cutOff = knowing(34, 100, false);
+    cutOff.configuration.era = cutOff.servers.era = 1;
+    subscribers.subscribe(first, restored, start + 3s, start);
+    subscribers.subscribe(second, cutOff, start + 3s, start);
+    EXPECT_EQ(subscribers.findNewerSource(subscribers.all().at(first)), nullptr);
+    ASSERT_NE(subscribers.findNewerSource(subscribers.all().at(second)), nullptr);
+    EXPECT_EQ(*subscribers.findNewerSource(subscribers.all().at(second)), first);
+    EXPECT_EQ(subscribers.configuration(start).era, 2U);
+    EXPECT_EQ(subscribers.configuration(start).revision, 30U);
+    EXPECT_EQ(subscribers.configuration(start).ageMs, 200U) << "the later confirmation is of an earlier era";
+}
+
+// A process that starts after the store has come back from an older copy reads an older configuration from it.
+TEST(LoadSubscribers, AGatewayWithANewerVersionInForceIsANewerSource)
+{
+    load_subscribers subscribers(1);
+    auto started = knowing(30, 0);
+    started.version = 7;
+    auto informed = knowing(30, 0, false);
+    informed.version = 24;
+    subscribers.subscribe(first, started, start + 3s, start);
+    subscribers.subscribe(second, informed, start + 3s, start);
+    ASSERT_NE(subscribers.findNewerSource(subscribers.all().at(first)), nullptr);
+    EXPECT_EQ(*subscribers.findNewerSource(subscribers.all().at(first)), second);
+    EXPECT_EQ(subscribers.findNewerSource(subscribers.all().at(second)), nullptr);
+}
+
 } // namespace
 } // namespace coltsfootbend
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -69,13 +69,18 @@
 static auto fieldsOf(deployment_inquiry&) { return std::tie(); }
 static auto fieldsOf(deployment_request& value)
 {
-    return std::tie(value.configurationRevision, value.serversRevision, value.acceptsDifferences);
+    return std::tie(value.configurationRevision, value.serversRevision, value.acceptsDifferences,
+        value.configurationEra, value.serversEra, value.version);
+}
+static auto fieldsOf(stored_row& value)
+{
+    return std::tie(value.key, value.value, value.revision, value.isDeleted, value.era);
 }
-static auto fieldsOf(stored_row& value) { return std::tie(value.key, value.value, value.revision, value.isDeleted); }
 static auto fieldsOf(deployment_reply& value)
 {
     return std::tie(value.configurationRevision, value.configuration, value.serversRevision, value.servers,
-        value.isConfigurationDifference, value.isServersDifference);
+        value.isConfigurationDifference, value.isServersDifference, value.configurationEra, value.serversEra,
+        value.configurationInForce);
 }
 static auto fieldsOf(order_scope& value)
 {
@@ -110,10 +115,11 @@
 {
     return std::tie(value.common, value.differences, value.others, value.demand);
 }
-static auto fieldsOf(store_confirmation& value) { return std::tie(value.revision, value.ageMs); }
+static auto fieldsOf(store_confirmation& value) { return std::tie(value.revision, value.ageMs, value.era); }
 static auto fieldsOf(deployment_knowledge& value)
 {
-    return std::tie(value.configuration, value.servers, value.isServed, value.dataCentre, value.isOnStandby);
+    return std::tie(
+        value.configuration, value.servers, value.isServed, value.dataCentre, value.isOnStandby, value.version);
 }
 static auto fieldsOf(load_subscribe& value) { return std::tie(value.knows); }
 static auto fieldsOf(server_limit& value)
--- a/coltsfootbend/wire/messages.h
+++ b/coltsfootbend/wire/messages.h
@@ -140,11 +140,15 @@
 // Any process to one that may know a newer deployment: asks for the revisions that it knows. The reply,
 // `deployment_knowledge`, lets the requester fetch the rows from a single process.
 struct deployment_inquiry { };
-// Any process to one that knows a newer deployment: asks for the tables newer than these revisions of the store.
+// Any process to one that knows a newer deployment: asks for the tables newer than these states of the store, and for
+// the configuration in force if its version is newer.
 struct deployment_request {
     std::uint64_t configurationRevision = 0;
     std::uint64_t serversRevision = 0;
     bool acceptsDifferences = false; // The reply may hold only the rows that changed since these revisions.
+    std::uint64_t configurationEra = 0;
+    std::uint64_t serversEra = 0;
+    std::uint64_t version = 0; // Of the configuration in force at the requester.
 };
 // One row of a table of the store.
 struct stored_row {
@@ -152,6 +156,7 @@
     std::string value;
     std::uint64_t revision = 0;
     bool isDeleted = false;
+    std::uint64_t era = 0;
 };
 // Answers `deployment_request`. A table is complete or a difference, or omitted (revision 0) when the sender has none
 // newer.
@@ -162,6 +167,11 @@
     std::vector<stored_row> servers;
     bool isConfigurationDifference = false; // Holds the rows changed or removed since the requester's revision.
     bool isServersDifference = false;
+    std::uint64_t configurationEra = 0;
+    std::uint64_t serversEra = 0;
+    // The configuration in force at the sender if it is newer than the requester's and the table does not hold it: the
+    // store has come back from a copy that is older than it. Empty or one row.
+    std::vector<stored_row> configurationInForce;
 };
 
 // Addressee of a leader's message: a rank agent obeys only if every field matches. No single field suffices, because
@@ -277,12 +287,13 @@
     std::vector<std::uint32_t> demand; // Sum over the ranks that were asked for their counts.
 };
 
-// States that the store had nothing newer than `revision` of a table `ageMs` ago.
+// States that the store had nothing newer than `revision` of a table `ageMs` ago, in its era `era`.
 struct store_confirmation {
     static constexpr std::uint64_t never = std::numeric_limits<std::uint64_t>::max();
 
     std::uint64_t revision = 0;
     std::uint64_t ageMs = never;
+    std::uint64_t era = 0;
 };
 
 // Part of a gateway in following the store on behalf of all processes. Encoded as its number.
@@ -300,6 +311,7 @@
     bool isServed = false; // The process follows the store itself, and the store answers it.
     std::string dataCentre;
     bool isOnStandby = false; // Other gateways follow the store for the process and have recently confirmed its tables.
+    std::uint64_t version = 0; // Of the configuration in force at the process.
 };
 
 // Gateway to rank agent, as a datagram: subscribes to the load of its engine for a limited time.
