Crash records are written again after the store has come back from an older copy

Cause: rows that the store acknowledged were taken as kept, so that a quarantine would end with the next restart of all VMs; rows removed for cleared requests come back. Change: each gateway compares the rows with its records within five seconds of a restore, at a random moment, writes what is missing and removes what was cleared.

--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -103,6 +103,10 @@
         applyServers();
     });
     m_watch->onStoreChecked([this] { m_hasUpdates = true; });
+    m_watch->onStoreRestored([this] {
+        m_hasUpdates = true;
+        m_quarantine->onStoreRestored();
+    });
     m_metrics->gauge("requests_running", [this] { return static_cast<double>(m_runningRequests); });
     m_metrics->gauge("evacuated_data_centres", [this] { return static_cast<double>(m_watch->evacuated().size()); });
     m_metrics->gauge("configuration_version",
--- a/coltsfootbend/gateway/quarantine_network.cpp
+++ b/coltsfootbend/gateway/quarantine_network.cpp
@@ -1,6 +1,7 @@
 #include "coltsfootbend/gateway/quarantine_network.h"
 
 #include <algorithm>
+#include <map>
 
 namespace coltsfootbend {
 
@@ -36,6 +37,23 @@
         m_requests.history().add(records, clock_type::now());
         m_requests.logChangedVerdicts();
     });
+    m_archive->setSource([this] { return recordsToStore(); });
+}
+
+void quarantine_network::onStoreRestored()
+{
+    if (m_archive)
+        m_archive->onStoreRestored();
+}
+
+std::vector<crash_record> quarantine_network::recordsToStore() const
+{
+    auto records = m_requests.history().records();
+    std::map<request_fingerprint, std::size_t> crashes;
+    for (const auto& record : records)
+        ++crashes[record.request];
+    std::erase_if(records, [&](const auto& record) { return crashes[record.request] < minCrashesToStore; });
+    return records;
 }
 
 void quarantine_network::receiveReport(const endpoint& sender, const wire::crash_report& report)
--- a/coltsfootbend/gateway/quarantine_network.h
+++ b/coltsfootbend/gateway/quarantine_network.h
@@ -38,10 +38,14 @@
     void receiveDigest(const endpoint& sender, std::uint64_t digest);
     // Drops expired records; to be called about once a second.
     void expire();
+    // Called when the store has come back from an older copy, so that records may be missing in it.
+    void onStoreRestored();
 
 private:
     // Sends new records to some agents, which distribute them to the others, and stores those of repeated crashes.
     void publish(const std::vector<crash_record>&);
+    // Returns the records of all requests with repeated crashes.
+    std::vector<crash_record> recordsToStore() const;
     // Returns whether the server has announced that it leaves, or is no longer registered.
     bool isLeaving(const backend_server&) const;
 
--- a/coltsfootbend/gateway/request_quarantine.h
+++ b/coltsfootbend/gateway/request_quarantine.h
@@ -42,6 +42,7 @@
 
     // Returns the records of this gateway and of other VMs. Call `logChangedVerdicts` after each change.
     crash_history& history() { return m_history; }
+    const crash_history& history() const { return m_history; }
     // Logs the verdicts that have changed since the last call.
     void logChangedVerdicts();
 
--- a/coltsfootbend/quarantine/crash_archive.cpp
+++ b/coltsfootbend/quarantine/crash_archive.cpp
@@ -3,6 +3,7 @@
 #include "coltsfootbend/base/log_event.h"
 
 #include <algorithm>
+#include <set>
 
 namespace coltsfootbend {
 
@@ -63,11 +64,30 @@
 void crash_archive::run()
 {
     while (!m_stopped) {
-        const bool isDone = (m_hasRead || readOnce()) && writeOnce();
+        const bool isDone = readIfDue() && writeOnce();
         m_runtime.sleepFor(isDone ? duration(pollInterval) : duration(retryInterval));
     }
 }
 
+void crash_archive::onStoreRestored()
+{
+    const auto limit = toMilliseconds(m_options.maxComparisonDelay);
+    m_readAt = clock_type::now() + fromMilliseconds(std::uniform_real_distribution<double>(0, limit)(m_random));
+}
+
+bool crash_archive::readIfDue()
+{
+    if (!m_readAt || clock_type::now() < *m_readAt)
+        return true;
+    const auto dueAt = *m_readAt;
+    if (!readOnce())
+        return false;
+    // The store may have come back from another copy during the call.
+    if (m_readAt == dueAt)
+        m_readAt.reset();
+    return true;
+}
+
 // Removes the rows that it reads after their retention has passed.
 bool crash_archive::readOnce()
 {
@@ -76,7 +96,6 @@
         logFailure("read", rows.error());
         return false;
     }
-    m_hasRead = true;
     std::vector<crash_record> restored;
     for (const auto& row : *rows) {
         auto record = toRecord(row);
@@ -89,9 +108,24 @@
     }
     if (m_restored)
         m_restored(restored);
+    queueDifference(*rows);
     return true;
 }
 
+void crash_archive::queueDifference(const std::vector<stored_crash>& rows)
+{
+    if (!m_source)
+        return;
+    std::set<row_key> stored;
+    for (const auto& row : rows)
+        stored.emplace(row.request, row.server);
+    for (const auto& record : m_source()) {
+        const bool isStored = stored.contains({ record.request, record.server });
+        if (isStored == record.isCleared)
+            queueWrite({ record });
+    }
+}
+
 std::vector<crash_record> crash_archive::takeBatch()
 {
     std::vector<crash_record> batch;
--- a/coltsfootbend/quarantine/crash_archive.h
+++ b/coltsfootbend/quarantine/crash_archive.h
@@ -1,11 +1,13 @@
 #pragma once
 
 // Persists crash records in the store, so that quarantines survive a simultaneous restart of all VMs. Callers pass the
-// records of requests that were running at two or more crashes. The archive is read once at start. Writes are rare and
-// unconditional, since a row states a fact that does not change. No caller waits for the store: while it is
-// unavailable, writes are queued and gossip continues. Registered in the kernel as "crash_archive".
+// records of requests that were running at two or more crashes. The archive is read at start, and again after the store
+// has come back from an older copy: what was written since that copy was made is written again by the processes that
+// hold it. Writes are rare and unconditional, since a row states a fact that does not change. No caller waits for the
+// store: while it is unavailable, writes are queued and gossip continues. Registered in the kernel as "crash_archive".
 //
 //     archive.onRestored([](const std::vector<crash_record>& kept) { history.add(kept, now); });
+//     archive.setSource([] { return history.records(); });
 //     archive.queueWrite(history.recordsOf(request));
 
 #include "coltsfootbend/kernel/kernel.h"
@@ -16,6 +18,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -48,6 +52,9 @@
     struct options {
         // How long a row is stored: the longest time for which a request may be quarantined.
         duration retention = crash_history::options().quarantineRetention;
+        // Longest delay from the store's return from an older copy to the comparison of its rows. Random, so that the
+        // rows that the first processes write are not missing for the others.
+        duration maxComparisonDelay = std::chrono::seconds(5);
     };
 
     crash_archive(fiber_runtime& runtime, std::unique_ptr<crash_store> store)
@@ -60,12 +67,19 @@
     result<void> start(kernel&) override;
     void stop() override { m_stopped = true; }
 
-    // Sets a callback that is called once, with the records that are still valid when the store has been read.
+    // Sets a callback that is called each time the store has been read, with the records that are still valid.
     void onRestored(std::function<void(const std::vector<crash_record>&)> restored)
     {
         m_restored = std::move(restored);
     }
 
+    // Sets the source of all records that should be in the store, or that should not be in it because they are cleared.
+    void setSource(std::function<std::vector<crash_record>()> source) { m_source = std::move(source); }
+
+    // Called when the store has come back from an older copy. Compares its rows with the records of the source later,
+    // and writes what is missing and removes what was cleared.
+    void onStoreRestored();
+
     // Queues records for the next write to the store. Records that are cleared are removed from it.
     void queueWrite(const std::vector<crash_record>&);
 
@@ -73,7 +87,11 @@
     using row_key = std::pair<request_fingerprint, server_incarnation>;
 
     void run();
+    // Reads the rows if that is due. Returns false if the call failed.
+    bool readIfDue();
     bool readOnce();
+    // Queues the difference between the rows of the store and the records of the source.
+    void queueDifference(const std::vector<stored_crash>& rows);
     bool writeOnce();
     std::vector<crash_record> takeBatch();
 
@@ -81,8 +99,10 @@
     const std::unique_ptr<crash_store> m_store;
     const options m_options;
     std::function<void(const std::vector<crash_record>&)> m_restored;
+    std::function<std::vector<crash_record>()> m_source;
     std::map<row_key, crash_record> m_pending; // Queued to be written or removed.
-    bool m_hasRead = false;
+    std::optional<time_point> m_readAt { time_point {} }; // When the rows have to be read; none if they have been.
+    std::minstd_rand m_random { std::random_device {}() };
     bool m_stopped = false;
 };
 
--- a/coltsfootbend/quarantine/crash_archive_test.cpp
+++ b/coltsfootbend/quarantine/crash_archive_test.cpp
@@ -62,8 +62,10 @@
         std::thread([&] {
             fiber_runtime runtime;
             kernel kernel;
-            crash_archive archive(runtime, std::make_unique<model_crash_store>(m_model));
+            crash_archive archive(
+                runtime, std::make_unique<model_crash_store>(m_model), { .maxComparisonDelay = 100ms });
             archive.onRestored([this](const std::vector<crash_record>& records) { m_restored = records; });
+            archive.setSource([this] { return m_held; });
             runtime.spawn([&] {
                 (void)archive.start(kernel);
                 work(runtime, archive);
@@ -85,6 +87,7 @@
 
     model_rows m_model;
     std::vector<crash_record> m_restored;
+    std::vector<crash_record> m_held; // What the process knows.
     const crash_record m_first {
         .request = request_fingerprint("r"), .server = server_incarnation("1"), .at = clock_type::now() - 5s
     };
@@ -149,5 +152,28 @@
     EXPECT_EQ(m_model.calls, 1);
 }
 
+// Guards against a quarantine that ends with the next restart of all VMs: an acknowledged row is gone after the store
+// has come back from an older copy, and one that was removed is back.
+TEST_F(crash_archive_test, RecordsThatARestoredStoreLacksAreWrittenAgainAndClearedOnesRemoved)
+{
+    play([&](fiber_runtime& runtime, crash_archive& archive) {
+        m_held = { m_first, m_second };
+        archive.queueWrite(m_held);
+        runtime.sleepFor(600ms);
+        ASSERT_EQ(names(), (row_names { "r.1", "r.2" }));
+        m_held.front().isCleared = true;
+        archive.queueWrite({ m_held.front() });
+        runtime.sleepFor(600ms);
+        ASSERT_EQ(names(), (row_names { "r.2" }));
+        const stored_crash removedSince {
+            .request = m_first.request, .server = m_first.server, .at = std::chrono::system_clock::now()
+        };
+        m_model.rows = { { model_crash_store::nameOf(removedSince), removedSince } };
+        archive.onStoreRestored();
+        runtime.sleepFor(1s);
+    });
+    EXPECT_EQ(names(), (row_names { "r.2" }));
+}
+
 } // namespace
 } // namespace coltsfootbend
