--- a/coltsfootbend/gateway/table_copy.cpp
+++ b/coltsfootbend/gateway/table_copy.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-// Returns whether two rows with the same key come from the same write, or from writes of the same value.
-bool isSameState(const watched_row& known, const watched_row& row)
+// Returns whether two rows with the same key come from the same write, or, across eras, from writes of the same value.
+bool isSameState(const watched_row& known, const watched_row& row, bool isLaterEra)
 {
-    return known.revision == row.revision || known.value == row.value;
+    return known.revision == row.revision || (isLaterEra && known.value == row.value);
 }
 
 } // namespace
@@ -26,13 +26,13 @@
     m_position = std::max(m_position, snapshot.revision);
     std::vector<watched_row> changed;
     std::map<std::string, watched_row> rows;
+    const bool isLaterEra = !snapshot.revision.isInEraOf(before);
     for (auto& row : snapshot.rows) {
         const auto known = m_rows.find(row.key);
-        if (known != m_rows.end() && isSameState(known->second, row)) {
-            const bool isLaterEra = !snapshot.revision.isInEraOf(before);
-            row.revision = isLaterEra ? known->second.revision : std::max(known->second.revision, row.revision);
+        if (known != m_rows.end() && isSameState(known->second, row, isLaterEra)) {
+            row.revision = known->second.revision;
         } else {
-            // A row that another process carried over from an earlier era may have changed since `before`.
+            // A row that another process has kept from an earlier era may have changed since `before`.
             if (row.revision <= before)
                 row.revision = snapshot.revision;
             changed.push_back(row);
