A server that has started again at once counts as crashed

What callers saw: a request that crashed three servers was sent on to a fourth (502 instead of 503), 1 of 32 runs of repeated_crash_test on one core beside two busy processes.

Cause: a crash is confirmed by a port that refuses connections. A server that starts again in 0.7 s accepts them before a slow gateway checks, and its crash was dropped.

Change: if the port accepts connections, the crash detector waits up to 1.5 s for another incarnation to be registered at the server's address that was not there when the exchange broke. A renewed registration of the same incarnation proves nothing.

--- a/coltsfootbend/gateway/backend_directory.cpp
+++ b/coltsfootbend/gateway/backend_directory.cpp
@@ -156,6 +156,16 @@
     });
 }
 
+std::set<backend_instance> backend_directory::listedAt(const endpoint& address) const
+{
+    std::set<backend_instance> listed;
+    for (const auto& [id, server] : m_servers) {
+        if (server.address == address)
+            listed.insert(server.instance());
+    }
+    return listed;
+}
+
 const backend_server* backend_directory::find(const backend_id& id) const
 {
     const auto found = m_servers.find(id);
--- a/coltsfootbend/gateway/backend_directory.h
+++ b/coltsfootbend/gateway/backend_directory.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace coltsfootbend {
@@ -108,6 +109,8 @@
     const std::map<backend_id, backend_server>& servers() const { return m_servers; }
     // Returns the server, or null if it is unknown.
     const backend_server* find(const backend_id&) const;
+    // Returns the servers that are registered at an address. O(servers).
+    std::set<backend_instance> listedAt(const endpoint& address) const;
 
 private:
     // A server that is no longer registered.
--- a/coltsfootbend/gateway/crash_detector.cpp
+++ b/coltsfootbend/gateway/crash_detector.cpp
@@ -2,6 +2,7 @@
 
 #include "coltsfootbend/base/log_event.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -11,6 +12,10 @@
 
 // Time to collect the requests that were at a server: the connections of a crashed server do not break all at once.
 constexpr std::chrono::milliseconds gatherTime { 30 };
+// Time within which a server that accepts connections again is registered, and the registration is known here.
+constexpr std::chrono::milliseconds registrationTime { 1500 };
+// Interval of the checks for it.
+constexpr std::chrono::milliseconds registrationCheckInterval { 50 };
 
 std::string describe(const backend_crash& crash)
 {
@@ -26,39 +31,53 @@
 
 } // namespace
 
-crash_detector::crash_detector(fiber_runtime& runtime, crash_verifier& verifier,
-    std::function<bool(const backend_server&)> isExpected, std::function<void(const backend_crash&)> onCrash)
+crash_detector::crash_detector(fiber_runtime& runtime, crash_verifier& verifier, callbacks owner)
     : m_runtime(runtime)
-    , m_state(new shared_state {
-          .verifier = verifier, .suspected = {}, .isExpected = std::move(isExpected), .onCrash = std::move(onCrash) })
+    , m_state(new shared_state { .verifier = verifier, .suspected = {}, .owner = std::move(owner) })
 {
 }
 
 void crash_detector::onExchangeBroken(const backend_server& server, const request_fingerprint& request)
 {
     // Checked now and not after the crash is confirmed: a crashed server loses its registration a little later, too.
-    if (m_state->isExpected(server))
+    if (m_state->owner.isExpected(server))
         return;
     auto& suspect = m_state->suspected[server.instance()];
     suspect.requests.insert(request);
     if (suspect.requests.size() > 1)
         return; // A fiber is checking the server already.
     suspect.server = server;
+    suspect.listedBefore = m_state->owner.listedAt(server.address);
     m_runtime.spawn(
         [&runtime = m_runtime, state = m_state, instance = server.instance()] { check(runtime, state, instance); });
 }
 
+bool crash_detector::hasStartedAgain(fiber_runtime& runtime, const shared_state& state, const suspected_crash& suspect)
+{
+    const auto isNew = [&](const backend_instance& listed) {
+        return listed != suspect.server.instance() && !suspect.listedBefore.contains(listed);
+    };
+    const auto limit = clock_type::now() + registrationTime;
+    while (clock_type::now() < limit) {
+        const auto listed = state.owner.listedAt(suspect.server.address);
+        if (std::any_of(listed.begin(), listed.end(), isNew))
+            return true;
+        runtime.sleepFor(registrationCheckInterval);
+    }
+    return false;
+}
+
 void crash_detector::check(
     fiber_runtime& runtime, const std::shared_ptr<shared_state>& state, const backend_instance& instance)
 {
     runtime.sleepFor(gatherTime);
     const bool hasTerminated = state->verifier.hasTerminated(state->suspected.at(instance).server);
     const auto suspect = state->suspected.extract(instance).mapped();
-    if (!hasTerminated)
+    if (!hasTerminated && !hasStartedAgain(runtime, *state, suspect))
         return;
     const backend_crash crash { .server = suspect.server, .requests = suspect.requests };
     logEvent(log_event::BackendCrashed, describe(crash));
-    state->onCrash(crash);
+    state->owner.onCrash(crash);
 }
 
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/crash_detector.h
+++ b/coltsfootbend/gateway/crash_detector.h
@@ -2,10 +2,11 @@
 
 // Detects crashes of backend servers and the requests that were at the server then. A broken connection may also mean a
 // fault of the network, of the answer, or of another rank of the group, so a verifier has to confirm that the server
-// has terminated. Reports all requests that were lost with the server, because a gateway cannot determine which one
+// has terminated. A server that has started again at once accepts connections, and its new registration confirms the
+// crash instead. Reports all requests that were lost with the server, because a gateway cannot determine which one
 // caused the crash. Does not detect unresponsive servers and does not judge requests: see `quarantine/crash_history.h`.
 //
-//     crash_detector detector(runtime, verifier, isLeaving, [](const backend_crash& crash) { ... });
+//     crash_detector detector(runtime, verifier, { .isExpected = isLeaving, .listedAt = ..., .onCrash = ... });
 //     detector.onExchangeBroken(server, fingerprint);
 
 #include "coltsfootbend/gateway/crash_verifier.h"
@@ -27,10 +28,17 @@
 // Collects the requests of broken exchanges by server, and reports them if the server has crashed.
 class crash_detector {
 public:
-    // `isExpected`: returns true for servers that leave as planned; the exchanges that they break when they terminate
-    // do not indicate a crash. `onCrash`: receives each confirmed crash.
-    crash_detector(fiber_runtime&, crash_verifier&, std::function<bool(const backend_server&)> isExpected,
-        std::function<void(const backend_crash&)> onCrash);
+    struct callbacks {
+        // Returns true for servers that leave as planned; the exchanges that they break when they terminate do not
+        // indicate a crash.
+        std::function<bool(const backend_server&)> isExpected;
+        // Returns the servers that are registered at an address.
+        std::function<std::set<backend_instance>(const endpoint&)> listedAt;
+        // Receives each confirmed crash.
+        std::function<void(const backend_crash&)> onCrash;
+    };
+
+    crash_detector(fiber_runtime&, crash_verifier&, callbacks);
 
     // Handles an exchange with `server` that broke while the server had the request. Returns at once; a confirmed crash
     // is reported later from a fiber of its own.
@@ -41,14 +49,17 @@
     struct suspected_crash {
         backend_server server;
         std::set<request_fingerprint> requests;
+        std::set<backend_instance> listedBefore; // Servers at its address when the first exchange broke.
     };
     struct shared_state {
         crash_verifier& verifier;
         std::map<backend_instance, suspected_crash> suspected; // One fiber checks each entry.
-        std::function<bool(const backend_server&)> isExpected;
-        std::function<void(const backend_crash&)> onCrash;
+        callbacks owner;
     };
 
+    // Returns whether the server has been registered anew at its address since its exchanges broke: then it was
+    // terminated, although its port accepts connections. Waits for the registration.
+    static bool hasStartedAgain(fiber_runtime&, const shared_state&, const suspected_crash&);
     static void check(fiber_runtime&, const std::shared_ptr<shared_state>&, const backend_instance&);
 
     fiber_runtime& m_runtime;
--- a/coltsfootbend/gateway/quarantine_network.cpp
+++ b/coltsfootbend/gateway/quarantine_network.cpp
@@ -27,6 +27,7 @@
     , m_witness(runtime, peers, [this](const backend_server& server) { return m_agents.near(server); })
     , m_requests(
           runtime, m_witness, [this](const backend_server& server) { return isLeaving(server); },
+          [this](const endpoint& address) { return m_watch.directory().listedAt(address); },
           [this](const std::vector<crash_record>& records) { publish(records); })
     , m_channel(settings.vm, socket)
     , m_gossip(m_requests.history(), m_channel)
--- a/coltsfootbend/gateway/request_quarantine.cpp
+++ b/coltsfootbend/gateway/request_quarantine.cpp
@@ -24,8 +24,12 @@
 
 request_quarantine::request_quarantine(fiber_runtime& runtime, crash_verifier& verifier,
     std::function<bool(const backend_server&)> isExpected,
+    std::function<std::set<backend_instance>(const endpoint&)> listedAt,
     std::function<void(const std::vector<crash_record>&)> publish)
-    : m_detector(runtime, verifier, std::move(isExpected), [this](const backend_crash& crash) { onCrash(crash); })
+    : m_detector(runtime, verifier,
+        { .isExpected = std::move(isExpected),
+            .listedAt = std::move(listedAt),
+            .onCrash = [this](const backend_crash& crash) { onCrash(crash); } })
     , m_publish(std::move(publish))
 {
 }
--- a/coltsfootbend/gateway/request_quarantine.h
+++ b/coltsfootbend/gateway/request_quarantine.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,9 +22,10 @@
 // The requests that one gateway refuses because they are suspected to crash servers.
 class request_quarantine {
 public:
-    // `isExpected`: true for servers that terminate as planned, see `crash_detector`. `publish`: receives the records
-    // that this gateway has added.
+    // `isExpected`: true for servers that terminate as planned, `listedAt`: the servers registered at an address, see
+    // `crash_detector`. `publish`: receives the records that this gateway has added.
     request_quarantine(fiber_runtime&, crash_verifier&, std::function<bool(const backend_server&)> isExpected,
+        std::function<std::set<backend_instance>(const endpoint&)> listedAt,
         std::function<void(const std::vector<crash_record>&)> publish);
     request_quarantine(const request_quarantine&) = delete;
     request_quarantine& operator=(const request_quarantine&) = delete;
