The fixture of the exchange tests names no registered servers

Cause: request_quarantine takes a lookup of the servers at an address since the change of the crash detector, and this test was not built with it. Change: the fixture passes one without servers. Result: builds.

--- a/coltsfootbend/gateway/exchange_test.cpp
+++ b/coltsfootbend/gateway/exchange_test.cpp
@@ -125,7 +125,8 @@
     explicit exchange_fixture(fiber_runtime& runtime)
         : runtime(runtime)
         , m_quarantine(
-              runtime, m_witness, [](const backend_server&) { return false; }, [](const std::vector<crash_record>&) {})
+              runtime, m_witness, [](const backend_server&) { return false; },
+              [](const endpoint&) { return std::set<backend_instance>(); }, [](const std::vector<crash_record>&) {})
         , context(new gateway_context { .runtime = runtime,
               .codec = m_codec,
               .metrics = m_metrics,
