A new registration confirms a crash when it arrives, without a waiting fiber

Cause: Exchange.DeadlineOfResumedStreamCountsFromItsLastEvent crashed (SEGFAULT, once in one whole run): the fiber that waited 1.5 s for a new registration outlived the runtime that it slept on. Change: the detector keeps the servers that accepted connections for 1.5 s and is called after each change of the registered servers.

--- a/coltsfootbend/gateway/crash_detector.cpp
+++ b/coltsfootbend/gateway/crash_detector.cpp
@@ -14,9 +14,6 @@
 constexpr std::chrono::milliseconds gatherTime { 30 };
 // Time within which a server that accepts connections again is registered, and the registration is known here.
 constexpr std::chrono::milliseconds registrationTime { 1500 };
-// Interval of the checks for it.
-constexpr std::chrono::milliseconds registrationCheckInterval { 50 };
-
 std::string describe(const backend_crash& crash)
 {
     std::string text
@@ -52,19 +49,31 @@
         [&runtime = m_runtime, state = m_state, instance = server.instance()] { check(runtime, state, instance); });
 }
 
-bool crash_detector::hasStartedAgain(fiber_runtime& runtime, const shared_state& state, const suspected_crash& suspect)
+bool crash_detector::hasStartedAgain(const shared_state& state, const suspected_crash& suspect)
+{
+    const auto listed = state.owner.listedAt(suspect.server.address);
+    return std::any_of(listed.begin(), listed.end(), [&](const backend_instance& instance) {
+        return instance != suspect.server.instance() && !suspect.listedBefore.contains(instance);
+    });
+}
+
+void crash_detector::onServersChanged()
 {
-    const auto isNew = [&](const backend_instance& listed) {
-        return listed != suspect.server.instance() && !suspect.listedBefore.contains(listed);
-    };
-    const auto limit = clock_type::now() + registrationTime;
-    while (clock_type::now() < limit) {
-        const auto listed = state.owner.listedAt(suspect.server.address);
-        if (std::any_of(listed.begin(), listed.end(), isNew))
-            return true;
-        runtime.sleepFor(registrationCheckInterval);
+    const auto now = clock_type::now();
+    const auto awaited = std::exchange(m_state->awaited, {});
+    for (const auto& entry : awaited) {
+        if (hasStartedAgain(*m_state, entry.suspect))
+            report(*m_state, entry.suspect);
+        else if (now < entry.until)
+            m_state->awaited.push_back(entry);
     }
-    return false;
+}
+
+void crash_detector::report(const shared_state& state, const suspected_crash& suspect)
+{
+    const backend_crash crash { .server = suspect.server, .requests = suspect.requests };
+    logEvent(log_event::BackendCrashed, describe(crash));
+    state.owner.onCrash(crash);
 }
 
 void crash_detector::check(
@@ -73,11 +82,13 @@
     runtime.sleepFor(gatherTime);
     const bool hasTerminated = state->verifier.hasTerminated(state->suspected.at(instance).server);
     const auto suspect = state->suspected.extract(instance).mapped();
-    if (!hasTerminated && !hasStartedAgain(runtime, *state, suspect))
+    if (hasTerminated || hasStartedAgain(*state, suspect)) {
+        report(*state, suspect);
         return;
-    const backend_crash crash { .server = suspect.server, .requests = suspect.requests };
-    logEvent(log_event::BackendCrashed, describe(crash));
-    state->owner.onCrash(crash);
+    }
+    const auto now = clock_type::now();
+    std::erase_if(state->awaited, [now](const auto& entry) { return now >= entry.until; });
+    state->awaited.push_back({ suspect, now + registrationTime });
 }
 
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/crash_detector.h
+++ b/coltsfootbend/gateway/crash_detector.h
@@ -8,6 +8,7 @@
 //
 //     crash_detector detector(runtime, verifier, { .isExpected = isLeaving, .listedAt = ..., .onCrash = ... });
 //     detector.onExchangeBroken(server, fingerprint);
+//     detector.onServersChanged(); // After each change of the registered servers.
 
 #include "coltsfootbend/gateway/crash_verifier.h"
 #include "coltsfootbend/quarantine/request_fingerprint.h"
@@ -16,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace coltsfootbend {
 
@@ -43,6 +45,8 @@
     // Handles an exchange with `server` that broke while the server had the request. Returns at once; a confirmed crash
     // is reported later from a fiber of its own.
     void onExchangeBroken(const backend_server&, const request_fingerprint&);
+    // Reports the crashes that new registrations confirm. O(suspected servers).
+    void onServersChanged();
 
 private:
     // A server whose exchanges broke, until its termination is confirmed or ruled out.
@@ -51,15 +55,22 @@
         std::set<request_fingerprint> requests;
         std::set<backend_instance> listedBefore; // Servers at its address when the first exchange broke.
     };
+    // A server that accepted connections when it was checked, and until when its new registration is awaited.
+    struct awaited_registration {
+        suspected_crash suspect;
+        time_point until {};
+    };
     struct shared_state {
         crash_verifier& verifier;
         std::map<backend_instance, suspected_crash> suspected; // One fiber checks each entry.
+        std::vector<awaited_registration> awaited;
         callbacks owner;
     };
 
-    // Returns whether the server has been registered anew at its address since its exchanges broke: then it was
-    // terminated, although its port accepts connections. Waits for the registration.
-    static bool hasStartedAgain(fiber_runtime&, const shared_state&, const suspected_crash&);
+    static void report(const shared_state&, const suspected_crash&);
+    // Returns whether another incarnation has been registered at the server's address since its exchanges broke. Then
+    // the server was terminated, although its port accepts connections.
+    static bool hasStartedAgain(const shared_state&, const suspected_crash&);
     static void check(fiber_runtime&, const std::shared_ptr<shared_state>&, const backend_instance&);
 
     fiber_runtime& m_runtime;
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -101,6 +101,7 @@
     m_watch->onServers([this] {
         m_hasUpdates = true;
         applyServers();
+        m_quarantine->requests().onServersChanged();
     });
     m_watch->onStoreChecked([this] { m_hasUpdates = true; });
     m_watch->onStoreRestored([this] {
--- a/coltsfootbend/gateway/request_quarantine.h
+++ b/coltsfootbend/gateway/request_quarantine.h
@@ -39,6 +39,8 @@
 
     // Handles an exchange with `server` that broke while the server had the request.
     void onExchangeBroken(const backend_server&, const request_fingerprint&);
+    // Called after each change of the registered servers, which may confirm a crash.
+    void onServersChanged() { m_detector.onServersChanged(); }
     // Clears a request that a server ran successfully.
     void onRequestSucceeded(const request_fingerprint&);
 
