A list of servers that has been read remains known

Change: it is set with the first position and stays set over a restore. Result: not covered by a test of its own; builds.

--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -141,6 +141,7 @@
 void deployment_watch::receiveChanges(watched_table name, const row_page& page)
 {
     table(name).apply(page);
+    updateHasServerList();
     if (!page.rows.empty())
         decodeChanges(name, page.rows, false);
 }
@@ -299,12 +300,18 @@
     }
 }
 
+// The revision may fall to 0 if the store comes back from a copy without any change; the list remains known.
+void deployment_watch::updateHasServerList()
+{
+    m_hasServerList = m_hasServerList || !table(watched_table::BackendServers).position().isNone();
+}
+
 void deployment_watch::notifyChange(watched_table name)
 {
     m_updateHintReceivedAt.reset();
     updateStarting();
+    updateHasServerList();
     if (name == watched_table::BackendServers) {
-        m_hasServerList = m_hasServerList || !table(name).position().isNone();
         m_directory.removeIsolatedLapses(clock_type::now());
         for (const auto& changed : m_onServers)
             changed();
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -148,7 +148,7 @@
     std::optional<time_point> lostSince() const;
     // Returns whether other gateways follow at least one of the tables for this process.
     bool isOnStandby() const;
-    // Returns whether the store has dropped what this process would need to continue with one of the tables.
+    // Returns whether this process needs one of the tables whole.
     bool awaitsTable() const;
     wire::store_confirmation confirmation(watched_table) const;
 
@@ -172,7 +172,7 @@
     // Prepares for the rows of a later era if the copy of a table has moved to one from the state `before`. Returns
     // whether it has.
     bool beginEra(watched_table, store_revision before, const char* source);
-    // `isRestored` tells rows that a later era of the store brought back, which may be older than the known ones.
+    // `isRestored` is set for rows that a later era of the store has brought back, which may be older than known ones.
     void applyRow(watched_table, const watched_row&, bool isRestored);
     void applyConfiguration(const watched_row&);
     void applyBackend(const watched_row&, bool isRestored);
@@ -183,6 +183,8 @@
     void updateEvacuated();
     // Ends the evacuations that were kept for long enough.
     void expireEvacuations(time_point now);
+    // Records that the list of backend servers has been read, if it has.
+    void updateHasServerList();
     void notifyChange(watched_table);
     void expireLoop();
     void inquiryLoop();
--- a/coltsfootbend/gateway/table_follower.h
+++ b/coltsfootbend/gateway/table_follower.h
@@ -116,7 +116,8 @@
     void setDuty(wire::store_duty);
     // Called when the deployment is no longer starting, so that the table is checked at the usual interval.
     void onDeploymentStarted() { limitNextCheck(); }
-    // Returns whether the store has dropped what this process would need to continue, so that it needs the whole table.
+    // Returns whether this process needs the whole table, at its start or because the store cannot provide the changes
+    // since the owner's position.
     bool awaitsTable() const { return !m_hasSnapshot; }
     // Called when the owner's copy has moved to a later era: what confirmed it before does not count any more.
     void onEraChanged();
