Tests: each process that listens on fixed ports has a loopback host of its own

The test run with AddressSanitizer ended with an error: "cannot listen: Address already in use" on 127.0.0.1:27450 in PeerReading. Cause: the suites run in several processes at a time, and the ports of PeerReading (27440 to 27460), StoreRestore (27450 to 27509), Evacuation (from 27500) and PeerService (27460) overlap. Which tests meet depends on how long each takes.

Change: testAddress(port) gives an address on a loopback host that is derived from the id of the process, so that tests in different processes cannot compete for a port, whatever their numbers. No check is changed.

--- a/coltsfootbend/gateway/deployment_test_support.h
+++ b/coltsfootbend/gateway/deployment_test_support.h
@@ -4,12 +4,13 @@
 // store of its own that can refuse calls or leave them unanswered, and with real connections between the processes.
 //
 //     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-//         auto& gateway = start(runtime, processes, { "127.0.0.1", 27340 }, {});
+//         auto& gateway = start(runtime, processes, testAddress(27340), {});
 //         ...
 //     });
 
 #include "coltsfootbend/gateway/deployment_watch.h"
 #include "coltsfootbend/group/load_subscribers.h"
+#include "coltsfootbend/net/test_address.h"
 
 #include <cstdlib>
 #include <gtest/gtest.h>
--- a/coltsfootbend/gateway/deployment_watch_test.cpp
+++ b/coltsfootbend/gateway/deployment_watch_test.cpp
@@ -12,11 +12,11 @@
 TEST(DeploymentWatch, AGatewayThatTheStoreRefusesReadsFromAnAgentInTime)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const endpoint agentAddress { "127.0.0.1", 27341 };
+        const auto agentAddress = testAddress(27341);
         auto& agent = start(runtime, processes, agentAddress, deployment_watch::options::forAgents());
         deployment_watch::options options;
         options.peers = { agentAddress };
-        auto& gateway = start(runtime, processes, { "127.0.0.1", 27340 }, options);
+        auto& gateway = start(runtime, processes, testAddress(27340), options);
         runtime.sleepFor(100ms);
         EXPECT_EQ(gateway.version(), 1U);
         gateway.store.isRefusing = true;
@@ -34,11 +34,11 @@
 TEST(DeploymentWatch, AnAgentDoesNotCallTheStoreWhileGatewaysFollowIt)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const endpoint gatewayAddress { "127.0.0.1", 27343 };
+        const auto gatewayAddress = testAddress(27343);
         auto& gateway = start(runtime, processes, gatewayAddress, {});
         auto options = deployment_watch::options::forAgents();
         options.configurationReadInterval = 100ms;
-        auto& agent = start(runtime, processes, { "127.0.0.1", 27344 }, options);
+        auto& agent = start(runtime, processes, testAddress(27344), options);
         agent.store.version = 1;
         sendKnowledgeToAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 300ms);
         // The polls that were pending at the gateway's first report end with this change.
@@ -59,9 +59,9 @@
 TEST(DeploymentWatch, AnAgentDoesNotReadEveryConfiguration)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const endpoint gatewayAddress { "127.0.0.1", 27347 };
+        const auto gatewayAddress = testAddress(27347);
         auto& gateway = start(runtime, processes, gatewayAddress, {});
-        auto& agent = start(runtime, processes, { "127.0.0.1", 27348 }, deployment_watch::options::forAgents());
+        auto& agent = start(runtime, processes, testAddress(27348), deployment_watch::options::forAgents());
         sendKnowledgeToAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 300ms);
         agent.store.version = gateway.store.version = 2;
         sendKnowledgeToAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 1500ms);
@@ -77,9 +77,9 @@
 TEST(DeploymentWatch, AGatewayThatTheStoreRefusesReadsFromAGatewayWithNewerState)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const endpoint served { "127.0.0.1", 27349 };
+        const auto served = testAddress(27349);
         auto& informed = start(runtime, processes, served, {});
-        auto& refused = start(runtime, processes, { "127.0.0.1", 27350 }, {});
+        auto& refused = start(runtime, processes, testAddress(27350), {});
         runtime.sleepFor(100ms);
         refused.store.isRefusing = true;
         informed.store.version = 2;
@@ -96,9 +96,9 @@
 TEST(DeploymentWatch, AGatewayWithAStalledPollReadsFromAGatewayWithNewerState)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const endpoint informedAddress { "127.0.0.1", 27351 };
+        const auto informedAddress = testAddress(27351);
         auto& informed = start(runtime, processes, informedAddress, {});
-        auto& stalled = start(runtime, processes, { "127.0.0.1", 27352 }, {});
+        auto& stalled = start(runtime, processes, testAddress(27352), {});
         runtime.sleepFor(100ms);
         stalled.store.stallsPolls = true;
         stalled.store.version = informed.store.version = 2;
@@ -113,12 +113,12 @@
 TEST(DeploymentWatch, AnAgentFollowsTheStoreOnceNoGatewayDoes)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const endpoint gatewayAddress { "127.0.0.1", 27345 };
+        const auto gatewayAddress = testAddress(27345);
         auto& gateway = start(runtime, processes, gatewayAddress, {});
         auto options = deployment_watch::options::forAgents();
         options.gatewayReportTimeout = 300ms;
         options.store.pollDelay = 100ms;
-        auto& agent = start(runtime, processes, { "127.0.0.1", 27346 }, options);
+        auto& agent = start(runtime, processes, testAddress(27346), options);
         runtime.sleepFor(200ms);
         gateway.store.isRefusing = true;
         sendKnowledgeToAgent(runtime, gateway, gatewayAddress, agent, clock_type::now() + 800ms);
@@ -134,7 +134,7 @@
 TEST(DeploymentWatch, AConfigurationIsInForceSoonAfterTheStoreHasLeftCallsUnanswered)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        auto& gateway = start(runtime, processes, { "127.0.0.1", 27353 }, {});
+        auto& gateway = start(runtime, processes, testAddress(27353), {});
         runtime.sleepFor(100ms);
         gateway.store.version = 2;
         EXPECT_EQ(waitForVersion(runtime, gateway, 2, 500ms), 2U);
@@ -152,11 +152,11 @@
 TEST(DeploymentWatch, AnAnswerAboutOneTableConfirmsNothingAboutTheOther)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const endpoint informedAddress { "127.0.0.1", 27354 };
+        const auto informedAddress = testAddress(27354);
         auto& informed = start(runtime, processes, informedAddress, {});
         deployment_watch::options options;
         options.peers = { informedAddress };
-        auto& gateway = start(runtime, processes, { "127.0.0.1", 27356 }, options);
+        auto& gateway = start(runtime, processes, testAddress(27356), options);
         runtime.sleepFor(100ms);
         gateway.store.isRefusing = true;
         runtime.sleepFor(200ms);
@@ -174,7 +174,7 @@
 TEST(DeploymentWatch, AnUnansweredPollDoesNotConfirmThatNothingChanged)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        auto& gateway = start(runtime, processes, { "127.0.0.1", 27355 }, {});
+        auto& gateway = start(runtime, processes, testAddress(27355), {});
         runtime.sleepFor(100ms);
         ++gateway.store.pollGeneration;
         runtime.sleepFor(10ms);
@@ -189,7 +189,7 @@
 TEST(DeploymentWatch, AQueryWithoutChangesDoesNotRaiseTheRevision)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        auto& gateway = start(runtime, processes, { "127.0.0.1", 27357 }, {});
+        auto& gateway = start(runtime, processes, testAddress(27357), {});
         runtime.sleepFor(100ms);
         gateway.store.position = 40;
         runtime.sleepFor(1800ms);
@@ -206,9 +206,9 @@
 TEST(DeploymentWatch, AnAgentEndsItsOutageOfTheStoreWhenItFollowsGateways)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const endpoint gatewayAddress { "127.0.0.1", 27370 };
+        const auto gatewayAddress = testAddress(27370);
         auto& gateway = start(runtime, processes, gatewayAddress, {});
-        auto& agent = start(runtime, processes, { "127.0.0.1", 27371 }, deployment_watch::options::forAgents());
+        auto& agent = start(runtime, processes, testAddress(27371), deployment_watch::options::forAgents());
         ASSERT_EQ(waitForVersion(runtime, agent, 1, 2s), 1U) << "it follows the store, as no gateway reports to it";
         agent.store.isRefusing = true;
         runtime.sleepFor(500ms);
@@ -221,7 +221,7 @@
 TEST(DeploymentWatch, TheKnownVersionNeverDecreases)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        auto& process = start(runtime, processes, { "127.0.0.1", 27342 }, {});
+        auto& process = start(runtime, processes, testAddress(27342), {});
         process.store.version = 5;
         runtime.sleepFor(800ms);
         EXPECT_EQ(process.version(), 5U);
--- a/coltsfootbend/gateway/evacuation_test.cpp
+++ b/coltsfootbend/gateway/evacuation_test.cpp
@@ -23,7 +23,7 @@
         , processes(usedProcesses)
     {
         for (int i = 0; i < count; ++i) {
-            addresses.push_back({ "127.0.0.1", static_cast<std::uint16_t>(firstPort + i) });
+            addresses.push_back(testAddress(static_cast<std::uint16_t>(firstPort + i)));
             start(runtime, processes, addresses.back(), {});
         }
     }
@@ -116,7 +116,7 @@
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
         gateway_set gateways(runtime, processes, 1, 27530);
         gateways.setEvacuated(there, true);
-        auto& started = start(runtime, processes, { "127.0.0.1", 27531 }, {});
+        auto& started = start(runtime, processes, testAddress(27531), {});
         started.store.version = 2;
         started.store.evacuations["there"] = true;
         bool wasKnown = false;
--- a/coltsfootbend/gateway/peer_reading_test.cpp
+++ b/coltsfootbend/gateway/peer_reading_test.cpp
@@ -28,12 +28,12 @@
 TEST(PeerReading, AnAgentDoesNotReadManyRoutesWhileTheStoreIsUnavailable)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const std::vector<endpoint> gateways { { "127.0.0.1", 27380 }, { "127.0.0.1", 27381 }, { "127.0.0.1", 27382 } };
+        const std::vector<endpoint> gateways { testAddress(27380), testAddress(27381), testAddress(27382) };
         for (const auto& address : gateways)
             start(runtime, processes, address, {});
         auto options = deployment_watch::options::forAgents();
         options.peers = gateways;
-        auto& agent = start(runtime, processes, { "127.0.0.1", 27383 }, options);
+        auto& agent = start(runtime, processes, testAddress(27383), options);
         sendKnowledgeToAgent(runtime, *processes[0], gateways[0], agent, clock_type::now() + 300ms);
         for (const auto& process : processes) {
             process->store.padding = std::string(largeConfiguration, ' ');
@@ -52,12 +52,12 @@
 TEST(PeerReading, AGatewayReadsAnUpdateFromOnlyOneOfItsPeers)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const std::vector<endpoint> peers { { "127.0.0.1", 27384 }, { "127.0.0.1", 27385 }, { "127.0.0.1", 27386 } };
+        const std::vector<endpoint> peers { testAddress(27384), testAddress(27385), testAddress(27386) };
         for (const auto& address : peers)
             start(runtime, processes, address, {});
         deployment_watch::options options;
         options.peers = peers;
-        auto& gateway = start(runtime, processes, { "127.0.0.1", 27387 }, options);
+        auto& gateway = start(runtime, processes, testAddress(27387), options);
         runtime.sleepFor(100ms);
         gateway.store.isRefusing = true;
         const auto before = bytesMoved(gateway);
@@ -76,7 +76,7 @@
 TEST(PeerReading, WholeTablesAreSentToFewPeersAtOnce)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const endpoint source { "127.0.0.1", 27440 };
+        const auto source = testAddress(27440);
         auto& gateway = start(runtime, processes, source, {});
         gateway.store.padding = std::string(largeConfiguration, ' ');
         gateway.store.version = 2;
@@ -84,7 +84,7 @@
         constexpr std::uint16_t readers = 20;
         std::vector<test_process*> started;
         for (std::uint16_t i = 1; i <= readers; ++i)
-            started.push_back(&start(runtime, processes, { "127.0.0.1", static_cast<std::uint16_t>(27440 + i) },
+            started.push_back(&start(runtime, processes, testAddress(static_cast<std::uint16_t>(27440 + i)),
                 deployment_watch::options::forAgents()));
         std::size_t most = 0;
         const auto areAllRead = [&] {
@@ -146,11 +146,11 @@
 TEST(PeerReading, ASlowAnswerIsAwaitedAndNotRequestedAgain)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const endpoint slowAddress { "127.0.0.1", 27388 };
+        const auto slowAddress = testAddress(27388);
         slow_peer slow(runtime, slowAddress, 1500ms);
         deployment_watch::options options;
         options.peers = { slowAddress };
-        auto& gateway = start(runtime, processes, { "127.0.0.1", 27389 }, options);
+        auto& gateway = start(runtime, processes, testAddress(27389), options);
         runtime.sleepFor(100ms);
         gateway.store.isRefusing = true;
         EXPECT_EQ(waitForVersion(runtime, gateway, 2, 3s), 2U);
--- a/coltsfootbend/gateway/store_following_test.cpp
+++ b/coltsfootbend/gateway/store_following_test.cpp
@@ -13,7 +13,7 @@
 {
     std::vector<endpoint> addresses;
     for (int i = 0; i < count; ++i) {
-        addresses.push_back({ "127.0.0.1", static_cast<std::uint16_t>(firstPort + i) });
+        addresses.push_back(testAddress(static_cast<std::uint16_t>(firstPort + i)));
         start(runtime, processes, addresses.back(), {});
     }
     return addresses;
@@ -34,7 +34,7 @@
         constexpr int gateways = 6;
         std::vector<endpoint> addresses;
         for (int i = 0; i < gateways; ++i) {
-            addresses.push_back({ "127.0.0.1", static_cast<std::uint16_t>(firstPort + i) });
+            addresses.push_back(testAddress(static_cast<std::uint16_t>(firstPort + i)));
             start(runtime, processes, addresses.back(), {});
         }
         exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 2s);
@@ -141,7 +141,7 @@
 TEST(DeploymentWatch, AProcessWithoutADutyPollsASeriesOfChangesEverMoreSeldom)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        auto& gateway = start(runtime, processes, { "127.0.0.1", 27430 }, {});
+        auto& gateway = start(runtime, processes, testAddress(27430), {});
         waitForVersion(runtime, gateway, 1, 1s);
         const int before = gateway.store.callCount;
         for (std::uint64_t version = 2; version <= 31; ++version) {
@@ -161,11 +161,11 @@
 TEST(DeploymentWatch, AgentsThatStartBesideGatewaysDoNotCallTheStore)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const endpoint gatewayAddress { "127.0.0.1", 27431 };
+        const auto gatewayAddress = testAddress(27431);
         auto& gateway = start(runtime, processes, gatewayAddress, {});
         std::vector<test_process*> agents;
         for (std::uint16_t port = 27432; port < 27436; ++port)
-            agents.push_back(&start(runtime, processes, { "127.0.0.1", port }, deployment_watch::options::forAgents()));
+            agents.push_back(&start(runtime, processes, testAddress(port), deployment_watch::options::forAgents()));
         const auto until = clock_type::now() + 4s;
         while (clock_type::now() < until) {
             for (auto* agent : agents)
@@ -184,9 +184,9 @@
 TEST(DeploymentWatch, AnAgentOfStandbyGatewaysDoesNotCallTheStoreWhileTheyAreOnStandby)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const endpoint gatewayAddress { "127.0.0.1", 27437 };
+        const auto gatewayAddress = testAddress(27437);
         auto& gateway = start(runtime, processes, gatewayAddress, {});
-        auto& agent = start(runtime, processes, { "127.0.0.1", 27438 }, deployment_watch::options::forAgents());
+        auto& agent = start(runtime, processes, testAddress(27438), deployment_watch::options::forAgents());
         const auto reportFor = [&](duration length, bool isOnStandby) {
             const auto until = clock_type::now() + length;
             while (clock_type::now() < until) {
@@ -208,7 +208,7 @@
 TEST(DeploymentWatch, AnAgentThatStartsAloneReadsTheStore)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        auto& agent = start(runtime, processes, { "127.0.0.1", 27436 }, deployment_watch::options::forAgents());
+        auto& agent = start(runtime, processes, testAddress(27436), deployment_watch::options::forAgents());
         EXPECT_EQ(waitForVersion(runtime, agent, 1, 2500ms), 1U);
     });
 }
--- a/coltsfootbend/gateway/store_restore_test.cpp
+++ b/coltsfootbend/gateway/store_restore_test.cpp
@@ -17,7 +17,7 @@
 // version 48 at revision 40.
 test_process& startAndRestore(fiber_runtime& runtime, test_processes& processes, std::uint16_t port)
 {
-    auto& gateway = start(runtime, processes, { "127.0.0.1", port }, {});
+    auto& gateway = start(runtime, processes, testAddress(port), {});
     gateway.store.version = 50;
     EXPECT_EQ(waitForVersion(runtime, gateway, 50, 1s), 50U);
     gateway.store.isRefusing = true;
@@ -68,7 +68,7 @@
 TEST(StoreRestore, APollThatTheNextEraAnswersDoesNotHideEarlierChanges)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        auto& gateway = start(runtime, processes, { "127.0.0.1", 27453 }, {});
+        auto& gateway = start(runtime, processes, testAddress(27453), {});
         gateway.store.version = 50;
         ASSERT_EQ(waitForVersion(runtime, gateway, 50, 1s), 50U);
         runtime.sleepFor(500ms); // A poll is pending.
@@ -99,7 +99,7 @@
 TEST(StoreRestore, AProcessThatHasJustStartedFollowsARestoredStore)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        auto& gateway = start(runtime, processes, { "127.0.0.1", 27455 }, {});
+        auto& gateway = start(runtime, processes, testAddress(27455), {});
         gateway.store.version = 50;
         gateway.store.restore(48, 40);
         gateway.store.version = 52;
@@ -126,7 +126,7 @@
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
         startAndRestore(runtime, processes, 27457);
-        const std::vector<endpoint> addresses { { "127.0.0.1", 27457 }, { "127.0.0.1", 27458 } };
+        const std::vector<endpoint> addresses { testAddress(27457), testAddress(27458) };
         exchangeKnowledge(runtime, processes, { addresses.front() }, clock_type::now() + 2s);
         auto& started = start(runtime, processes, addresses.back(), {});
         started.store = processes.front()->store;
@@ -139,7 +139,7 @@
 TEST(StoreRestore, AGatewayThatOnlyPeersReachFollowsThemIntoTheNextEra)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        const std::vector<endpoint> addresses { { "127.0.0.1", 27459 }, { "127.0.0.1", 27460 } };
+        const std::vector<endpoint> addresses { testAddress(27459), testAddress(27460) };
         for (const auto& address : addresses)
             start(runtime, processes, address, {}).store.version = 50;
         exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 1s);
@@ -158,7 +158,7 @@
 TEST(StoreRestore, AConfirmationOfAnotherEraConfirmsNothing)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        auto& gateway = start(runtime, processes, { "127.0.0.1", 27461 }, {});
+        auto& gateway = start(runtime, processes, testAddress(27461), {});
         gateway.store.version = 50;
         ASSERT_EQ(waitForVersion(runtime, gateway, 50, 1s), 50U);
         gateway.store.isRefusing = true;
@@ -178,7 +178,7 @@
 TEST(StoreRestore, AnEvacuationThatTheCopyLacksRemainsInForceUntilItCanBeWrittenAgain)
 {
     onRuntime([](fiber_runtime& runtime, test_processes& processes) {
-        auto& gateway = start(runtime, processes, { "127.0.0.1", 27462 }, {});
+        auto& gateway = start(runtime, processes, testAddress(27462), {});
         gateway.store.evacuations["east"] = true;
         gateway.store.evacuations["west"] = true;
         gateway.store.version = 50;
@@ -210,7 +210,7 @@
         onRuntime([count](fiber_runtime& runtime, test_processes& processes) {
             std::vector<endpoint> addresses;
             for (std::size_t i = 0; i < count; ++i) {
-                addresses.push_back({ "127.0.0.1", static_cast<std::uint16_t>(firstPort + i) });
+                addresses.push_back(testAddress(static_cast<std::uint16_t>(firstPort + i)));
                 start(runtime, processes, addresses.back(), {}).store.version = 50;
             }
             exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 1500ms);
--- a/coltsfootbend/wire/peer_test.cpp
+++ b/coltsfootbend/wire/peer_test.cpp
@@ -1,5 +1,6 @@
 // Tests the lifetime of what the handlers of streams refer to.
 
+#include "coltsfootbend/net/test_address.h"
 #include "coltsfootbend/wire/peer.h"
 
 #include <gtest/gtest.h>
@@ -57,7 +58,7 @@
 TEST(PeerService, StopWaitsForTheHandlersThatRun)
 {
     onRuntime([](fiber_runtime& runtime) {
-        const endpoint address { "127.0.0.1", 27460 };
+        const auto address = testAddress(27460);
         peer_client client(runtime, clientIdentity);
         {
             slow_process process(runtime, address);
@@ -79,7 +80,7 @@
 TEST(PeerService, StopClosesTheConnectionsThatItAccepted)
 {
     onRuntime([](fiber_runtime& runtime) {
-        const endpoint address { "127.0.0.1", 27461 };
+        const auto address = testAddress(27461);
         peer_client client(runtime, clientIdentity);
         {
             slow_process process(runtime, address);
