A live server that seemed to have left before a restore is used again

What callers saw: nothing yet, read in the code. A server's registration lapses after three heartbeats without a renewal. If the store then comes back from a copy that still has it and the server renews it, only `sequence` changes, which no process is notified of. Processes that had seen the lapse withheld the server until something else in its row changed: possibly for good.

Change: a withheld registration is kept with the time at which it was brought back. The platform removes a registration after three heartbeats (3.6 s) without a renewal, so one that remains for 5 s while the store answers is renewed, and its server is used. A removal or a later registration ends this wait.

Tests: two in backend_directory_test, for the wait, the removal and an outage meanwhile. Without the call that admits servers the first one fails.

--- a/coltsfootbend/gateway/backend_directory.cpp
+++ b/coltsfootbend/gateway/backend_directory.cpp
@@ -12,15 +12,18 @@
         return false;
     m_lapsed.erase(server.id);
     m_departures.erase(server.id);
+    m_withheld.erase(server.id);
     m_servers[server.id] = server;
     return true;
 }
 
-bool backend_directory::putRestored(const backend_server& server)
+bool backend_directory::putRestored(const backend_server& server, time_point now)
 {
     const auto departed = m_departures.find(server.id);
-    if (departed != m_departures.end() && server.incarnation <= departed->second.incarnation)
+    if (departed != m_departures.end() && server.incarnation <= departed->second.incarnation) {
+        m_withheld[server.id] = { server, now + m_options.returnProofTime };
         return false;
+    }
     const auto* known = find(server.id);
     auto restored = server;
     restored.isLeaving = server.isLeaving || (known && known->isLeaving && known->instance() == server.instance());
@@ -39,11 +42,13 @@
 void backend_directory::discard(const backend_id& id)
 {
     m_lapsed.erase(id);
+    m_withheld.erase(id);
     m_servers.erase(id);
 }
 
 void backend_directory::remove(const backend_id& id, time_point now)
 {
+    m_withheld.erase(id);
     const auto found = m_servers.find(id);
     if (found == m_servers.end())
         return;
@@ -66,6 +71,8 @@
     }
     for (const auto& id : missing)
         remove(id, now);
+    std::erase_if(m_withheld,
+        [&](const auto& entry) { return std::find(present.begin(), present.end(), entry.first) == present.end(); });
 }
 
 void backend_directory::storeFailed(time_point now)
@@ -80,6 +87,9 @@
         m_keepLapsedUntil = now + m_options.registrationGracePeriod;
         for (auto& [id, until] : m_lapsed)
             until = m_keepLapsedUntil;
+        // While the store was away, the platform could not show that a registration is not renewed.
+        for (auto& [id, withheld] : m_withheld)
+            withheld.until = now + m_options.returnProofTime;
     }
     m_failingSince.reset();
 }
@@ -156,6 +166,20 @@
     });
 }
 
+std::vector<backend_server> backend_directory::admitReturned(time_point now)
+{
+    std::vector<backend_server> admitted;
+    if (m_failingSince)
+        return admitted;
+    for (const auto& [id, withheld] : m_withheld) {
+        if (now >= withheld.until)
+            admitted.push_back(withheld.server);
+    }
+    for (const auto& server : admitted)
+        put(server);
+    return admitted;
+}
+
 std::set<backend_instance> backend_directory::listedAt(const endpoint& address) const
 {
     std::set<backend_instance> listed;
--- a/coltsfootbend/gateway/backend_directory.h
+++ b/coltsfootbend/gateway/backend_directory.h
@@ -66,6 +66,9 @@
         duration outageThreshold = std::chrono::milliseconds(800);
         // Time for which a server that has left is remembered. The store's copies are some seconds old.
         duration departureRetention = std::chrono::seconds(60);
+        // Time for which a registration that the store has brought back must remain before a server that was known to
+        // have left is used again. The platform removes a registration after three heartbeats of 1.2 s without one.
+        duration returnProofTime = std::chrono::seconds(5);
     };
 
     backend_directory()
@@ -81,9 +84,9 @@
     // was accepted.
     bool put(const backend_server&);
     // Adds or replaces a registration that the store has brought back from an older copy, as above. An incarnation that
-    // has announced its leaving remains leaving. One that has left is not added; a later registration of it is. Returns
-    // whether it was accepted.
-    bool putRestored(const backend_server&);
+    // has announced its leaving remains leaving. One that has left is withheld: it is added by a later registration, or
+    // by `admitReturned`. Returns whether it was added.
+    bool putRestored(const backend_server&, time_point now);
     // Removes a server whose registration cannot be decoded, whether or not the store is available.
     void discard(const backend_id& id);
     // Removes a server whose registration was deleted, at once or after the grace period.
@@ -105,6 +108,9 @@
 
     // Removes servers whose registration was not renewed in time. Returns how many.
     std::size_t expire(time_point now);
+    // Adds the withheld servers whose registrations the platform has kept for long enough to show that they are
+    // renewed. Returns these servers.
+    std::vector<backend_server> admitReturned(time_point now);
 
     const std::map<backend_id, backend_server>& servers() const { return m_servers; }
     // Returns the server, or null if it is unknown.
@@ -119,6 +125,12 @@
         time_point at {};
     };
 
+    // A registration that is not used until the time is over, because its server was known to have left.
+    struct withheld_registration {
+        backend_server server;
+        time_point until {};
+    };
+
     void restoreMassRemovals(time_point now);
     // Removes a server of the list and records its departure.
     void erase(const backend_id&, time_point now);
@@ -133,6 +145,7 @@
     std::map<deployment_id, time_point> m_massLapses;
     // The latest departures.
     std::map<backend_id, departure> m_departures;
+    std::map<backend_id, withheld_registration> m_withheld;
     std::optional<time_point> m_failingSince;
     time_point m_keepLapsedUntil {};
     // Until then registrations may be missing because the store came back from an older copy.
--- a/coltsfootbend/gateway/backend_directory_test.cpp
+++ b/coltsfootbend/gateway/backend_directory_test.cpp
@@ -169,11 +169,11 @@
     leaving.isLeaving = true;
     m_directory.put(leaving);
     m_directory.storeRestored(m_now);
-    EXPECT_TRUE(m_directory.putRestored(server("a")));
+    EXPECT_TRUE(m_directory.putRestored(server("a"), m_now));
     EXPECT_TRUE(m_directory.find(backend_id("a"))->isLeaving);
     auto restarted = server("a");
     restarted.incarnation = backend_incarnation(1);
-    EXPECT_TRUE(m_directory.putRestored(restarted));
+    EXPECT_TRUE(m_directory.putRestored(restarted, m_now));
     EXPECT_FALSE(m_directory.find(backend_id("a"))->isLeaving);
 }
 
@@ -187,12 +187,52 @@
     m_now += 5s;
     m_directory.expire(m_now);
     m_directory.storeRestored(m_now);
-    EXPECT_FALSE(m_directory.putRestored(server("a")));
+    EXPECT_FALSE(m_directory.putRestored(server("a"), m_now));
     EXPECT_FALSE(m_directory.find(backend_id("a")));
     EXPECT_TRUE(m_directory.put(server("a"))) << "a registration of the new era";
     EXPECT_TRUE(m_directory.find(backend_id("a")));
 }
 
+// Guards against a server that lives and is not used for good: its heartbeats renew the registration that the store has
+// brought back, which changes nothing that the process is notified of.
+TEST_F(backend_directory_test, AServerThatSeemedToHaveLeftIsUsedAgainWhenItsRegistrationRemains)
+{
+    for (const char* id : { "a", "b", "c", "d" })
+        m_directory.put(server(id));
+    for (const char* id : { "a", "b" }) {
+        m_directory.remove(backend_id(id), m_now);
+        m_directory.removeIsolatedLapses(m_now);
+    }
+    m_now += 1s;
+    m_directory.storeRestored(m_now);
+    for (const char* id : { "a", "b" })
+        ASSERT_FALSE(m_directory.putRestored(server(id), m_now));
+    m_now += 4s;
+    EXPECT_TRUE(m_directory.admitReturned(m_now).empty()) << "three heartbeats without a renewal may not be over";
+    m_directory.remove(backend_id("b"), m_now);
+    m_now += 2s;
+    ASSERT_EQ(m_directory.admitReturned(m_now).size(), 1U);
+    EXPECT_TRUE(m_directory.find(backend_id("a")));
+    EXPECT_FALSE(m_directory.find(backend_id("b"))) << "removed by the platform";
+}
+
+TEST_F(backend_directory_test, ARegistrationThatTheStoreBroughtBackIsNotShownToBeRenewedWhileTheStoreIsAway)
+{
+    for (const char* id : { "a", "b", "c" })
+        m_directory.put(server(id));
+    m_directory.remove(backend_id("a"), m_now);
+    m_directory.removeIsolatedLapses(m_now);
+    m_directory.storeRestored(m_now);
+    ASSERT_FALSE(m_directory.putRestored(server("a"), m_now));
+    m_directory.storeFailed(m_now);
+    m_now += 10s;
+    EXPECT_TRUE(m_directory.admitReturned(m_now).empty());
+    m_directory.storeAnswered(m_now);
+    EXPECT_TRUE(m_directory.admitReturned(m_now).empty());
+    m_now += 5s;
+    EXPECT_EQ(m_directory.admitReturned(m_now).size(), 1U);
+}
+
 TEST_F(backend_directory_test, TheEarlierIncarnationOfARestartedServerIsNotBroughtBack)
 {
     auto restarted = server("a");
@@ -201,7 +241,7 @@
     m_directory.storeRestored(m_now);
     auto earlier = server("a");
     earlier.incarnation = backend_incarnation(1);
-    EXPECT_FALSE(m_directory.putRestored(earlier));
+    EXPECT_FALSE(m_directory.putRestored(earlier, m_now));
     EXPECT_EQ(m_directory.find(backend_id("a"))->incarnation, backend_incarnation(2));
 }
 
--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -214,16 +214,23 @@
     }
     const auto* found = m_directory.find(server->id);
     const auto known = found ? std::optional(*found) : std::nullopt;
-    if (!(isRestored ? m_directory.putRestored(*server) : m_directory.put(*server)))
+    if (!(isRestored ? m_directory.putRestored(*server, clock_type::now()) : m_directory.put(*server)))
         return;
     const auto& listed = *m_directory.find(server->id);
     if (!known || known->isLeaving != listed.isLeaving || known->address != listed.address
-        || known->incarnation != listed.incarnation) {
-        logEvent(log_event::BackendListed,
-            "backend=" + listed.id.text() + " life=" + std::to_string(listed.incarnation.number())
-                + " deployment=" + listed.deployment.text() + " address=" + toString(listed.address)
-                + " leaving=" + (listed.isLeaving ? "yes" : "no") + " " + toString(row.revision));
-    }
+        || known->incarnation != listed.incarnation)
+        logListed(listed);
+}
+
+void deployment_watch::logListed(const backend_server& server) const
+{
+    const auto& rows = table(watched_table::BackendServers).rows();
+    const auto row = rows.find(server.id.text());
+    logEvent(log_event::BackendListed,
+        "backend=" + server.id.text() + " life=" + std::to_string(server.incarnation.number())
+            + " deployment=" + server.deployment.text() + " address=" + toString(server.address)
+            + " leaving=" + (server.isLeaving ? "yes" : "no") + " "
+            + toString(row == rows.end() ? store_revision {} : row->second.revision));
 }
 
 void deployment_watch::applyConfiguration(const watched_row& row)
@@ -364,8 +371,13 @@
 {
     while (!m_stopped) {
         m_runtime.sleepFor(expiryInterval);
-        expireEvacuations(clock_type::now());
-        if (m_directory.expire(clock_type::now()) > 0)
+        const auto now = clock_type::now();
+        expireEvacuations(now);
+        const auto expired = m_directory.expire(now);
+        const auto returned = m_directory.admitReturned(now);
+        for (const auto& server : returned)
+            logListed(server);
+        if (expired > 0 || !returned.empty())
             notifyChange(watched_table::BackendServers);
     }
 }
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -176,6 +176,7 @@
     void applyRow(watched_table, const watched_row&, bool isRestored);
     void applyConfiguration(const watched_row&);
     void applyBackend(const watched_row&, bool isRestored);
+    void logListed(const backend_server&) const;
     // Keeps the evacuations whose rows a later era of the store lacks until these have had the time to be written
     // again.
     void keepMissingEvacuations();
