The cost of a restored store is stated in bytes for N and 2N gateways

The test of the reads after a restore stated calls only. It now has a configuration of 50 kB whose row differs from the copy's, and states that the gateways together read at most twice its size each from their peers, with 20 and with 40 gateways. The bound on the reads of whole tables is unchanged.

--- a/coltsfootbend/gateway/store_restore_test.cpp
+++ b/coltsfootbend/gateway/store_restore_test.cpp
@@ -200,37 +200,66 @@
     });
 }
 
-// States the growth: of twice as many gateways hardly more read the whole tables from the store, and all know the next
-// change in time. The calls that each process makes to notice the store's return are not counted.
+// Size in bytes of a configuration with about 150 routes.
+constexpr std::size_t configurationSize = 50'000;
+
+// Sums up `valueOf` over the processes.
+template <typename Value> std::uint64_t sum(const test_processes& processes, const Value& valueOf)
+{
+    return std::accumulate(processes.begin(), processes.end(), std::uint64_t {},
+        [&](std::uint64_t total, const auto& process) { return total + valueOf(*process); });
+}
+
+std::uint64_t bytesFromPeers(const test_processes& processes)
+{
+    return sum(processes,
+        [](auto& process) { return process.core.template find<peer_service>("peers")->client().bytesMoved(); });
+}
+
+// Starts `count` gateways that know each other and version 50, and restores the store of all at the same time.
+std::vector<endpoint> startAndRestoreAll(
+    fiber_runtime& runtime, test_processes& processes, std::size_t count, std::uint16_t firstPort)
+{
+    std::vector<endpoint> addresses;
+    for (std::size_t i = 0; i < count; ++i) {
+        addresses.push_back(testAddress(static_cast<std::uint16_t>(firstPort + i)));
+        auto& store = start(runtime, processes, addresses.back(), {}).store;
+        store.padding = std::string(configurationSize, ' ');
+        store.version = 50;
+    }
+    exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 1500ms);
+    for (const auto& process : processes) {
+        for (const auto& peer : addresses)
+            process->watch->addPeer(peer);
+        process->store.isRefusing = true;
+    }
+    exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 1500ms);
+    for (const auto& process : processes) {
+        process->store.restore(48, 40);
+        process->store.readCount = 0;
+        process->store.isRefusing = false;
+    }
+    return addresses;
+}
+
+// States the growth: of twice as many gateways hardly more read the whole tables from the store, each of the others
+// reads from its peers little more than the changed rows, and all know the next change in time. The calls that each
+// process makes to notice the store's return are not counted.
 TEST(StoreRestore, FewGatewaysReadTheTablesOfARestoredStore)
 {
     constexpr std::uint16_t firstPort = 27470;
     constexpr std::size_t largestCount = 40;
     for (const std::size_t count : { largestCount / 2, largestCount }) {
         onRuntime([count](fiber_runtime& runtime, test_processes& processes) {
-            std::vector<endpoint> addresses;
-            for (std::size_t i = 0; i < count; ++i) {
-                addresses.push_back(testAddress(static_cast<std::uint16_t>(firstPort + i)));
-                start(runtime, processes, addresses.back(), {}).store.version = 50;
-            }
-            exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 1500ms);
-            for (const auto& process : processes) {
-                for (const auto& peer : addresses)
-                    process->watch->addPeer(peer);
-                process->store.isRefusing = true;
-            }
-            exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 1500ms);
-            for (const auto& process : processes) {
-                process->store.restore(48, 40);
-                process->store.readCount = 0;
-                process->store.isRefusing = false;
-            }
+            const auto addresses = startAndRestoreAll(runtime, processes, count, firstPort);
+            const auto bytesBefore = bytesFromPeers(processes);
             exchangeKnowledge(runtime, processes, addresses, clock_type::now() + 2500ms);
-            const auto reads = std::accumulate(processes.begin(), processes.end(), 0,
-                [](int sum, const auto& process) { return sum + process->store.readCount; });
+            const auto reads = sum(processes, [](const auto& process) { return process.store.readCount; });
             constexpr int tables = 2;
             EXPECT_GE(reads, tables);
-            EXPECT_LE(reads, tables * static_cast<int>(largestCount) / 4) << "with " << count << " gateways";
+            EXPECT_LE(reads, tables * largestCount / 4) << "with " << count << " gateways";
+            EXPECT_LE(bytesFromPeers(processes) - bytesBefore, 2 * count * configurationSize)
+                << "the one row that differs, with " << count << " gateways";
             for (const auto& process : processes)
                 process->store.version = 52;
             exchangeKnowledge(runtime, processes, addresses, clock_type::now() + maxApplyTime);
