--- a/coltsfootbend/gateway/crash_detector.cpp
+++ b/coltsfootbend/gateway/crash_detector.cpp
@@ -14,6 +14,7 @@
 constexpr std::chrono::milliseconds gatherTime { 30 };
 // Time within which a server that accepts connections again is registered, and the registration is known here.
 constexpr std::chrono::milliseconds registrationTime { 1500 };
+
 std::string describe(const backend_crash& crash)
 {
     std::string text
--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -22,8 +22,6 @@
 constexpr std::chrono::milliseconds peerReadTimeout { 2500 };
 // Interval at which a reply that waits for others checks whether it may be sent.
 constexpr std::chrono::milliseconds replyPollInterval { 10 };
-// Time after the store's return within which the operator writes again what the store has lost.
-constexpr std::chrono::milliseconds rewriteGracePeriod { 3000 };
 // Confirmations older than this are ignored.
 constexpr std::uint64_t maxReportedAgeMs = 60'000;
 
@@ -161,24 +159,12 @@
     if (name == watched_table::BackendServers)
         m_directory.storeRestored(now);
     else
-        keepMissingEvacuations();
+        m_evacuations.storeRestored(writtenEvacuations(), now);
     for (const auto& restored : m_onStoreRestored)
         restored();
     return true;
 }
 
-void deployment_watch::keepMissingEvacuations()
-{
-    const auto& rows = table(watched_table::Configuration).rows();
-    auto missing = m_evacuated;
-    for (const auto& [key, row] : rows) {
-        if (const auto dataCentre = m_decoder->evacuated(row))
-            missing.erase(*dataCentre);
-    }
-    for (const auto& dataCentre : missing)
-        m_keptEvacuations[dataCentre] = clock_type::now() + rewriteGracePeriod;
-}
-
 void deployment_watch::decodeChanges(watched_table name, const std::vector<watched_row>& rows, bool isRestored)
 {
     for (const auto& row : rows) {
@@ -189,7 +175,7 @@
         if (name == watched_table::BackendServers)
             m_directory.remove(backend_id(row.key), clock_type::now());
         else if (const auto dataCentre = m_decoder->evacuated(row); dataCentre && !isRestored)
-            m_keptEvacuations.erase(*dataCentre);
+            m_evacuations.lift(*dataCentre);
         logEvent(log_event::DeploymentRowRemoved,
             "table=" + std::string(toString(name)) + " key=" + row.key + " " + toString(row.revision));
     }
@@ -249,36 +235,28 @@
             + " routes=" + std::to_string(m_catalogue->routes().size()) + " " + toString(row.revision));
 }
 
-void deployment_watch::updateEvacuated()
+std::set<data_centre_id> deployment_watch::writtenEvacuations() const
 {
-    const auto& copy = table(watched_table::Configuration);
-    std::set<data_centre_id> evacuated;
-    for (const auto& [key, row] : copy.rows()) {
-        if (auto dataCentre = m_decoder->evacuated(row)) {
-            m_keptEvacuations.erase(*dataCentre); // Written again.
-            evacuated.insert(std::move(*dataCentre));
-        }
+    std::set<data_centre_id> written;
+    for (const auto& [key, row] : table(watched_table::Configuration).rows()) {
+        if (auto dataCentre = m_decoder->evacuated(row))
+            written.insert(std::move(*dataCentre));
     }
-    for (const auto& [dataCentre, keptUntil] : m_keptEvacuations)
-        evacuated.insert(dataCentre);
-    if (evacuated == m_evacuated)
-        return;
-    m_evacuated = std::move(evacuated);
+    return written;
+}
+
+void deployment_watch::announceEvacuations()
+{
     std::string names;
-    for (const auto& dataCentre : m_evacuated)
+    for (const auto& dataCentre : evacuated())
         names += (names.empty() ? "" : ",") + dataCentre.text();
     logEvent(log_event::EvacuationsInForce,
-        "data_centres=" + (names.empty() ? "none" : names) + " " + toString(copy.revision()));
+        "data_centres=" + (names.empty() ? "none" : names) + " "
+            + toString(table(watched_table::Configuration).revision()));
     for (const auto& changed : m_onEvacuation)
         changed();
 }
 
-void deployment_watch::expireEvacuations(time_point now)
-{
-    if (std::erase_if(m_keptEvacuations, [now](const auto& kept) { return now >= kept.second; }) > 0)
-        updateEvacuated();
-}
-
 bool deployment_watch::isDeploymentStarting() const
 {
     return m_wasStarting && clock_type::now() < m_startingUntil && !isEachDeploymentListed();
@@ -325,7 +303,8 @@
         return;
     }
     m_configurationReadAt = clock_type::now();
-    updateEvacuated();
+    if (m_evacuations.update(writtenEvacuations()))
+        announceEvacuations();
     for (const auto& changed : m_onCatalogue) {
         if (m_catalogue)
             changed(m_catalogue);
@@ -372,7 +351,8 @@
     while (!m_stopped) {
         m_runtime.sleepFor(expiryInterval);
         const auto now = clock_type::now();
-        expireEvacuations(now);
+        if (m_evacuations.expire(now))
+            announceEvacuations();
         const auto expired = m_directory.expire(now);
         const auto returned = m_directory.admitReturned(now);
         for (const auto& server : returned)
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -14,6 +14,7 @@
 
 #include "coltsfootbend/gateway/backend_directory.h"
 #include "coltsfootbend/gateway/catalogue.h"
+#include "coltsfootbend/gateway/evacuation_orders.h"
 #include "coltsfootbend/gateway/table_copy.h"
 #include "coltsfootbend/gateway/table_follower.h"
 #include "coltsfootbend/kernel/kernel.h"
@@ -23,7 +24,6 @@
 
 #include <array>
 #include <functional>
-#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -97,7 +97,7 @@
     // Returns the configuration in force; null until one is known.
     const catalogue_ptr& catalogue() const { return m_catalogue; }
     // Returns the data centres to whose backend servers no requests may be sent. Known as soon as a configuration is.
-    const std::set<data_centre_id>& evacuated() const { return m_evacuated; }
+    const std::set<data_centre_id>& evacuated() const { return m_evacuations.inForce(); }
     // Returns whether the list of backend servers has been read.
     bool hasServerList() const { return m_hasServerList; }
     const backend_directory& directory() const { return m_directory; }
@@ -177,13 +177,10 @@
     void applyConfiguration(const watched_row&);
     void applyBackend(const watched_row&, bool isRestored);
     void logListed(const backend_server&) const;
-    // Keeps the evacuations whose rows a later era of the store lacks until these have had the time to be written
-    // again.
-    void keepMissingEvacuations();
-    // Derives the evacuated data centres from the rows of the configuration's table and the kept evacuations. O(rows).
-    void updateEvacuated();
-    // Ends the evacuations that were kept for long enough.
-    void expireEvacuations(time_point now);
+    // Returns the data centres that rows of the configuration's table evacuate. O(rows).
+    std::set<data_centre_id> writtenEvacuations() const;
+    // Logs the evacuations in force and notifies the owners of the callbacks.
+    void announceEvacuations();
     // Records that the list of backend servers has been read, if it has.
     void updateHasServerList();
     void notifyChange(watched_table);
@@ -224,9 +221,7 @@
     bool m_wasStarting = true;
     catalogue_ptr m_catalogue;
     watched_row m_configurationInForce; // The row of `m_catalogue`.
-    std::set<data_centre_id> m_evacuated;
-    // Evacuations whose rows the store lacks since it came back from an older copy, and until when each is kept.
-    std::map<data_centre_id, time_point> m_keptEvacuations;
+    evacuation_orders m_evacuations;
     bool m_hasServerList = false;
     backend_directory m_directory;
     std::set<endpoint> m_peers;
--- a/coltsfootbend/store/watched_store.h
+++ b/coltsfootbend/store/watched_store.h
@@ -2,8 +2,7 @@
 
 // Interface to tables that the platform writes and a process follows: all rows once, then each change in order. The
 // store may refuse this VM while it serves others, be unresponsive, have discarded the requested changes, or have come
-// back from an older copy of its data. Tables
-// that the system itself writes use `store/store.h`.
+// back from an older copy of its data. Tables that the system itself writes use `store/store.h`.
 //
 //     auto page = store.readAll(watched_table::BackendServers, deadline);
 //     auto next = store.changes(watched_table::BackendServers, page->revision, waitUntil, deadline, nullptr);
