A crash is not taken for a planned end because the list of servers came first

What callers saw: the known red test, 502 instead of 503: a request that had crashed three servers was sent on.

Cause: an exchange that breaks at a server which is not registered counted as a planned end. On the platform a VM that was busy or frozen may notice both in either order.

Change: a server that leaves without announcing it serves for two seconds after its registration is removed, so an end within 0.3 s of the removal is not taken as planned, and the port of the server decides as for any other. The decision is in backend_directory, with a test.

--- a/coltsfootbend/gateway/backend_directory.cpp
+++ b/coltsfootbend/gateway/backend_directory.cpp
@@ -35,7 +35,7 @@
     const auto found = m_servers.find(id);
     if (found == m_servers.end())
         return;
-    m_departures[id] = { found->second.incarnation, now };
+    m_departures[id] = { found->second.incarnation, now, found->second.isLeaving };
     m_servers.erase(found);
 }
 
@@ -180,6 +180,15 @@
     return admitted;
 }
 
+bool backend_directory::leavesAsPlanned(const backend_server& server, time_point now) const
+{
+    if (const auto* known = find(server.id))
+        return known->isLeaving;
+    const auto departed = m_departures.find(server.id);
+    const bool isRemembered = departed != m_departures.end() && departed->second.incarnation == server.incarnation;
+    return !isRemembered || departed->second.wasAnnounced || now >= departed->second.at + m_options.unplannedEndTime;
+}
+
 std::set<backend_instance> backend_directory::listedAt(const endpoint& address) const
 {
     std::set<backend_instance> listed;
--- a/coltsfootbend/gateway/backend_directory.h
+++ b/coltsfootbend/gateway/backend_directory.h
@@ -69,6 +69,10 @@
         // Time for which a registration that the store has brought back must remain before a server that was known to
         // have left is used again. The platform removes a registration after three heartbeats of 1.2 s without one.
         duration returnProofTime = std::chrono::seconds(5);
+        // Time after the removal of a registration within which the server's end is not planned. A server that leaves
+        // as planned serves for two seconds after its registration is removed, of which this process may be notified
+        // late. A VM that is busy or has just resumed may notice the removal before the broken connections of a crash.
+        duration unplannedEndTime = std::chrono::milliseconds(300);
     };
 
     backend_directory()
@@ -115,6 +119,9 @@
     const std::map<backend_id, backend_server>& servers() const { return m_servers; }
     // Returns the server, or null if it is unknown.
     const backend_server* find(const backend_id&) const;
+    // Returns whether the server leaves as planned: it has announced its leaving, or has not been registered for longer
+    // than `unplannedEndTime`.
+    bool leavesAsPlanned(const backend_server&, time_point now) const;
     // Returns the servers that are registered at an address. O(servers).
     std::set<backend_instance> listedAt(const endpoint& address) const;
 
@@ -123,6 +130,7 @@
     struct departure {
         backend_incarnation incarnation;
         time_point at {};
+        bool wasAnnounced = false;
     };
 
     // A registration that is not used until the time is over, because its server was known to have left.
--- a/coltsfootbend/gateway/backend_directory_test.cpp
+++ b/coltsfootbend/gateway/backend_directory_test.cpp
@@ -144,6 +144,25 @@
     EXPECT_TRUE(m_directory.servers().empty());
 }
 
+// Guards against a crash that is taken for a planned end: on a busy VM the removal of the registration was noticed 12
+// ms before the connections of the crashed server broke.
+TEST_F(backend_directory_test, AServerWhoseRegistrationHasJustBeenRemovedDoesNotLeaveAsPlanned)
+{
+    auto leaving = server("leaving");
+    leaving.isLeaving = true;
+    m_directory.put(leaving);
+    m_directory.put(server("crashed"));
+    EXPECT_TRUE(m_directory.leavesAsPlanned(leaving, m_now));
+    EXPECT_FALSE(m_directory.leavesAsPlanned(server("crashed"), m_now));
+    m_directory.retainOnly({}, m_now);
+    m_now += 20ms;
+    EXPECT_TRUE(m_directory.leavesAsPlanned(leaving, m_now));
+    EXPECT_FALSE(m_directory.leavesAsPlanned(server("crashed"), m_now));
+    m_now += 500ms;
+    EXPECT_TRUE(m_directory.leavesAsPlanned(server("crashed"), m_now)) << "it served on after the removal";
+    EXPECT_TRUE(m_directory.leavesAsPlanned(server("unknown"), m_now));
+}
+
 // The store comes back from an older copy, away for too short a time for an outage.
 TEST_F(backend_directory_test, AServerThatRegisteredSinceTheCopyWasMadeIsKeptUntilItRegistersAgain)
 {
--- a/coltsfootbend/gateway/quarantine_network.cpp
+++ b/coltsfootbend/gateway/quarantine_network.cpp
@@ -91,8 +91,7 @@
 
 bool quarantine_network::isLeaving(const backend_server& server) const
 {
-    const auto* known = m_watch.directory().find(server.id);
-    return !known || known->isLeaving || m_hasAnnouncedLeaving(server);
+    return m_watch.directory().leavesAsPlanned(server, clock_type::now()) || m_hasAnnouncedLeaving(server);
 }
 
 } // namespace coltsfootbend
