A wait of a group's leader names the pass that is held

Cause: the log line E702 wait=... printed held=0 in every case, also while a pass was held and the group stood, because a resolution to wait was made without the holds that the states report.

Change: resolve() adds the holds to waits as well, as the comment of heldStep says.

Result: GroupState.AWaitNamesTheEarliestHeldPass fails without the change (0 instead of 110) and passes with it, as do the other tests of GroupState.

--- a/coltsfootbend/group/group_state.cpp
+++ b/coltsfootbend/group/group_state.cpp
@@ -10,11 +10,6 @@
 
 using reported_states = std::vector<const wire::rank_state*>;
 
-group_resolution waitFor(const char* reason)
-{
-    return { .kind = group_action::Wait, .target = {}, .heldBy = {}, .heldStep = 0, .reason = reason };
-}
-
 bool isArmedFor(const wire::rank_state& state, const armed_switch& target)
 {
     return state.mapVersion == target.version
@@ -34,6 +29,15 @@
     }
 }
 
+// Returns a wait that names the pass which is held meanwhile.
+group_resolution waitFor(const reported_states& states, const char* reason)
+{
+    group_resolution resolution;
+    resolution.reason = reason;
+    addHolds(states, resolution);
+    return resolution;
+}
+
 // Returns the switch that a rank is armed for, or may be; none if there is none.
 std::optional<armed_switch> findArmed(const reported_states& states)
 {
@@ -78,11 +82,11 @@
     });
     if (resolution.heldStep == 0 || !isOneChange || first.preparedTerm == 0 || first.preparedVersion == 0
         || first.preparedVersion == first.mapVersion || leaderOf(first.preparedTerm) != missing)
-        return waitFor("a rank did not answer");
+        return waitFor(reported, "a rank did not answer");
     const auto armed
         = std::count_if(reported.begin(), reported.end(), [](const auto* state) { return state->armedVersion != 0; });
     if (static_cast<std::size_t>(armed) == reported.size())
-        return waitFor("the previous leader may have armed its own rank");
+        return waitFor(reported, "the previous leader may have armed its own rank");
     resolution.target = { first.preparedVersion, resolution.heldStep };
     resolution.kind = armed > 0 ? group_action::DisarmWithoutLeader : group_action::ReleaseWithoutLeader;
     return resolution;
@@ -101,13 +105,13 @@
             continue;
         }
         if (!state->isOpen || (!reported.empty() && state->epoch != reported.front()->epoch))
-            return waitFor("the group is incomplete");
+            return waitFor(reported, "the group is incomplete");
         reported.push_back(&*state);
     }
     if (reported.empty())
-        return waitFor("no rank answered");
+        return waitFor(reported, "no rank answered");
     if (missing.size() > 1)
-        return waitFor("several ranks did not answer");
+        return waitFor(reported, "several ranks did not answer");
     if (!missing.empty())
         return resolveWithoutLeader(reported, missing.front());
     group_resolution resolution;
@@ -121,7 +125,7 @@
         else if (resolution.heldStep != 0)
             resolution.kind = group_action::Release;
         else
-            return waitFor("all ranks are armed for a pass that has not begun");
+            return waitFor(reported, "all ranks are armed for a pass that has not begun");
         return resolution;
     }
     if (resolution.heldStep != 0) {
@@ -134,7 +138,7 @@
     }
     for (const auto* state : reported) {
         if (state->mapVersion != reported.front()->mapVersion)
-            return waitFor("the ranks answered during a switch");
+            return waitFor(reported, "the ranks answered during a switch");
     }
     resolution.kind = group_action::Ready;
     return resolution;
--- a/coltsfootbend/group/group_state_test.cpp
+++ b/coltsfootbend/group/group_state_test.cpp
@@ -47,6 +47,18 @@
     EXPECT_EQ(resolve(all).kind, group_action::Wait);
 }
 
+// Guards against a log that names no held pass while the group is held and its leader waits.
+TEST(GroupState, AWaitNamesTheEarliestHeldPass)
+{
+    auto all = threeRanks();
+    all[0]->heldStep = 120;
+    all[2]->heldStep = 110;
+    all[1].reset();
+    const auto resolution = resolve(all);
+    EXPECT_EQ(resolution.kind, group_action::Wait);
+    EXPECT_EQ(resolution.heldStep, 110U);
+}
+
 TEST(GroupState, WaitsWhileTheGroupIsIncomplete)
 {
     auto all = threeRanks();
