A process leads only in terms that it has claimed itself

Cause: a term names its leader by rank. A leader's process that started again learned its rank's earlier term from the answers of the others and led on in it. The same holds for two processes that have the same rank for a while because an engine was replaced.

Change: map_participant::leads requires that the highest term was claimed by this process, in this group. One that started again waits as every rank does and claims a higher term, after which orders of the earlier process are refused.

Ruled out: numbers of the runs that can be ordered, as a rank then refuses all orders of a leader of this release under a term of an earlier one, whose numbers are random; and claiming at once, as two processes of one rank would claim terms in turn.

--- a/coltsfootbend/group/map_leader_test.cpp
+++ b/coltsfootbend/group/map_leader_test.cpp
@@ -344,9 +344,8 @@
         const auto rank = agent.engine.model().rank();
         // Longer than a query, since a leader may be waiting for an answer.
         const auto leaderTimeout = agent.queryTimeout + 50ms + rank * 60ms;
-        const auto term = agent.participant->term();
-        if (term != 0 && leaderOf(term) == rank)
-            runtime.sleepFor(std::max<duration>(agent.leader->runRound(term), 1ms));
+        if (agent.participant->leads(rank))
+            runtime.sleepFor(std::max<duration>(agent.leader->runRound(agent.participant->term()), 1ms));
         else if (clock_type::now() > agent.participant->leaderReceivedAt() + leaderTimeout)
             (void)agent.participant->claimLeadership(rank);
         else
--- a/coltsfootbend/group/map_participant.cpp
+++ b/coltsfootbend/group/map_participant.cpp
@@ -50,6 +50,7 @@
 leader_term map_participant::claimLeadership(rank_number rank)
 {
     m_term = termAfter(m_term, rank);
+    m_claimedTerm = m_term;
     m_leaderReceivedAt = clock_type::now();
     return m_term;
 }
@@ -80,6 +81,7 @@
         return;
     if (!m_group.empty()) {
         m_term = 0;
+        m_claimedTerm = 0;
         m_leaderReceivedAt = clock_type::now();
         m_knownMaps.clear();
         m_isArmed = false;
--- a/coltsfootbend/group/map_participant.h
+++ b/coltsfootbend/group/map_participant.h
@@ -44,6 +44,9 @@
     bool isPrepared() const { return m_isPrepared; }
     // Makes this rank the leader and returns its new term, which is above all terms received.
     leader_term claimLeadership(rank_number rank);
+    // Returns whether this process leads as `rank`. It does not if the highest term is of this rank but was claimed by
+    // another process, such as an earlier one on this VM.
+    bool leads(rank_number rank) const { return m_term != 0 && m_term == m_claimedTerm && leaderOf(m_term) == rank; }
     // Takes in the term of a leader, as reported by another rank.
     void observeTerm(leader_term term) { (void)acceptTerm(term); }
 
@@ -76,6 +79,7 @@
     rank_orders m_orders;
     std::string m_group;
     leader_term m_term = 0;
+    leader_term m_claimedTerm = 0; // The last term that this process has claimed in the engine's group; 0 if none.
     // Newest order received: the leader's run, and the order's serial number in it.
     std::uint64_t m_leaderRun = 0;
     std::uint64_t m_lastSerial = 0;
--- a/coltsfootbend/group/map_participant_test.cpp
+++ b/coltsfootbend/group/map_participant_test.cpp
@@ -150,6 +150,48 @@
     });
 }
 
+// Guards against a leader's process that starts again and leads in the term of the earlier process. The other ranks
+// then cannot tell the late orders of that one from its own, and a rank may be armed that all others have disarmed.
+TEST(MapParticipant, LateOrderOfTheLeadersEarlierProcessIsNotCarriedOut)
+{
+    withParticipant([](map_participant& follower, scripted_engine& engine) {
+        constexpr rank_number leadingRank = 3;
+        const auto disarm = [&](leader_term term, std::uint64_t run) {
+            auto numbered = scope(term);
+            numbered.leaderRun = run;
+            numbered.serial = 1;
+            (void)follower.answer(wire::rank_disarm { .scope = numbered, .version = 7 }, clock_type::now() + 60ms);
+        };
+        const auto earlierTerm = termAfter(0, leadingRank);
+        disarm(earlierTerm, 9);
+        withParticipant([&](map_participant& restarted, scripted_engine&) {
+            restarted.observeTerm(follower.term());
+            disarm(restarted.leads(leadingRank) ? restarted.term() : restarted.claimLeadership(leadingRank), 10);
+        });
+        auto late = scope(earlierTerm);
+        late.leaderRun = 9;
+        late.serial = 2;
+        (void)follower.answer(wire::rank_arm { .scope = late, .version = 7, .step = 100 }, clock_type::now() + 60ms);
+        EXPECT_EQ(engine.orders, 0);
+    });
+}
+
+TEST(MapParticipant, LeadsOnlyInTheHighestTermAndIfItHasClaimedIt)
+{
+    withParticipant([](map_participant& participant, scripted_engine& engine) {
+        EXPECT_FALSE(participant.leads(0)) << "no term is known";
+        const auto claimed = participant.claimLeadership(2);
+        EXPECT_TRUE(participant.leads(2));
+        EXPECT_FALSE(participant.leads(1)) << "the engine has become another rank since";
+        participant.observeTerm(termAfter(claimed, 2));
+        EXPECT_FALSE(participant.leads(2)) << "another process of the same rank";
+        engine.nextReport.group = group_membership { "h", 1, 2, 4, true };
+        participant.observe(engine.nextReport);
+        participant.observeTerm(claimed);
+        EXPECT_FALSE(participant.leads(2)) << "an equal term of another group";
+    });
+}
+
 TEST(MapParticipant, LeaderOfAnotherGroupGetsTheStateButItsTermIsIgnored)
 {
     withParticipant([](map_participant& participant, scripted_engine&) {
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -248,7 +248,7 @@
         return followInterval;
     const auto now = clock_type::now();
     const auto rank = m_group->rank;
-    if (m_participant.term() != 0 && leaderOf(m_participant.term()) == rank) {
+    if (m_participant.leads(rank)) {
         updateOtherRanks();
         return lead->runRound(m_participant.term());
     }
