How far ahead a switch is scheduled is decided in a part of its own

Change: group/switch_timing holds the two estimates and the decision; the code is moved without a change of behaviour. The bounds of the arming time are its options.

--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -23,14 +23,9 @@
 constexpr std::chrono::milliseconds holderReleaseTimeout { 150 };
 // Passes that are tried as the pass of a switch before the change is abandoned.
 constexpr int maxHoldTries = 3;
-// Bounds of the number of passes between the current one and a switch.
-constexpr pass_number minPassesAhead = 2;
-constexpr pass_number maxPassesAhead = 16;
 // Range of the random increment of a map version, which makes versions differ between leaders that do not know of each
 // other.
 constexpr std::uint32_t maxVersionIncrement = 1U << 16U;
-// Weight of the newest measurement in the smoothed pass duration.
-constexpr double passSmoothing = 0.3;
 
 std::string describe(const armed_switch& target)
 {
@@ -130,6 +125,7 @@
     , m_random(seed)
     , m_demand(options.sets, options.experts)
     , m_leaderRun(std::uniform_int_distribution<std::uint64_t>(1)(m_random))
+    , m_timing(options.timing)
 {
 }
 
@@ -331,21 +327,7 @@
     m_demand.endRound();
     updateFormation(states);
     const auto& any = *std::find_if(states.begin(), states.end(), [](const auto& state) { return state.has_value(); });
-    updatePassDuration(any->step);
-}
-
-void map_leader::updatePassDuration(pass_number step)
-{
-    const auto now = clock_type::now();
-    const auto steps = step > m_lastMeasuredPass ? step - m_lastMeasuredPass : 0;
-    constexpr pass_number minSteps = 4;
-    if (m_lastMeasuredPass != 0 && steps >= minSteps)
-        m_passMilliseconds += passSmoothing
-            * (toMilliseconds(now - m_lastMeasuredAt) / static_cast<double>(steps) - m_passMilliseconds);
-    if (steps >= minSteps || m_lastMeasuredPass == 0) {
-        m_lastMeasuredPass = step;
-        m_lastMeasuredAt = now;
-    }
+    m_timing.recordPass(any->step, clock_type::now());
 }
 
 void map_leader::updateFormation(const states_by_rank& states)
@@ -369,7 +351,7 @@
     m_epoch = epoch;
     m_map.reset();
     m_pendingVersion = 0;
-    m_lastMeasuredPass = 0;
+    m_timing.restart();
 }
 
 bool map_leader::isMapKnown(const wire::rank_state& state) const { return m_map && m_mapVersion == state.mapVersion; }
@@ -449,7 +431,7 @@
     releaseHeldPass(*held);
     logEvent(log_event::MapChangeStep,
         "step=armed version=" + std::to_string(version)
-            + " passes_ms=" + std::to_string(std::lround(m_passMilliseconds)));
+            + " passes_ms=" + std::to_string(std::lround(m_timing.passMilliseconds())));
 }
 
 std::optional<pass_number> map_leader::prepareAll(engine_map_version version, const group_map& map)
@@ -487,22 +469,6 @@
     return step;
 }
 
-// Delayed orders occur in bursts, so one slow arming is remembered for several changes.
-void map_leader::recordArmingTime(duration elapsed)
-{
-    constexpr int keptParts = 3; // A quarter decays with each change.
-    m_armingTime = std::max(elapsed, m_armingTime * keptParts / (keptParts + 1));
-}
-
-pass_number map_leader::passesAhead() const
-{
-    constexpr int marginPercent = 140;
-    const auto expected
-        = std::clamp(m_armingTime * marginPercent / 100, m_options.minArmingTime, m_options.maxArmingTime);
-    const auto passes = static_cast<pass_number>(std::ceil(toMilliseconds(expected) / m_passMilliseconds));
-    return std::clamp(passes, minPassesAhead, maxPassesAhead);
-}
-
 const map_leader::member* map_leader::holder() const
 {
     return m_members.empty() ? nullptr : &m_members[m_holderIndex % m_members.size()];
@@ -539,7 +505,7 @@
             wire::rank_query { .scope = queryScope(m_localRank) }, clock_type::now() + holdTimeout);
         if (current)
             step = std::max(step, current->step);
-        const auto target = step + passesAhead();
+        const auto target = step + m_timing.passesAhead();
         const auto state = holdPassAt(*chosen, target);
         if (state && state->heldStep == target && isOfFormation(*state))
             return target;
@@ -565,13 +531,13 @@
     const auto answers = orderMembers(arm, m_options.armTimeout);
     const bool allArmed = m_allRanksAnswered && std::all_of(answers.begin(), answers.end(), isArmed);
     if (!allArmed || isSuperseded()) {
-        recordArmingTime(clock_type::now() - begunAt);
+        m_timing.recordArming(clock_type::now() - begunAt);
         logEvent(log_event::MapChangeFailed, "step=arm " + describe(target));
         return false;
     }
     arm.scope = nextOrderScope();
     const bool isLocalArmed = isArmed(m_participant.answer(arm, clock_type::now() + m_options.armTimeout));
-    recordArmingTime(clock_type::now() - begunAt);
+    m_timing.recordArming(clock_type::now() - begunAt);
     return isLocalArmed && !isSuperseded();
 }
 
--- a/coltsfootbend/group/map_leader.h
+++ b/coltsfootbend/group/map_leader.h
@@ -11,6 +11,7 @@
 #include "coltsfootbend/group/demand_estimator.h"
 #include "coltsfootbend/group/group_state.h"
 #include "coltsfootbend/group/rank_channel.h"
+#include "coltsfootbend/group/switch_timing.h"
 
 #include <functional>
 #include <memory>
@@ -46,10 +47,7 @@
         duration prepareTimeout = std::chrono::milliseconds(2500);
         // Timeout of an arm or disarm order to all ranks.
         duration armTimeout = std::chrono::milliseconds(800);
-        // Bounds of the expected arming time. The pass of a switch is chosen far enough ahead that all ranks are armed
-        // before it and no pass has to wait; the distance follows the recently observed arming times.
-        duration minArmingTime = std::chrono::milliseconds(80);
-        duration maxArmingTime = std::chrono::milliseconds(900);
+        switch_timing::options timing {};
     };
 
     // `dispatcher` sends orders to many ranks at once; it must outlive the leader.
@@ -97,8 +95,6 @@
     void yieldToHigherTerm(const wire::rank_state&);
     // Updates the demand estimate, the formation and the pass duration from a round of states.
     void updateEstimates(const states_by_rank&);
-    // Updates the estimated pass duration from the number of passes begun since the last measurement.
-    void updatePassDuration(pass_number step);
     // Logs why the leader has to wait, once for each change of the reason.
     void logWaitReason(const group_resolution&, const states_by_rank&);
     // Drops the known map when the group has formed anew or an engine has restarted: such a group uses its initial map
@@ -133,10 +129,6 @@
     void releaseHeldPass(pass_number step);
     // Orders all ranks to release the pass `step`.
     void releaseAll(pass_number step);
-    // Returns how many passes after the current one a switch is scheduled.
-    pass_number passesAhead() const;
-    // Updates the recent arming time with one measurement.
-    void recordArmingTime(duration elapsed);
     // Returns whether `state` belongs to the leader's group and epoch.
     bool isOfFormation(const wire::rank_state& state) const { return state.group == m_group && state.epoch == m_epoch; }
     // Returns whether another rank has claimed a higher term.
@@ -174,12 +166,7 @@
     // The last map that this leader has held a pass for.
     engine_map_version m_pendingVersion = 0;
     group_map m_pendingMap;
-    // Number and time of the last measured pass, and the smoothed pass duration in milliseconds.
-    pass_number m_lastMeasuredPass = 0;
-    time_point m_lastMeasuredAt {};
-    double m_passMilliseconds = 60;
-    // Longest recent duration of arming all ranks, decaying with each change.
-    duration m_armingTime {};
+    switch_timing m_timing;
 };
 
 } // namespace coltsfootbend
--- a/coltsfootbend/group/map_leader_test.cpp
+++ b/coltsfootbend/group/map_leader_test.cpp
@@ -144,7 +144,7 @@
                   .roundInterval = 30ms,
                   .minGain = 0.02,
                   .queryTimeout = faults.queryTimeout,
-                  .minArmingTime = 20ms },
+                  .timing = { .minArmingTime = 20ms } },
               seed))
     {
     }
