A hold ends early enough for a refusal to reach the caller in time

Cause: a request is held until its latency target less the time in which a server answers. Where that time is zero the hold ended at the target itself, and the refusal left then.

Change: a hold for a slot or a permit ends at least 25 ms before the target. Holds at servers whose answers take longer than that are unchanged, so are those of returning requests.

Result: WaitingPolicy.HoldEndsEarlyEnoughForARefusalToReachTheCallerInTime fails without the change for slots and for permits and passes with it, as do the other tests of the policy.

--- a/coltsfootbend/gateway/waiting_policy.cpp
+++ b/coltsfootbend/gateway/waiting_policy.cpp
@@ -9,6 +9,15 @@
 // Longest wait of a new request for a broken group to open: about the time in which a refused caller would return.
 constexpr std::chrono::milliseconds maxNewRequestGroupWait { 800 };
 
+// Shortest time from the end of a hold until the answer, even a refusal, reaches the caller.
+constexpr std::chrono::milliseconds minAnswerTime { 25 };
+
+// Returns until when a request may be sent, or refused, so that the caller receives the answer in time.
+time_point lastTimelyMoment(const refused_pick& refused, const held_request& request)
+{
+    return request.arrivedAt + request.latencyTarget - std::max<duration>(refused.startLatency, minAnswerTime);
+}
+
 // Returns `limit` if the request can be sent before it.
 std::optional<time_point> limitIfLaterThan(time_point earliest, time_point limit)
 {
@@ -23,7 +32,7 @@
     if (request.isReturning)
         return limitIfLaterThan(
             now + refused.expectedWait, std::min<time_point>(request.deadline, request.arrivedAt + callerGapLimit));
-    return limitIfLaterThan(now, request.arrivedAt + request.latencyTarget - refused.startLatency);
+    return limitIfLaterThan(now, lastTimelyMoment(refused, request));
 }
 
 // Holds a request for a permit. Limited servers accept requests at a low rate and others may be ahead in the queue, so
@@ -32,7 +41,7 @@
 std::optional<time_point> holdForPermit(const refused_pick& refused, const held_request& request, time_point now)
 {
     const auto limit = request.isReturning ? std::min<time_point>(request.deadline, request.arrivedAt + callerGapLimit)
-                                           : request.arrivedAt + request.latencyTarget - refused.startLatency;
+                                           : lastTimelyMoment(refused, request);
     return limitIfLaterThan(request.isHeld ? now : now + refused.expectedWait, limit);
 }
 
--- a/coltsfootbend/gateway/waiting_policy_test.cpp
+++ b/coltsfootbend/gateway/waiting_policy_test.cpp
@@ -54,6 +54,20 @@
     EXPECT_FALSE(holdUntil(refused, newRequest(), start));
 }
 
+// Guards against refusals that leave the gateway at the very end of the latency target, and so reach the caller after
+// it.
+TEST(WaitingPolicy, HoldEndsEarlyEnoughForARefusalToReachTheCallerInTime)
+{
+    for (const auto reason : { refusal_reason::Overloaded, refusal_reason::Limited }) {
+        auto refused = overloaded();
+        refused.reason = reason;
+        refused.startLatency = {};
+        const auto until = holdUntil(refused, newRequest(), start);
+        ASSERT_TRUE(until);
+        EXPECT_LT(*until, start + newRequest().latencyTarget);
+    }
+}
+
 TEST(WaitingPolicy, ReturningRequestIsHeldUpToTheCallerGapLimit)
 {
     EXPECT_EQ(holdUntil(overloaded(), returningRequest(), start), start + callerGapLimit);
