Each end of a caller's connection without a whole answer is logged and counted with its cause

Cause: the logs could not tell why a started stream was cut (attempts, retry budget, servers), and ends by an exception, by a caller's connection that takes no more bytes, by an unfinished request or by the end of the process left no line. Change: E505 outcome=cut names the cause and the attempts made; E508 and answers_incomplete_total{cause} account for every connection that ends without a whole answer; E509 names the request whose handling ends with an exception, before the process ends. No decision changes.

--- a/coltsfootbend/base/log_event.cpp
+++ b/coltsfootbend/base/log_event.cpp
@@ -69,6 +69,7 @@
     case log_event::ConfigurationRejected:
     case log_event::SettingsRefused:
     case log_event::DeploymentRowUnreadable:
+    case log_event::RequestFaulted:
         return google::GLOG_ERROR;
     case log_event::StoreLost:
     case log_event::StoreCallFailed:
@@ -80,6 +81,7 @@
     case log_event::LedgerIncomplete:
     case log_event::RequestUnknown:
     case log_event::RequestFailed:
+    case log_event::AnswerIncomplete:
     case log_event::EngineFailed:
     case log_event::OperatorRefused:
     case log_event::MapChangeFailed:
--- a/coltsfootbend/base/log_event.h
+++ b/coltsfootbend/base/log_event.h
@@ -49,6 +49,8 @@
     RequestFailed = 505,
     RequestResumed = 506,
     CallerDisconnected = 507,
+    AnswerIncomplete = 508,
+    RequestFaulted = 509,
     OperatorRefused = 600,
     OperatorDrain = 601,
     MapLeader = 700,
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -60,6 +60,29 @@
 
 } // namespace
 
+const char* toString(final_reason reason)
+{
+    switch (reason) {
+    case final_reason::Deadline:
+        return "deadline";
+    case final_reason::NotRepeatable:
+        return "not_repeatable";
+    case final_reason::AttemptsUsed:
+        return "attempts_used";
+    case final_reason::RetryBudgetUsed:
+        return "retry_budget_used";
+    case final_reason::NoServer:
+        return "no_server";
+    case final_reason::Unreachable:
+        return "unreachable";
+    case final_reason::Quarantined:
+        return "quarantined";
+    case final_reason::UnusableResponse:
+        return "unusable_response";
+    }
+    return "unknown";
+}
+
 exchange::exchange(gateway_context& context, const http_request& request, http_responder& responder)
     : m_context(context)
     , m_request(request)
@@ -128,7 +151,7 @@
         }
         const auto now = clock_type::now();
         if (now >= m_deadline) {
-            finishWithoutServer();
+            finishWithoutServer(final_reason::Deadline);
             return;
         }
         // Checked before each attempt, because the quarantine may begin while the request waits.
@@ -151,7 +174,7 @@
 void exchange::refuseQuarantined(time_point now, time_point until)
 {
     if (m_hasBegunStream || m_mayHaveRun || m_serverErrorResponse) {
-        finishWithoutServer();
+        finishWithoutServer(final_reason::Quarantined);
         return;
     }
     m_context.metrics.count("refused_total", { { "reason", "quarantined" } });
@@ -179,7 +202,7 @@
     if (m_hasBegunStream) {
         if (waitForOpenGroup())
             return next_step::TryAgain;
-        finishWithoutServer();
+        finishWithoutServer(final_reason::NoServer);
         return next_step::Finished;
     }
     const held_request held { .arrivedAt = m_arrivedAt,
@@ -202,7 +225,7 @@
     }
     if (m_mayHaveRun || m_serverErrorResponse) {
         m_retryAfter = refused.retryAfter;
-        finishWithoutServer();
+        finishWithoutServer(final_reason::NoServer);
         return next_step::Finished;
     }
     m_context.metrics.count("refused_total", { { "reason", toString(refused.reason) } });
@@ -254,7 +277,7 @@
     if (!m_context.picker.notices().tryAcquire(server.instance(), clock_type::now()))
         return next_step::TryAgain;
     if (m_sentCount > 0 && !retryBudget().takeRetry(clock_type::now())) {
-        finishWithoutServer();
+        finishWithoutServer(final_reason::RetryBudgetUsed);
         return next_step::Finished;
     }
     auto connection = m_context.connections.acquire(server, m_deadline, !m_route->mayRepeat());
@@ -268,7 +291,7 @@
         m_excludedServers.push_back(server.instance());
         if (++m_unreachableCount < maxUnreachableServers)
             return next_step::TryAgain;
-        finishWithoutServer();
+        finishWithoutServer(final_reason::Unreachable);
         return next_step::Finished;
     }
     const auto now = clock_type::now();
@@ -387,13 +410,14 @@
     if (head.status >= 500) {
         m_serverErrorResponse = std::move(response);
         m_mayHaveRun = true;
-        if (m_route->mayRepeat() && mayTryAgain())
+        const auto finalReason = reasonAgainstRetry(true);
+        if (!finalReason)
             return next_step::TryAgain;
-        finishWithoutServer();
+        finishWithoutServer(*finalReason);
         return next_step::Finished;
     }
     if (m_hasBegunStream) { // A whole response cannot continue a stream.
-        finishWithoutServer();
+        finishWithoutServer(final_reason::UnusableResponse);
         return next_step::Finished;
     }
     if (isSuccess(head.status))
@@ -415,9 +439,10 @@
     logEvent(log_event::RequestFailed,
         logFields() + " backend=" + picked.server.id.text() + " not_run=yes status=" + std::to_string(head.status)
             + (metadata.atFault ? " at_fault=" + toString(*metadata.atFault) : ""));
-    if (mayTryAgain())
+    const auto finalReason = reasonAgainstRetry(false);
+    if (!finalReason)
         return next_step::TryAgain;
-    finishWithoutServer();
+    finishWithoutServer(*finalReason);
     return next_step::Finished;
 }
 
@@ -496,7 +521,7 @@
     if (const auto until = quarantinedUntil(now))
         m_retryAfter = *until - now;
     m_mayHaveRun = true;
-    finishWithoutServer();
+    finishWithoutServer(final_reason::Quarantined);
     return next_step::Finished;
 }
 
@@ -530,22 +555,40 @@
                 .brokenAt = clock_type::now() });
     m_events.dropPartialEvent();
     m_mayHaveRun = true;
-    if (m_route->mayRepeat() && !isOverdue && mayTryAnotherServer && mayTryAgain())
+    auto finalReason = reasonAgainstRetry(true);
+    if (!finalReason && !mayTryAnotherServer)
+        finalReason = final_reason::Quarantined;
+    if (!finalReason)
         return next_step::TryAgain;
-    finishWithoutServer();
+    finishWithoutServer(*finalReason);
     return next_step::Finished;
 }
 
-bool exchange::mayTryAgain() { return m_sentCount < m_route->maxAttempts && clock_type::now() < m_deadline; }
+std::optional<final_reason> exchange::reasonAgainstRetry(bool mayHaveRun) const
+{
+    if (clock_type::now() >= m_deadline)
+        return final_reason::Deadline;
+    if (mayHaveRun && !m_route->mayRepeat())
+        return final_reason::NotRepeatable;
+    if (m_sentCount >= m_route->maxAttempts)
+        return final_reason::AttemptsUsed;
+    return std::nullopt;
+}
+
+void exchange::cutStream(final_reason reason)
+{
+    // Aborting the connection shows the caller that the stream is incomplete, so that it may resume the stream.
+    logEvent(log_event::RequestFailed,
+        logFields() + " outcome=cut events=" + std::to_string(m_events.eventCount())
+            + " sent=" + std::to_string(m_sentCount) + " cause=" + toString(reason));
+    m_context.metrics.count("streams_cut_total");
+    m_responder.abort();
+}
 
-void exchange::finishWithoutServer()
+void exchange::finishWithoutServer(final_reason reason)
 {
     if (m_hasBegunStream) {
-        // Aborting the connection shows the caller that the stream is incomplete, so that it may resume the stream.
-        logEvent(
-            log_event::RequestFailed, logFields() + " outcome=cut events=" + std::to_string(m_events.eventCount()));
-        m_context.metrics.count("streams_cut_total");
-        m_responder.abort();
+        cutStream(reason);
         return;
     }
     if (m_serverErrorResponse) {
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -44,6 +44,20 @@
     std::function<void(const backend_server&)> onNotice;
 };
 
+// Why a request gets no further attempt.
+enum class final_reason {
+    Deadline, // The caller's time is used up.
+    NotRepeatable, // A server may have run the request, and it must not run again.
+    AttemptsUsed, // The route allows no more servers.
+    RetryBudgetUsed, // The deployment's retry budget is used up.
+    NoServer, // No server can take the request.
+    Unreachable, // Several servers could not be connected to.
+    Quarantined, // The request, or a part of it, is suspected to crash servers.
+    UnusableResponse, // The server's response cannot continue the stream that the caller has begun to receive.
+};
+
+const char* toString(final_reason);
+
 // One request of a caller and the attempts to have it served. Used for one call of `run`.
 class exchange {
 public:
@@ -92,8 +106,9 @@
     next_step finishRecalled(const picked_backend&);
     // Leaves the queue of requests that wait for rate-limited servers.
     void leaveQueue();
-    // Returns true while neither the route's attempts nor the caller's time are used up.
-    bool mayTryAgain();
+    // Returns why no other server may be tried after a failure, or none if one may be. `mayHaveRun`: the request may
+    // have run at the last server.
+    std::optional<final_reason> reasonAgainstRetry(bool mayHaveRun) const;
     // Sleeps for one poll interval. Returns false without sleeping when that would exceed `limit` or the caller has
     // disconnected.
     bool sleepUntilNextPoll(time_point limit);
@@ -101,7 +116,8 @@
     // waits between two events.
     bool waitForOpenGroup();
     // Sends the final response when no server gave one that can be passed on, or cuts a started stream.
-    void finishWithoutServer();
+    void finishWithoutServer(final_reason);
+    void cutStream(final_reason);
     void sendError(int status, const error&, std::optional<duration> retryAfter = std::nullopt);
     // Ends an attempt whose caller has disconnected.
     void abandon(const picked_backend&);
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -127,6 +127,7 @@
     if (!health)
         return tl::unexpected(health.error());
     m_healthListener = *health;
+    observeCallers();
     auto callers
         = listener::open(m_runtime, { .address = gateway.callers, .tls = {}, .maxConnections = gateway.maxConnections },
             [this](const byte_stream_ptr& stream) { serveCaller(stream); });
@@ -136,6 +137,26 @@
     return {};
 }
 
+void gateway_service::onIncompleteAnswer(const std::string& cause, const std::string& details)
+{
+    m_metrics->count("answers_incomplete_total", { { "cause", cause } });
+    logEvent(log_event::AnswerIncomplete, "cause=" + cause + " " + details);
+}
+
+void gateway_service::observeCallers()
+{
+    m_serverOptions.onIncomplete = [this](incomplete_response reason, const std::string& why) {
+        onIncompleteAnswer(toString(reason), "why=\"" + why + "\"");
+    };
+    m_serverOptions.onFault = [this](const http_request& request, const std::string& why) {
+        const auto& id = m_codec->readCaller(request).requestId;
+        m_metrics->count("requests_faulted_total");
+        logEvent(log_event::RequestFaulted,
+            "id=" + (id.empty() ? "-" : id) + " target=" + std::string(pathOf(request.target)) + " why=\"" + why
+                + "\"");
+    };
+}
+
 void gateway_service::serveCaller(const byte_stream_ptr& stream)
 {
     serveHttp(
@@ -358,6 +379,8 @@
         m_runtime.sleepFor(leavePollInterval);
         m_idleConnections.closeAll();
     }
+    if (m_runningRequests > 0)
+        onIncompleteAnswer("stopped", "requests=" + std::to_string(m_runningRequests));
 }
 
 void gateway_service::stop()
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -41,6 +41,9 @@
     void applyBudgets();
     result<void> listen();
     void serveCaller(const byte_stream_ptr&);
+    // Log and count what ends a caller's connection without a complete response.
+    void observeCallers();
+    void onIncompleteAnswer(const std::string& cause, const std::string& details);
     // Responds to requests for readiness and metrics.
     void serveHealth(const http_request&, http_responder&) const;
     // Subscribes to the load of the used engines, and reports to their agents what this gateway knows of the
--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -42,6 +42,11 @@
     }
 }
 
+struct incomplete_end {
+    incomplete_response reason = incomplete_response::Aborted;
+    std::string why;
+};
+
 // Writes the response to one request to its connection.
 class beast_responder final : public http_responder {
 public:
@@ -113,6 +118,7 @@
     {
         stopWatching();
         m_keepAlive = false;
+        m_incomplete = incomplete_end { incomplete_response::Aborted, "the handler aborted it" };
         if (m_version >= 11)
             m_stream->close(); // The last chunk is missing.
         else
@@ -149,6 +155,8 @@
 
     bool isAnswered() const { return m_answered; }
     bool keepsAlive() const { return m_keepAlive; }
+    // Returns why the response is incomplete, or none if it is complete.
+    const std::optional<incomplete_end>& incomplete() const { return m_incomplete; }
 
 private:
     struct watch_state {
@@ -168,6 +176,7 @@
         if (!code)
             return {};
         m_keepAlive = false;
+        m_incomplete = incomplete_end { incomplete_response::Unwritable, code.message() };
         return tl::unexpected(code);
     }
 
@@ -177,6 +186,7 @@
     const unsigned m_version;
     bool m_keepAlive;
     bool m_answered = false;
+    std::optional<incomplete_end> m_incomplete;
     std::optional<http::response<http::empty_body>> m_message;
     std::optional<http::response_serializer<http::empty_body>> m_serializer;
     std::shared_ptr<watch_state> m_watch;
@@ -227,6 +237,24 @@
         || !boost::algorithm::iequals(message[http::field::transfer_encoding], "chunked");
 }
 
+void report(const http_server_options& options, incomplete_response incomplete, const std::string& why)
+{
+    if (options.onIncomplete)
+        options.onIncomplete(incomplete, why);
+}
+
+void callHandler(const http_handler& handler, const http_request& request, beast_responder& responder,
+    const http_server_options& options)
+{
+    try {
+        handler(request, responder);
+    } catch (const std::exception& fault) {
+        if (options.onFault)
+            options.onFault(request, fault.what());
+        throw;
+    }
+}
+
 // Reads one request, and sends the response. Returns whether the connection can be used for another request.
 bool serveOne(fiber_runtime& runtime, const byte_stream_ptr& stream, beast::flat_buffer& buffer,
     const http_server_options& options, const http_handler& handler, const std::function<bool()>& isLeaving,
@@ -258,6 +286,8 @@
         if (isParseError(code)) {
             beast_responder responder(runtime, stream, options, 11, false);
             (void)responder.send(parseFailure(code));
+        } else {
+            report(options, incomplete_response::RequestUnfinished, code.message());
         }
         return false;
     }
@@ -265,12 +295,14 @@
     http_request request { std::string(message.method_string()), std::string(message.target()), copyHeaders(message),
         std::move(message.body()) };
     beast_responder responder(runtime, stream, options, message.version(), message.keep_alive() && !isLeaving());
-    handler(request, responder);
+    callHandler(handler, request, responder, options);
     responder.stopWatching();
     if (!responder.isAnswered()) {
         (void)responder.send(
             errorResponse(500, { error_kind::Internal, "the request was not answered", "Report this" }));
     }
+    if (const auto& incomplete = responder.incomplete())
+        report(options, incomplete->reason, incomplete->why);
     return responder.keepsAlive();
 }
 
@@ -296,6 +328,21 @@
 
 } // namespace
 
+const char* toString(incomplete_response reason)
+{
+    switch (reason) {
+    case incomplete_response::RequestUnfinished:
+        return "request_unfinished";
+    case incomplete_response::Unwritable:
+        return "unwritable";
+    case incomplete_response::Aborted:
+        return "aborted";
+    case incomplete_response::HandlerFault:
+        return "fault";
+    }
+    return "unknown";
+}
+
 std::optional<std::string> findHeader(const std::vector<http_header>& headers, std::string_view name)
 {
     std::optional<std::string> found;
--- a/coltsfootbend/net/http.h
+++ b/coltsfootbend/net/http.h
@@ -70,6 +70,16 @@
     virtual std::string peerName() const = 0;
 };
 
+// Why a connection ended although a request on it has no complete response.
+enum class incomplete_response {
+    RequestUnfinished, // The request did not arrive completely, or not in time.
+    Unwritable, // The peer disconnected, or did not read the response in time.
+    Aborted, // The handler aborted the response.
+    HandlerFault, // The handler ended with an exception after it had begun the response.
+};
+
+const char* toString(incomplete_response);
+
 // Limits of a server. They are read at the beginning of each request, so the owner may change them while connections
 // are open.
 struct http_server_options {
@@ -82,6 +92,10 @@
     // Maximum time to read a request body.
     duration readLimit = std::chrono::seconds(10);
     duration writeLimit = std::chrono::seconds(10);
+    // Called once for each connection that ends without a complete response to a request on it; may be empty.
+    std::function<void(incomplete_response, const std::string& why)> onIncomplete;
+    // Called when the handler of a request ends with an exception; may be empty.
+    std::function<void(const http_request&, const std::string& why)> onFault;
 };
 
 // The connections that wait for a request. A leaving process closes these without cutting off requests in progress.
