Failing tests: streams and answers of servers that pause are given up

What callers saw: streams that end without their last event although their server is sound and goes on.

--- a/coltsfootbend/gateway/exchange_test.cpp
+++ b/coltsfootbend/gateway/exchange_test.cpp
@@ -562,6 +562,154 @@
     });
 }
 
+// Guards against streams that are cut although their only server is sound and goes on after a pause.
+TEST(Exchange, AStreamWhoseOnlyServerPausesIsCompleted)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        scripted_server server(fixture.runtime, [&](byte_stream& stream, const std::string& head, int) {
+            (void)stream.writeAll(streamHead(head) + chunk(event(1)));
+            fixture.runtime.sleepFor(2200ms);
+            (void)stream.writeAll(chunk(event(2)) + "0\r\n\r\n");
+        });
+        auto longer = makeRoute(route_kind::Stream, 2, true);
+        longer.timeout = 8s;
+        fixture.configure(longer, { &server });
+        const auto& response = fixture.run("r1", "8000");
+        EXPECT_TRUE(response.isComplete);
+        EXPECT_EQ(response.body, event(1) + event(2));
+        EXPECT_EQ(server.heads.size(), 1U);
+        server.close();
+    });
+}
+
+// Guards against streams that are given up although the retry budget allows no other attempt.
+TEST(Exchange, AStreamOfAPausingServerIsCompletedWithoutARetryBudget)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        const auto script = [&](byte_stream& stream, const std::string& head, int) {
+            (void)stream.writeAll(streamHead(head) + chunk(event(1)));
+            fixture.runtime.sleepFor(2200ms);
+            (void)stream.writeAll(chunk(event(2)) + "0\r\n\r\n");
+        };
+        scripted_server first(fixture.runtime, script);
+        scripted_server second(fixture.runtime, script);
+        auto longer = makeRoute(route_kind::Stream, 2, true);
+        longer.timeout = 8s;
+        fixture.configure(longer, { &first, &second });
+        fixture.context->retryBudgets.clear();
+        fixture.context->retryBudgets.emplace(service, retry_budget({ .reserve = 0, .reservePerSecond = 0 }));
+        const auto& response = fixture.run("r1", "8000");
+        EXPECT_TRUE(response.isComplete);
+        EXPECT_EQ(response.body, event(1) + event(2));
+        EXPECT_EQ(first.heads.size() + second.heads.size(), 1U);
+        first.close();
+        second.close();
+    });
+}
+
+// Guards against streams that are lost because the server that is to take them over refuses.
+TEST(Exchange, AStreamGoesOnAtItsServerIfTheNextOneRefusesIt)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        int attempts = 0;
+        const auto script = [&](byte_stream& stream, const std::string& head, int) {
+            if (++attempts > 1) {
+                (void)stream.writeAll(responseTo(head, 503, "full", "X-Not-Executed: 1\r\n"));
+                return;
+            }
+            (void)stream.writeAll(streamHead(head) + chunk(event(1)));
+            fixture.runtime.sleepFor(2200ms);
+            (void)stream.writeAll(chunk(event(2)) + "0\r\n\r\n");
+        };
+        scripted_server first(fixture.runtime, script);
+        scripted_server second(fixture.runtime, script);
+        auto longer = makeRoute(route_kind::Stream, 2, true);
+        longer.timeout = 8s;
+        fixture.configure(longer, { &first, &second });
+        const auto& response = fixture.run("r1", "8000");
+        EXPECT_TRUE(response.isComplete);
+        EXPECT_EQ(response.body, event(1) + event(2));
+        EXPECT_EQ(attempts, 2);
+        first.close();
+        second.close();
+    });
+}
+
+// The first event of either server wins, and no event is passed on twice.
+TEST(Exchange, AServerThatGoesOnBeforeTheNextOneBeginsKeepsItsStream)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        int attempts = 0;
+        const auto script = [&](byte_stream& stream, const std::string& head, int) {
+            if (++attempts > 1) {
+                fixture.runtime.sleepFor(1s);
+                (void)stream.writeAll(streamHead(head) + chunk(event(2)) + "0\r\n\r\n");
+                return;
+            }
+            (void)stream.writeAll(streamHead(head) + chunk(event(1)));
+            fixture.runtime.sleepFor(1900ms);
+            (void)stream.writeAll(chunk(event(2)));
+            fixture.runtime.sleepFor(700ms);
+            (void)stream.writeAll(chunk(event(3)) + "0\r\n\r\n");
+        };
+        scripted_server first(fixture.runtime, script);
+        scripted_server second(fixture.runtime, script);
+        auto longer = makeRoute(route_kind::Stream, 2, true);
+        longer.timeout = 8s;
+        fixture.configure(longer, { &first, &second });
+        const auto& response = fixture.run("r1", "8000");
+        EXPECT_TRUE(response.isComplete);
+        EXPECT_EQ(response.body, event(1) + event(2) + event(3));
+        EXPECT_EQ(attempts, 2);
+        fixture.runtime.sleepFor(300ms); // Lets the scripts end before their servers are closed.
+        first.close();
+        second.close();
+    });
+}
+
+// The server that was asked second is used if the first one breaks off before the second one begins.
+TEST(Exchange, AStreamWhoseServerBreaksOffGoesOnAtTheServerThatWasAskedAlready)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        int attempts = 0;
+        const auto script = [&](byte_stream& stream, const std::string& head, int) {
+            if (++attempts > 1) {
+                fixture.runtime.sleepFor(700ms);
+                (void)stream.writeAll(streamHead(head) + chunk(event(2)) + "0\r\n\r\n");
+                return;
+            }
+            (void)stream.writeAll(streamHead(head) + chunk(event(1) + "id: 2\nda"));
+            fixture.runtime.sleepFor(1900ms);
+            stream.close();
+        };
+        scripted_server first(fixture.runtime, script);
+        scripted_server second(fixture.runtime, script);
+        auto longer = makeRoute(route_kind::Stream, 2, true);
+        longer.timeout = 8s;
+        fixture.configure(longer, { &first, &second });
+        const auto& response = fixture.run("r1", "8000");
+        EXPECT_TRUE(response.isComplete);
+        EXPECT_EQ(response.body, event(1) + event(2));
+        EXPECT_EQ(attempts, 2);
+        first.close();
+        second.close();
+    });
+}
+
+TEST(Exchange, AWholeAnswerOfAPausingServerIsAwaitedIfNoOtherServerCanTakeTheRequest)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        scripted_server server(fixture.runtime, [&](byte_stream& stream, const std::string& head, int number) {
+            fixture.runtime.sleepFor(1600ms);
+            respondWithSuccess(stream, head, number);
+        });
+        fixture.configure(makeRoute(route_kind::Idempotent, 2), { &server });
+        EXPECT_EQ(fixture.run().status, 200);
+        EXPECT_EQ(server.heads.size(), 1U);
+        server.close();
+    });
+}
+
 TEST(Exchange, ClosesServerConnectionWhenCallerDisconnects)
 {
     onRuntime([](exchange_fixture& fixture) {
