A silent server is given up only when another one has begun to respond

What callers saw: streams cut and answers lost although their server was sound and went on after a pause of a second or so. Cause: the watchdog closed the connection of a silent server first; only then were the route, its attempts, the retry budget and the servers asked whether another attempt was possible. Silence counted as a failure, so sound servers were ejected and retries were spent on them. Change: an overdue response only starts an attempt at a second server (standby_attempt), while the first one is still awaited: the route, the attempts, the quarantine, a server that is not silent itself, its connection and the retry budget come first. The first server is given up when the second one has sent the head of a usable response; if the first one sends something before that, the second one is closed; if it breaks off, the request depends on the second one. Without a second server the wait goes on until the deadline. What is known of a server decides when its response is overdue (silence_policy): 0.9 s without data if it sends on other connections, 1.5 s if it sends on none, 1.9 s while its group is stalled. A silent server gets no new requests while others can take them, until it sends something; that is neither a failure nor an ejection. Why it works: no decision against a server is taken before the decision for another one has succeeded. The test of the watchdog's closing is replaced, because it no longer closes: when a response is reported overdue is checked under each condition instead.

--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -157,10 +157,40 @@
     return !group || group->condition(now) == group_condition::Open;
 }
 
-bool backend_picker::isGroupOpen(const backend_instance& server, time_point now) const
+duration backend_picker::silenceOf(const backend_state& state, time_point now)
+{
+    return state.inFlight > 0 ? now - std::max(state.lastDataAt, state.awaitedSince) : duration::zero();
+}
+
+bool backend_picker::isAvoided(const backend_state& state, time_point now) const
+{
+    return now < state.ejectedUntil || now < state.avoidedUntil || silenceOf(state, now) >= m_options.silenceLimit;
+}
+
+bool backend_picker::mayTakeOver(const backend_state& state, const pick_request& request, time_point now) const
+{
+    if (!request.silentSince)
+        return true;
+    const bool isSending = state.inFlight == 0 || state.lastDataAt > *request.silentSince;
+    return isSending && !isAvoided(state, now);
+}
+
+duration backend_picker::backoffAfter(std::uint32_t count) const
+{
+    constexpr std::uint32_t maxDoublings = 8;
+    const auto factor = 1U << std::min(count - 1, maxDoublings);
+    return std::min<duration>(m_options.baseEjectionTime * factor, m_options.maxEjectionTime);
+}
+
+server_condition backend_picker::conditionOf(const backend_instance& server, time_point now) const
 {
     const auto found = m_backends.find(server.id);
-    return found == m_backends.end() || isGroupOpen(found->second, now);
+    if (found == m_backends.end())
+        return server_condition::Silent;
+    if (!isGroupOpen(found->second, now))
+        return server_condition::GroupStalled;
+    return silenceOf(found->second, now) >= m_options.silenceLimit ? server_condition::Silent
+                                                                   : server_condition::Sending;
 }
 
 bool backend_picker::hasOpenServer(const deployment_id& deployment, time_point now) const
@@ -286,21 +316,21 @@
 std::vector<backend_picker::backend_state*> backend_picker::candidates(const pick_request& request, time_point now)
 {
     std::vector<backend_state*> all;
-    std::vector<backend_state*> notEjected;
+    std::vector<backend_state*> preferred;
     bool canAnyTake = false;
     for (auto& [id, state] : m_backends) {
         if (!isServing(state, request.deployment, now) || isExcluded(request, state.server) || now < state.replacedUntil
-            || !mayStartOn(state, now))
+            || !mayTakeOver(state, request, now) || !mayStartOn(state, now))
             continue;
         all.push_back(&state);
-        if (now < state.ejectedUntil)
+        if (isAvoided(state, now))
             continue;
-        notEjected.push_back(&state);
+        preferred.push_back(&state);
         canAnyTake = canAnyTake || m_notices.canAcquire(state.server.instance(), now);
     }
-    // An ejection may be wrong, so ejections are ignored if no other server can take the request: refusing every
-    // request would be worse.
-    return canAnyTake ? notEjected : all;
+    // An ejection or the silence of a server may not matter, so both are ignored if no other server can take the
+    // request: refusing every request would be worse.
+    return canAnyTake ? preferred : all;
 }
 
 // The gateways' first requests to a cold server are spread over the interval at random, so that all of them together
@@ -526,7 +556,7 @@
         = std::partition(usable.begin(), usable.end(), [&](const auto* state) { return isGroupOpen(*state, now); });
     if (firstNotOpen != usable.begin())
         usable.erase(firstNotOpen, usable.end());
-    else if (!keepProbeTargets(usable, now))
+    else if (request.silentSince || !keepProbeTargets(usable, now))
         return tl::unexpected(refuseForGroups(usable, request, now));
     if (auto refused = keepPermitted(usable, request, now))
         return tl::unexpected(*refused);
@@ -557,10 +587,22 @@
     if (!state)
         return;
     updateRequestRate(m_deployments[state->server.deployment], now);
+    if (state->inFlight == 0)
+        state->awaitedSince = now;
     ++state->inFlight;
     state->unreportedSentAt.push_back(now);
 }
 
+void backend_picker::onDataReceived(const backend_instance& server, time_point now)
+{
+    auto* state = find(server);
+    if (!state)
+        return;
+    state->lastDataAt = now;
+    state->consecutiveMoves = 0;
+    state->avoidedUntil = {};
+}
+
 void backend_picker::onRequestFinished(
     const backend_instance& server, backend_outcome outcome, std::optional<duration> latency, time_point now)
 {
@@ -575,13 +617,15 @@
     // While its group makes no passes, no rank can answer, so a failure does not indicate a fault of this server.
     if (outcome == backend_outcome::Abandoned || !isGroupOpen(state, now))
         return;
-    const bool isBreak = outcome == backend_outcome::Broken || outcome == backend_outcome::Unresponsive;
-    const bool isFailure = isBreak || outcome == backend_outcome::Failed;
+    // Silence is no fault: sound servers pause. It only counts until the server sends something.
+    if (outcome == backend_outcome::Unresponsive) {
+        state.avoidedUntil = now + backoffAfter(++state.consecutiveMoves);
+        return;
+    }
+    const bool isFailure = outcome == backend_outcome::Broken || outcome == backend_outcome::Failed;
     state.failureRate += m_options.smoothingFactor * ((isFailure ? 1 : 0) - state.failureRate);
-    if (isBreak) {
-        ++state.consecutiveBrokenExchanges;
-        const auto factor = 1U << std::min(state.consecutiveBrokenExchanges - 1, 8U);
-        state.ejectedUntil = now + std::min<duration>(m_options.baseEjectionTime * factor, m_options.maxEjectionTime);
+    if (outcome == backend_outcome::Broken) {
+        state.ejectedUntil = now + backoffAfter(++state.consecutiveBrokenExchanges);
         return;
     }
     state.consecutiveBrokenExchanges = 0;
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -20,6 +20,7 @@
 #include "coltsfootbend/gateway/group_monitor.h"
 #include "coltsfootbend/gateway/pass_model.h"
 #include "coltsfootbend/gateway/pick.h"
+#include "coltsfootbend/gateway/silence_policy.h"
 #include "coltsfootbend/gateway/traffic_share.h"
 
 #include <algorithm>
@@ -51,6 +52,9 @@
         // How long a server gets no requests after another server answered at its address, unless it registers anew
         // earlier.
         duration maxReplacedTime = std::chrono::seconds(5);
+        // A server that sends nothing for this long on any connection, although responses are awaited from it, gets no
+        // new requests while another server can take them.
+        duration silenceLimit = std::chrono::milliseconds(500);
         // Weight of a new sample in the moving averages of latency and failure rate.
         double smoothingFactor = 0.2;
     };
@@ -102,13 +106,15 @@
 
     // Records that a request was sent to the server.
     void onRequestSent(const backend_instance&, time_point now);
+    // Records that the server has sent something on one of its connections.
+    void onDataReceived(const backend_instance&, time_point now);
+    // Returns what is known of a server from which a response is awaited. O(ranks).
+    server_condition conditionOf(const backend_instance&, time_point now) const;
     // Records the outcome of a request. `latency`: time to the first byte of the answer, if there was one.
     void onRequestFinished(const backend_instance&, backend_outcome, std::optional<duration> latency, time_point now);
 
     // Records that the server's answer reported another rank of its group as unreachable.
     void onGroupFailed(const backend_instance&, time_point now);
-    // Returns true unless the server belongs to a group that is stalled or broken. O(ranks).
-    bool isGroupOpen(const backend_instance&, time_point now) const;
     // Returns true if a server of `deployment` accepts new work and its group, if any, is open. O(servers).
     bool hasOpenServer(const deployment_id& deployment, time_point now) const;
 
@@ -139,6 +145,11 @@
         std::uint32_t inFlight = 0;
         // Send times of this gateway's requests that the last report cannot include yet.
         std::vector<time_point> unreportedSentAt;
+        time_point lastDataAt {}; // When the server last sent something.
+        time_point awaitedSince {}; // Since when responses are awaited from it without interruption.
+        std::uint32_t consecutiveMoves
+            = 0; // Requests that moved to other servers since the server last sent something.
+        time_point avoidedUntil {}; // End of the time without new requests after such a move.
         std::uint32_t consecutiveBrokenExchanges = 0;
         time_point ejectedUntil {};
         // End of the cold time of an incarnation that was reported before the list of servers stated it.
@@ -171,6 +182,14 @@
     // Switches to the incarnation `received` and discards the state of an earlier one. Returns false if `received`
     // itself is an earlier one.
     static bool enterIncarnation(backend_state&, backend_incarnation received);
+    // Returns how long the server has sent nothing although responses are awaited from it.
+    static duration silenceOf(const backend_state&, time_point now);
+    // Returns whether the server gets no new requests while another one can take them.
+    bool isAvoided(const backend_state&, time_point now) const;
+    // Returns whether a request that moves away from a silent server may be sent to this one.
+    bool mayTakeOver(const backend_state&, const pick_request&, time_point now) const;
+    // Returns the time for which a server gets no requests after `count` incidents in a row.
+    duration backoffAfter(std::uint32_t count) const;
     // Returns null for a server that belongs to no group, or whose group is not known yet.
     const group_monitor* groupOf(const backend_state&) const;
     bool isGroupOpen(const backend_state&, time_point now) const;
--- a/coltsfootbend/gateway/backend_picker_test.cpp
+++ b/coltsfootbend/gateway/backend_picker_test.cpp
@@ -337,7 +337,7 @@
         EXPECT_TRUE(picked->server.id == idOf(3) || picked->server.id == idOf(4));
     }
     EXPECT_TRUE(m_picker.hasOpenServer(llm, m_now));
-    EXPECT_FALSE(m_picker.isGroupOpen(backend_instance { idOf(1), {} }, m_now));
+    EXPECT_EQ(m_picker.conditionOf({ idOf(1), {} }, m_now), server_condition::GroupStalled);
 }
 
 TEST_F(backend_picker_test, ServerThatReportsAnotherRankAtFaultBreaksItsGroup)
@@ -378,6 +378,55 @@
     EXPECT_EQ(chosen.size(), 2U);
 }
 
+// Guards against sound servers that are ejected for a pause.
+TEST_F(backend_picker_test, ASilentServerGetsNoNewRequestsUntilItSendsSomething)
+{
+    use(plain, 2);
+    m_picker.onRequestSent({ idOf(1), {} }, m_now);
+    m_now += 600ms;
+    EXPECT_EQ(m_picker.conditionOf({ idOf(1), {} }, m_now), server_condition::Silent);
+    m_picker.onRequestFinished({ idOf(1), {} }, backend_outcome::Unresponsive, {}, m_now);
+    m_picker.onRequestSent({ idOf(1), {} }, m_now); // One more request is still awaited.
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(m_picker.pick(request(plain), m_now)->server.id, idOf(2));
+    m_picker.onDataReceived({ idOf(1), {} }, m_now);
+    EXPECT_EQ(m_picker.conditionOf({ idOf(1), {} }, m_now), server_condition::Sending);
+    m_picker.onRequestFinished({ idOf(1), {} }, backend_outcome::Answered, 10ms, m_now);
+    std::set<backend_id> chosen;
+    for (int i = 0; i < 50; ++i) {
+        const auto picked = m_picker.pick(request(plain), m_now);
+        m_picker.onRequestSent(picked->server.instance(), m_now);
+        chosen.insert(picked->server.id);
+    }
+    EXPECT_EQ(chosen.size(), 2U);
+}
+
+TEST_F(backend_picker_test, ASilentServerIsChosenIfAllAreSilent)
+{
+    use(plain, 2);
+    for (int i = 1; i <= 2; ++i)
+        m_picker.onRequestSent({ idOf(i), {} }, m_now);
+    m_now += 1s;
+    EXPECT_TRUE(m_picker.pick(request(plain), m_now));
+}
+
+TEST_F(backend_picker_test, ARequestMovesOnlyToAServerThatHasSentSomethingSince)
+{
+    use(plain, 3);
+    const auto silentSince = m_now;
+    for (int i = 1; i <= 3; ++i)
+        m_picker.onRequestSent({ idOf(i), {} }, m_now);
+    m_now += 300ms;
+    auto moved = request(plain);
+    moved.excluded = { { idOf(1), {} } };
+    moved.silentSince = silentSince;
+    EXPECT_EQ(refusalOf(moved).reason, refusal_reason::NoServers);
+    m_picker.onDataReceived({ idOf(3), {} }, m_now);
+    const auto picked = m_picker.pick(moved, m_now);
+    ASSERT_TRUE(picked);
+    EXPECT_EQ(picked->server.id, idOf(3));
+}
+
 TEST_F(backend_picker_test, ServerIsChosenEvenIfAllAreEjected)
 {
     use(plain, 2);
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -18,12 +18,6 @@
 // A server stops working on a request at its deadline. The gateway waits this much longer for the server's own timeout
 // response, which says more than the gateway's.
 constexpr std::chrono::milliseconds deadlineGrace { 80 };
-// Multiple of the route's latency target after which a request without a response head is sent to another server, if
-// the route allows it to run again.
-constexpr double headTimeoutFactor = 2.5;
-// Time without data after which a started stream is resumed at another server. Callers give up after 2 s without an
-// event.
-constexpr std::chrono::milliseconds streamStallLimit { 900 };
 // Interval between two checks for a free slot or an open group; about half the duration of an engine's pass.
 constexpr std::chrono::milliseconds pollInterval { 30 };
 // Added to the priority of a returning caller (higher comes later). It is already late, so it must not delay callers
@@ -48,6 +42,9 @@
 
 bool isSuccess(int status) { return status >= 200 && status < 300; }
 
+// Returns whether a success comes from the server itself and is unchanged.
+bool isUsableSuccess(const response_metadata& metadata) { return metadata.isSigned && !metadata.isEncoded; }
+
 std::string joinTexts(const std::vector<prompt_part_id>& parts)
 {
     std::string text;
@@ -254,22 +251,6 @@
     return false;
 }
 
-time_point exchange::headTimeoutAt(const picked_backend& picked, time_point now) const
-{
-    if (!m_route->mayRepeat() || m_sentCount >= m_route->maxAttempts)
-        return time_point::max();
-    return now
-        + std::max(
-            fromMilliseconds(headTimeoutFactor * toMilliseconds(m_route->latencyTarget)), 2 * picked.predictedLatency);
-}
-
-// The caller of a stream leaves after a pause without events. If its stream is cut before that, it may resume it later.
-time_point exchange::stalledGroupTimeoutAt(time_point lastActivityAt) const
-{
-    return m_route->kind == route_kind::Stream && m_route->mayRepeat() ? lastActivityAt + callerGapLimit
-                                                                       : time_point::max();
-}
-
 exchange::next_step exchange::attemptOnServer(const picked_backend& picked)
 {
     const auto& server = picked.server;
@@ -301,17 +282,22 @@
         (*connection)->close();
         return next_step::TryAgain;
     }
-    const forwarding_metadata call { .server = server.id,
-        .customer = m_customer ? m_customer->id : customer_id(),
-        .timeLeft = m_deadline - now,
-        .priority = priority(),
-        .resumeAfter = m_events.lastEventId() };
-    ++m_sentCount;
+    recordSent(picked, now);
     m_sentAt = now;
     m_begunAt.reset();
     m_isRecalled = false;
-    m_excludedServers.push_back(server.instance());
     m_caller->connection = *connection;
+    const auto sent = (*connection)->send(requestTo(server, now), m_deadline);
+    const auto nextStep = sent ? receiveResponse(picked, **connection, now) : handleFailure(picked, sent.error());
+    m_caller->connection.reset();
+    return nextStep;
+}
+
+void exchange::recordSent(const picked_backend& picked, time_point now)
+{
+    const auto& server = picked.server;
+    ++m_sentCount;
+    m_excludedServers.push_back(server.instance());
     m_context.picker.onRequestSent(server.instance(), now);
     logEvent(m_sentCount == 1 ? log_event::RequestSent : log_event::RequestResumed,
         logFields() + " backend=" + server.id.text() + " attempt=" + std::to_string(m_sentCount)
@@ -320,43 +306,184 @@
             + " predicted_ms=" + std::to_string(std::lround(toMilliseconds(picked.predictedLatency))) + " time_left_ms="
             + std::to_string(std::lround(toMilliseconds(m_callerMetadata.timeLeft.value_or(duration::zero()))))
             + " returning=" + (m_isReturning ? "yes" : "no"));
-    const auto sent = (*connection)->send(m_context.codec.toBackend(m_request, call), m_deadline);
-    const auto nextStep = sent ? receiveResponse(picked, **connection, now) : handleFailure(picked, sent.error());
-    m_caller->connection.reset();
-    return nextStep;
+}
+
+http_request exchange::requestTo(const backend_server& server, time_point now) const
+{
+    return m_context.codec.toBackend(m_request,
+        { .server = server.id,
+            .customer = m_customer ? m_customer->id : customer_id(),
+            .timeLeft = m_deadline - now,
+            .priority = priority(),
+            .resumeAfter = m_events.lastEventId() });
+}
+
+bool exchange::matchesRequest(const http_head& head) const
+{
+    const auto& id = m_context.codec.readBackend(head).requestId;
+    return id.empty() || id == m_callerMetadata.requestId;
 }
 
 exchange::next_step exchange::receiveResponse(
     const picked_backend& picked, backend_connection& connection, time_point sentAt)
 {
-    const auto matchesRequest = [this](const http_head& head) {
-        const auto& id = m_context.codec.readBackend(head).requestId;
-        return id.empty() || id == m_callerMetadata.requestId;
-    };
-    watched_response watched(m_context.watchdog, picked.server.instance(), m_caller->connection);
-    // The deadline of a resumed stream counts from its last event. Counted from the request's arrival it would have
-    // passed already for a stream that has run longer than `callerGapLimit`, and the watchdog would cut it at its next
-    // check.
-    watched.setDeadlines(
-        headTimeoutAt(picked, sentAt), stalledGroupTimeoutAt(m_hasBegunStream ? m_lastEventAt : m_arrivedAt));
+    watched_response watched(m_context.watchdog, picked.server.instance(), [this] { prepareStandby(); });
+    m_awaitingSince = sentAt;
+    watched.setOverdueTimes(
+        headOverdueTimes(*m_route, picked.predictedLatency, sentAt, m_hasBegunStream ? m_lastEventAt : m_arrivedAt));
     const request_quarantine::pending_request pending(
         m_context.quarantine, [this](time_point now) { recallIfRefused(now); });
-    const auto head = connection.readHead(m_deadline + deadlineGrace, matchesRequest);
+    const auto head = connection.readHead(
+        m_deadline + deadlineGrace, [this](const http_head& received) { return matchesRequest(received); });
+    watched.setOverdueTimes({});
+    if (isStandbyReady())
+        return moveToStandby(picked);
     if (!head)
-        return handleFailure(picked, watched.hasExpired() ? unresponsiveServerError() : head.error());
+        return handleFailure(picked, head.error());
+    return relayResponse(picked, connection, *head, watched, sentAt);
+}
+
+exchange::next_step exchange::relayResponse(const picked_backend& picked, backend_connection& connection,
+    const http_head& head, watched_response& watched, time_point sentAt)
+{
+    onDataReceived(picked);
     m_begunAt = clock_type::now();
-    watched.clearDeadlines();
-    const auto metadata = m_context.codec.readBackend(*head);
-    receiveNotice(picked.server, metadata, sentAt);
-    if (metadata.load)
-        m_context.picker.receiveResponseLoad(
-            picked.server.instance(), metadata.load->running, metadata.load->waiting, clock_type::now());
-    if (isSuccess(head->status) && (!metadata.isSigned || metadata.isEncoded))
+    const auto metadata = m_context.codec.readBackend(head);
+    receiveServerState(picked.server, metadata, sentAt);
+    if (isSuccess(head.status) && !isUsableSuccess(metadata))
         return handleFailure(
             picked, { error_kind::BadInput, "a successful response without signature or with a content encoding", "" });
-    if (isSuccess(head->status) && m_route->kind == route_kind::Stream)
-        return relayStream(picked, connection, *head, watched, sentAt);
-    return relayBody(picked, connection, *head, sentAt);
+    if (isSuccess(head.status) && m_route->kind == route_kind::Stream)
+        return relayStream(picked, connection, head, watched, sentAt);
+    return relayBody(picked, connection, head, sentAt);
+}
+
+void exchange::onDataReceived(const picked_backend& picked)
+{
+    m_context.picker.onDataReceived(picked.server.instance(), clock_type::now());
+    cancelStandby();
+}
+
+void exchange::receiveServerState(const backend_server& server, const response_metadata& metadata, time_point sentAt)
+{
+    receiveNotice(server, metadata, sentAt);
+    if (metadata.load)
+        m_context.picker.receiveResponseLoad(
+            server.instance(), metadata.load->running, metadata.load->waiting, clock_type::now());
+}
+
+bool exchange::mayUseStandby(time_point now)
+{
+    return !m_caller->isDisconnected && !m_isRecalled && !reasonAgainstRetry(true) && !quarantinedUntil(now)
+        && m_context.quarantine.mayTryAnotherServer(suspects()) && retryBudget().hasRetry(now);
+}
+
+void exchange::prepareStandby()
+{
+    const auto now = clock_type::now();
+    if (m_standby && m_standby->hasEnded() && !isStandbyReady())
+        m_standby.reset();
+    if (m_standby || !mayUseStandby(now))
+        return;
+    auto request = pickRequest();
+    request.silentSince = m_awaitingSince;
+    const auto picked = m_context.picker.pick(request, now);
+    if (!picked || !m_context.picker.notices().tryAcquire(picked->server.instance(), now))
+        return;
+    m_standby = std::make_unique<standby_attempt>(m_context.runtime, m_context.connections,
+        standby_attempt::options { .picked = *picked,
+            .deadline = m_deadline + deadlineGrace,
+            .onConnected = [this] { return beginStandby(); },
+            .matchesRequest = [this](const http_head& head) { return matchesRequest(head); },
+            .onEnded = [this] { onStandbyEnded(); } });
+}
+
+std::optional<http_request> exchange::beginStandby()
+{
+    const auto now = clock_type::now();
+    const auto& picked = m_standby->picked();
+    if (!mayUseStandby(now) || m_context.picker.notices().isUnavailable(picked.server.instance(), now)
+        || !retryBudget().takeRetry(now))
+        return std::nullopt;
+    recordSent(picked, now);
+    return requestTo(picked.server, now);
+}
+
+bool exchange::isStandbyReady() const
+{
+    if (!m_standby || !m_standby->hasEnded() || !m_standby->head())
+        return false;
+    const auto& head = *m_standby->head();
+    return isSuccess(head.status) && isUsableSuccess(m_context.codec.readBackend(head));
+}
+
+void exchange::onStandbyEnded()
+{
+    if (m_isAwaitingStandby)
+        return;
+    if (!isStandbyReady())
+        recordFailedStandby();
+    else if (m_caller->connection)
+        m_caller->connection->close(); // The fiber that awaits the first server continues with the second one.
+}
+
+void exchange::recordFailedStandby()
+{
+    if (m_standby->wasDeclined())
+        return;
+    const auto& picked = m_standby->picked();
+    const auto& head = m_standby->head();
+    if (!m_standby->sentAt())
+        m_context.picker.onRequestSent(picked.server.instance(), clock_type::now());
+    const auto metadata = head ? m_context.codec.readBackend(*head) : response_metadata {};
+    if (head)
+        receiveServerState(picked.server, metadata, *m_standby->sentAt());
+    recordOutcome(picked,
+        !head ? backend_outcome::Broken : (metadata.isNotRun ? backend_outcome::Busy : backend_outcome::Failed));
+    logEvent(log_event::RequestFailed,
+        logFields() + " backend=" + picked.server.id.text() + " standby=yes why=\""
+            + (head ? "status " + std::to_string(head->status) : toString(head.error())) + "\"");
+}
+
+bool exchange::mayAdoptStandby() const
+{
+    return m_standby && m_standby->sentAt() && (!m_standby->hasEnded() || isStandbyReady());
+}
+
+void exchange::cancelStandby()
+{
+    if (!m_standby)
+        return;
+    if (mayAdoptStandby())
+        recordOutcome(m_standby->picked(), backend_outcome::Abandoned);
+    m_standby.reset();
+}
+
+exchange::next_step exchange::moveToStandby(const picked_backend& silent)
+{
+    recordOutcome(silent, backend_outcome::Unresponsive);
+    logEvent(log_event::RequestFailed,
+        logFields() + " backend=" + silent.server.id.text() + " events=" + std::to_string(m_events.eventCount())
+            + " why=\"" + toString(unresponsiveServerError()) + "\" moved_to=" + m_standby->picked().server.id.text());
+    m_events.dropPartialEvent();
+    m_mayHaveRun = true;
+    return adoptStandby();
+}
+
+exchange::next_step exchange::adoptStandby()
+{
+    m_isAwaitingStandby = true;
+    m_caller->connection = m_standby->takeConnection();
+    m_standby->waitForEnd();
+    m_isAwaitingStandby = false;
+    const auto standby = std::move(m_standby);
+    m_sentAt = *standby->sentAt();
+    m_begunAt.reset();
+    if (!standby->head())
+        return handleFailure(standby->picked(), standby->head().error());
+    const auto connection = m_caller->connection;
+    watched_response watched(m_context.watchdog, standby->picked().server.instance(), [this] { prepareStandby(); });
+    return relayResponse(standby->picked(), *connection, *standby->head(), watched, m_sentAt);
 }
 
 void exchange::receiveNotice(const backend_server& server, const response_metadata& metadata, time_point sentAt)
@@ -395,6 +522,7 @@
             return handleFailure(picked, bytes.error());
         if (!*bytes)
             break;
+        onDataReceived(picked);
         response.body += **bytes;
         if (response.body.size() > maxBufferedBodySize)
             return handleFailure(picked, { error_kind::BadInput, "the response body is too long", "" });
@@ -451,19 +579,22 @@
 {
     std::optional<duration> latency;
     while (true) {
-        const bool mayResume = m_route->resumable && m_sentCount < m_route->maxAttempts;
-        const auto now = clock_type::now();
-        watched.setDeadlines(mayResume ? now + streamStallLimit : time_point::max(), stalledGroupTimeoutAt(now));
+        m_awaitingSince = clock_type::now();
+        watched.setOverdueTimes(streamOverdueTimes(*m_route, m_awaitingSince));
         auto bytes = connection.readBody(m_deadline + deadlineGrace);
+        watched.setOverdueTimes({});
+        // A complete response wins. Other data that arrived just as the connection was closed is received again.
+        if (isStandbyReady() && (!bytes || *bytes))
+            return moveToStandby(picked);
         if (!bytes)
-            return handleFailure(picked, watched.hasExpired() ? unresponsiveServerError() : bytes.error());
+            return handleFailure(picked, bytes.error());
+        onDataReceived(picked);
         if (*bytes && !latency)
             latency = clock_type::now() - sentAt;
         const auto completeEvents = *bytes ? m_events.feed(**bytes) : std::string();
         if (!*bytes && m_events.hasPartialEvent())
             return handleFailure(picked, { error_kind::Lost, "the stream ended inside an event", "" });
         if (!*bytes) {
-            watched.clearDeadlines();
             if (const auto checked = checkUnframedEnd(picked, connection); !checked)
                 return handleFailure(picked, checked.error());
         }
@@ -499,6 +630,7 @@
 
 void exchange::abandon(const picked_backend& picked)
 {
+    cancelStandby();
     if (m_caller->connection)
         m_caller->connection->close();
     recordOutcome(picked, backend_outcome::Abandoned);
@@ -530,16 +662,16 @@
     if (m_caller->connection)
         m_caller->connection->close();
     if (m_caller->isDisconnected) {
+        cancelStandby();
         recordOutcome(picked, backend_outcome::Abandoned);
         return next_step::TryAgain; // `runAttempts` ends the exchange.
     }
-    if (m_isRecalled)
+    if (m_isRecalled) {
+        cancelStandby();
         return finishRecalled(picked);
-    const bool isUnresponsive = why.kind == error_kind::TimedOut;
+    }
     const bool isOverdue = clock_type::now() >= m_deadline;
-    recordOutcome(picked,
-        isOverdue ? backend_outcome::Abandoned
-                  : (isUnresponsive ? backend_outcome::Unresponsive : backend_outcome::Broken));
+    recordOutcome(picked, isOverdue ? backend_outcome::Abandoned : backend_outcome::Broken);
     logEvent(log_event::RequestFailed,
         logFields() + " backend=" + picked.server.id.text() + " events=" + std::to_string(m_events.eventCount())
             + " why=\"" + toString(why) + "\"" + " request=" + shortName(fingerprint())
@@ -555,6 +687,9 @@
                 .brokenAt = clock_type::now() });
     m_events.dropPartialEvent();
     m_mayHaveRun = true;
+    if (!isOverdue && mayAdoptStandby())
+        return adoptStandby();
+    cancelStandby();
     auto finalReason = reasonAgainstRetry(true);
     if (!finalReason && !mayTryAnotherServer)
         finalReason = final_reason::Quarantined;
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -13,6 +13,7 @@
 #include "coltsfootbend/gateway/request_admission.h"
 #include "coltsfootbend/gateway/request_quarantine.h"
 #include "coltsfootbend/gateway/response_watchdog.h"
+#include "coltsfootbend/gateway/standby_attempt.h"
 #include "coltsfootbend/gateway/waiting_policy.h"
 #include "coltsfootbend/limits/patience_tracker.h"
 #include "coltsfootbend/limits/retry_budget.h"
@@ -84,8 +85,42 @@
     void refuseQuarantined(time_point now, time_point until);
     // Sends the request to one server and relays the response.
     next_step attemptOnServer(const picked_backend&);
-    // Reads the head of the response and relays the rest according to its kind.
+    // Reads the head of the response and relays the rest.
     next_step receiveResponse(const picked_backend&, backend_connection&, time_point sentAt);
+    // Relays the rest of a response according to its kind.
+    next_step relayResponse(
+        const picked_backend&, backend_connection&, const http_head&, watched_response&, time_point sentAt);
+    // Records what the head states about its server.
+    void receiveServerState(const backend_server&, const response_metadata&, time_point sentAt);
+    // Sends the request to a second server if the first one is overdue and everything that this takes is available. The
+    // first server is awaited all the while. Called repeatedly while the response is overdue.
+    void prepareStandby();
+    // Returns whether the request may be sent to a second server now.
+    bool mayUseStandby(time_point now);
+    // Called when the connection to the second server is open. Returns the request to send to it, if still needed.
+    std::optional<http_request> beginStandby();
+    // Called when the second server has begun to respond, or has failed.
+    void onStandbyEnded();
+    // Returns true if the second server has begun a response that can be passed on, so that the first one was given up.
+    bool isStandbyReady() const;
+    // Returns true if the request was sent to the second server and that has not failed.
+    bool mayAdoptStandby() const;
+    // Records the failure of the second server; the first one is still awaited.
+    void recordFailedStandby();
+    // Ends the attempt at the second server, if there is one, because the first one goes on.
+    void cancelStandby();
+    // Gives up the silent server and continues with the second one.
+    next_step moveToStandby(const picked_backend& silent);
+    // Continues with the second server's response, which it waits for if necessary.
+    next_step adoptStandby();
+    // Records that the server has sent something, which ends an attempt at a second one.
+    void onDataReceived(const picked_backend&);
+    // Records that the request is sent to a server.
+    void recordSent(const picked_backend&, time_point now);
+    // Returns the request in the form in which it is sent to a server.
+    http_request requestTo(const backend_server&, time_point now) const;
+    // Returns whether a response belongs to this request. Servers may send responses to earlier requests late.
+    bool matchesRequest(const http_head&) const;
     // Records the limit, backoff or leaving that the response states. Ignores a response that another server sent.
     void receiveNotice(const backend_server&, const response_metadata&, time_point sentAt);
     // Buffers the whole body and sends it to the caller as one response.
@@ -123,12 +158,6 @@
     void abandon(const picked_backend&);
     void recordOutcome(const picked_backend&, backend_outcome, std::optional<duration> latency = std::nullopt);
     pick_request pickRequest() const;
-    // Returns when the attempt is given up if no response head has arrived while the group advances; never for a
-    // request that may not be sent to another server.
-    time_point headTimeoutAt(const picked_backend&, time_point now) const;
-    // Returns when the attempt is given up even if the server's group is stalled; never for requests that are not
-    // repeatable streams. `lastActivityAt`: when data of the stream last arrived, or the arrival of the request.
-    time_point stalledGroupTimeoutAt(time_point lastActivityAt) const;
     // Returns the priority of the next attempt; 0 comes first.
     std::uint32_t priority() const;
     retry_budget& retryBudget();
@@ -171,6 +200,9 @@
     std::optional<duration> m_retryAfter; // Retry-After of the last refusal by the picker.
     std::optional<http_response> m_serverErrorResponse; // A server's 5xx, passed on if no other attempt succeeds.
     event_splitter m_events;
+    std::unique_ptr<standby_attempt> m_standby; // Attempt at a second server while the first one is silent.
+    bool m_isAwaitingStandby = false; // The first server has failed, so the request depends on the second one.
+    time_point m_awaitingSince {}; // When the wait for the next data of the server began.
     time_point m_sentAt {}; // When the request was sent to the last server.
     std::optional<time_point> m_begunAt; // When the last server to which the request was sent began its response.
     bool m_isRecalled = false; // The request was recalled from the last server before that began its response.
--- a/coltsfootbend/gateway/exchange_test.cpp
+++ b/coltsfootbend/gateway/exchange_test.cpp
@@ -210,7 +210,7 @@
                     const auto now = clock_type::now();
                     current.context->watchdog.check(
                         [&](const backend_instance& server) {
-                            return current.context->picker.isGroupOpen(server, now);
+                            return current.context->picker.conditionOf(server, now);
                         },
                         now);
                 }
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -326,7 +326,7 @@
         m_runtime.sleepFor(groupCheckInterval);
         const auto now = clock_type::now();
         m_context->watchdog.check(
-            [this, now](const backend_instance& server) { return m_context->picker.isGroupOpen(server, now); }, now);
+            [this, now](const backend_instance& server) { return m_context->picker.conditionOf(server, now); }, now);
         m_quarantine->requests().checkPending(now);
         logGroups(now);
     }
--- a/coltsfootbend/gateway/pick.h
+++ b/coltsfootbend/gateway/pick.h
@@ -20,7 +20,7 @@
     Busy, // The server proved that it did not run the request.
     Replaced, // Another server answered at its address.
     Broken, // The connection failed or the answer was incomplete.
-    Unresponsive, // The server sent nothing for too long.
+    Unresponsive, // The server sent nothing for too long, so the request moved to another server.
     Abandoned, // The caller left, which does not indicate a fault of the server.
 };
 
@@ -61,6 +61,9 @@
     std::optional<waiting_queue::place> place;
     // Servers that this request was sent to already.
     std::vector<backend_instance> excluded;
+    // Set if the request would move away from a server that has been silent since then. Only servers that have sent
+    // something later, or from which nothing is awaited, can take it.
+    std::optional<time_point> silentSince;
 };
 
 // The server that a request is to be sent to.
--- a/coltsfootbend/gateway/response_watchdog.cpp
+++ b/coltsfootbend/gateway/response_watchdog.cpp
@@ -5,26 +5,25 @@
 namespace coltsfootbend {
 
 watched_response::watched_response(
-    response_watchdog& watchdog, backend_instance server, backend_connection_ptr connection)
+    response_watchdog& watchdog, backend_instance server, std::function<void()> onOverdue)
     : m_watchdog(watchdog)
     , m_server(std::move(server))
-    , m_connection(std::move(connection))
+    , m_onOverdue(std::move(onOverdue))
 {
     m_watchdog.m_responses.insert(this);
 }
 
 watched_response::~watched_response() { m_watchdog.m_responses.erase(this); }
 
-void response_watchdog::check(const std::function<bool(const backend_instance&)>& isAdvancing, time_point now)
+void response_watchdog::check(
+    const std::function<server_condition(const backend_instance&)>& conditionOf, time_point now)
 {
     for (auto* response : m_responses) {
-        const bool isOverdue = now >= response->m_finalDeadline
-            || (now >= response->m_deadlineWhileAdvancing && isAdvancing(response->m_server));
-        if (!isOverdue)
-            continue;
-        response->m_hasExpired = true;
-        response->clearDeadlines();
-        response->m_connection->close();
+        // The condition matters only for responses that are overdue under some condition.
+        const auto earliest = std::min(
+            { response->m_times.whileSending, response->m_times.whileSilent, response->m_times.whileStalled });
+        if (now >= earliest && isOverdue(response->m_times, conditionOf(response->m_server), now))
+            response->m_onOverdue();
     }
 }
 
--- a/coltsfootbend/gateway/response_watchdog_test.cpp
+++ b/coltsfootbend/gateway/response_watchdog_test.cpp
@@ -7,60 +7,65 @@
 
 using namespace std::chrono_literals;
 
-// A stream that only records whether it was closed.
-class closable_stream final : public byte_stream {
-public:
-    io_result<std::size_t> readSome(boost::asio::mutable_buffer) override { return 0; }
-    io_result<std::size_t> writeSome(boost::asio::const_buffer) override { return 0; }
-    void setDeadline(time_point) override { }
-    bool waitForClose() override { return false; }
-    void cancelWait() override { }
-    void close() override { isClosed = true; }
-    bool isOpenAndIdle() override { return !isClosed; }
-
-    bool isClosed = false;
-};
-
-// Waits for a server that sends nothing from `m_now` on, while its group advances or is stalled.
+// Waits for a server that sends nothing from `m_now` on.
 class response_watchdog_test : public testing::Test {
 protected:
-    void check(duration after, bool isAdvancing)
+    void check(duration after, server_condition condition)
     {
-        m_watchdog.check([isAdvancing](const backend_instance&) { return isAdvancing; }, m_now + after);
+        m_watchdog.check([condition](const backend_instance&) { return condition; }, m_now + after);
     }
 
     time_point m_now = time_point {} + 1h;
-    std::shared_ptr<closable_stream> m_stream = std::make_shared<closable_stream>();
     response_watchdog m_watchdog;
-    watched_response m_response { m_watchdog, {}, std::make_shared<backend_connection>(m_stream) };
+    int m_overdueCount = 0;
+    watched_response m_response { m_watchdog, {}, [this] { ++m_overdueCount; } };
+    const overdue_times m_times { m_now + 900ms, m_now + 1500ms, m_now + 1900ms };
 };
 
-TEST_F(response_watchdog_test, ClosesUnresponsiveServerOfAdvancingGroup)
+TEST_F(response_watchdog_test, AResponseIsOverdueSoonerWhereItsServerSendsOnOtherConnections)
+{
+    m_response.setOverdueTimes(m_times);
+    check(800ms, server_condition::Sending);
+    EXPECT_EQ(m_overdueCount, 0);
+    check(900ms, server_condition::Silent);
+    EXPECT_EQ(m_overdueCount, 0);
+    check(900ms, server_condition::Sending);
+    EXPECT_EQ(m_overdueCount, 1);
+}
+
+TEST_F(response_watchdog_test, AResponseOfASilentServerIsOverdueLater)
+{
+    m_response.setOverdueTimes(m_times);
+    check(1400ms, server_condition::Silent);
+    EXPECT_EQ(m_overdueCount, 0);
+    check(1500ms, server_condition::Silent);
+    EXPECT_EQ(m_overdueCount, 1);
+}
+
+// A request at a stalled group continues when the group does, so it is waited for as long as its caller waits.
+TEST_F(response_watchdog_test, AResponseOfAStalledGroupIsOverdueLast)
 {
-    m_response.setDeadlines(m_now + 900ms, m_now + 1900ms);
-    check(800ms, true);
-    EXPECT_FALSE(m_stream->isClosed);
-    check(900ms, true);
-    EXPECT_TRUE(m_stream->isClosed);
-    EXPECT_TRUE(m_response.hasExpired());
+    m_response.setOverdueTimes(m_times);
+    check(1800ms, server_condition::GroupStalled);
+    EXPECT_EQ(m_overdueCount, 0);
+    check(1900ms, server_condition::GroupStalled);
+    EXPECT_EQ(m_overdueCount, 1);
 }
 
-// A request at a stalled group continues when the group does, so it is waited for, but no longer than its caller waits.
-TEST_F(response_watchdog_test, WaitsForServerOfStalledGroupUntilFinalDeadline)
+TEST_F(response_watchdog_test, AnOverdueResponseIsReportedAtEachCheck)
 {
-    m_response.setDeadlines(m_now + 900ms, m_now + 1900ms);
-    check(1800ms, false);
-    EXPECT_FALSE(m_stream->isClosed);
-    check(1900ms, false);
-    EXPECT_TRUE(m_stream->isClosed);
+    m_response.setOverdueTimes(m_times);
+    check(2s, server_condition::Silent);
+    check(3s, server_condition::Silent);
+    EXPECT_EQ(m_overdueCount, 2);
 }
 
-TEST_F(response_watchdog_test, DoesNotExpireAfterDeadlinesAreCleared)
+TEST_F(response_watchdog_test, AResponseWithoutTimesIsNeverOverdue)
 {
-    m_response.setDeadlines(m_now + 900ms, m_now + 1900ms);
-    m_response.clearDeadlines();
-    check(1h, true);
-    EXPECT_FALSE(m_response.hasExpired());
+    m_response.setOverdueTimes(m_times);
+    m_response.setOverdueTimes({});
+    check(1h, server_condition::Sending);
+    EXPECT_EQ(m_overdueCount, 0);
 }
 
 } // namespace
--- a/coltsfootbend/gateway/waiting_policy.h
+++ b/coltsfootbend/gateway/waiting_policy.h
@@ -9,6 +9,7 @@
 //         refuse(refused.retryAfter);
 
 #include "coltsfootbend/gateway/pick.h"
+#include "coltsfootbend/gateway/silence_policy.h"
 
 #include <optional>
 
@@ -27,9 +28,6 @@
     bool isHeld = false;
 };
 
-// Longest time a stream may go without an event. Callers leave after two seconds; the difference is the transfer time.
-constexpr std::chrono::milliseconds callerGapLimit { 1900 };
-
 // Returns until when the request may be held, or none if it is to be refused now. O(1).
 std::optional<time_point> holdUntil(const refused_pick&, const held_request&, time_point now);
 
--- a/coltsfootbend/limits/retry_budget.h
+++ b/coltsfootbend/limits/retry_budget.h
@@ -37,14 +37,17 @@
 
     void recordSuccess() { m_tokens = std::min(m_options.maxRetries, m_tokens + m_options.retriesPerSuccess); }
 
+    // Returns whether `takeRetry` would succeed.
+    bool hasRetry(time_point now)
+    {
+        refill(now);
+        return m_tokens >= 1;
+    }
+
     // Takes one retry from the budget. Returns false if there is none.
     bool takeRetry(time_point now) override
     {
-        if (m_refilledAt != time_point {} && m_tokens < m_options.reserve) {
-            const double seconds = std::chrono::duration<double>(now - m_refilledAt).count();
-            m_tokens = std::min(m_options.reserve, m_tokens + seconds * m_options.reservePerSecond);
-        }
-        m_refilledAt = now;
+        refill(now);
         if (m_tokens < 1)
             return false;
         m_tokens -= 1;
@@ -55,6 +58,15 @@
     double tokens() const { return m_tokens; }
 
 private:
+    void refill(time_point now)
+    {
+        if (m_refilledAt != time_point {} && m_tokens < m_options.reserve) {
+            const double seconds = std::chrono::duration<double>(now - m_refilledAt).count();
+            m_tokens = std::min(m_options.reserve, m_tokens + seconds * m_options.reservePerSecond);
+        }
+        m_refilledAt = now;
+    }
+
     const options m_options;
     double m_tokens;
     time_point m_refilledAt {};
