--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -30,6 +30,9 @@
 constexpr std::chrono::milliseconds minTimeToCrash { 10 };
 // Time limit of a probe of a server's port: several round trips between the data centres farthest apart.
 constexpr std::chrono::milliseconds probeTimeout { 300 };
+// Time for which another server must have been able to take over a request before that is sent to it. When the network
+// or all servers go on after a pause, some of them send a moment before the others.
+constexpr std::chrono::milliseconds takeoverDelay { 80 };
 // Limit in bytes for a response that is buffered before it is passed on.
 constexpr std::size_t maxBufferedBodySize = std::size_t { 16 } * 1024 * 1024;
 // Retry-After where no better estimate exists.
@@ -135,7 +138,9 @@
 
 std::uint32_t exchange::priority() const
 {
-    const auto base = m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
+    auto base = m_route->priority;
+    if (m_customer && m_customer->priority)
+        base = *m_customer->priority;
     return m_isReturning && !m_hasBegunStream ? base + returningPriorityPenalty : base;
 }
 
@@ -361,6 +366,7 @@
 void exchange::onDataReceived(const picked_backend& picked)
 {
     m_context.picker.onDataReceived(picked.server.instance(), clock_type::now());
+    m_takeoverPossibleSince.reset();
     cancelStandby();
 }
 
@@ -388,7 +394,14 @@
     auto request = pickRequest();
     request.silentSince = m_awaitingSince;
     const auto picked = m_context.picker.pick(request, now);
-    if (!picked || !m_context.picker.notices().tryAcquire(picked->server.instance(), now))
+    if (!picked) {
+        m_takeoverPossibleSince.reset();
+        return;
+    }
+    if (!m_takeoverPossibleSince)
+        m_takeoverPossibleSince = now;
+    if (now < *m_takeoverPossibleSince + takeoverDelay
+        || !m_context.picker.notices().tryAcquire(picked->server.instance(), now))
         return;
     m_standby = std::make_unique<standby_attempt>(m_context.runtime, m_context.connections,
         standby_attempt::options { .picked = *picked,
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -180,10 +180,8 @@
     const customer* m_customer = nullptr;
     deployment_id m_deployment;
     time_point m_deadline {};
-    bool m_isReturning = false;
     request_fingerprint m_fingerprint;
     std::set<crash_suspect> m_suspects; // Empty until first used.
-    bool m_wasHeld = false; // The request has waited in this gateway for a slot or for its group.
     std::optional<waiting_queue::place> m_queuePlace; // Set while it waits for rate-limited servers.
 
     // Shared with the watcher of the caller's connection, which may outlive this exchange.
@@ -196,18 +194,22 @@
     std::uint32_t m_sentCount = 0; // Number of servers to which this request was sent.
     std::uint32_t m_unreachableCount = 0; // Number of servers to which no connection could be made.
     std::vector<backend_instance> m_excludedServers; // Servers that were tried already.
-    bool m_mayHaveRun = false; // A server may have run the request, so the final response must not claim that none did.
     std::optional<duration> m_retryAfter; // Retry-After of the last refusal by the picker.
     std::optional<http_response> m_serverErrorResponse; // A server's 5xx, passed on if no other attempt succeeds.
     event_splitter m_events;
     std::unique_ptr<standby_attempt> m_standby; // Attempt at a second server while the first one is silent.
-    bool m_isAwaitingStandby = false; // The first server has failed, so the request depends on the second one.
     time_point m_awaitingSince {}; // When the wait for the next data of the server began.
     time_point m_sentAt {}; // When the request was sent to the last server.
     std::optional<time_point> m_begunAt; // When the last server to which the request was sent began its response.
+    time_point m_lastEventAt {}; // When the caller last received an event.
+    // Since when another server could take the request over from the silent one; none if it cannot.
+    std::optional<time_point> m_takeoverPossibleSince;
+    bool m_isReturning = false;
+    bool m_wasHeld = false; // The request has waited in this gateway for a slot or for its group.
+    bool m_mayHaveRun = false; // A server may have run the request, so the final response must not claim that none did.
+    bool m_isAwaitingStandby = false; // The first server has failed, so the request depends on the second one.
     bool m_isRecalled = false; // The request was recalled from the last server before that began its response.
     bool m_hasBegunStream = false; // The caller has received the head of a stream.
-    time_point m_lastEventAt {}; // When the caller last received an event.
 };
 
 } // namespace coltsfootbend
--- a/coltsfootbend/gateway/silence_policy.cpp
+++ b/coltsfootbend/gateway/silence_policy.cpp
@@ -9,10 +9,10 @@
 // Multiple of the route's latency target after which a response without a head is overdue.
 constexpr double headTimeoutFactor = 2.5;
 // Time without data after which a started stream is overdue if its server sends on other connections.
-constexpr std::chrono::milliseconds connectionSilenceLimit { 900 };
+constexpr std::chrono::milliseconds connectionSilenceLimit { 800 };
 // The same if its server sends on no connection. Longer than the pauses of sound servers, and short enough that another
 // server can send an event within `callerGapLimit`.
-constexpr std::chrono::milliseconds serverSilenceLimit { 1500 };
+constexpr std::chrono::milliseconds serverSilenceLimit { 1400 };
 
 // Requests at a stalled group continue when the group does, so they move to another group only when their callers would
 // leave otherwise.
--- a/coltsfootbend/gateway/silence_policy_test.cpp
+++ b/coltsfootbend/gateway/silence_policy_test.cpp
@@ -34,14 +34,14 @@
 {
     const auto times = streamOverdueTimes(makeRoute(route_kind::Stream, true), now);
     EXPECT_FALSE(isOverdue(times, server_condition::Silent, now + 1300ms));
-    EXPECT_TRUE(isOverdue(times, server_condition::Sending, now + 900ms));
+    EXPECT_TRUE(isOverdue(times, server_condition::Sending, now + 800ms));
 }
 
 // Callers leave after two seconds without an event, and the next server needs time for its first one.
 TEST(SilencePolicy, AStreamOfASilentServerIsOverdueBeforeItsCallerLeaves)
 {
     const auto times = streamOverdueTimes(makeRoute(route_kind::Stream, true), now);
-    EXPECT_TRUE(isOverdue(times, server_condition::Silent, now + 1500ms));
+    EXPECT_TRUE(isOverdue(times, server_condition::Silent, now + 1400ms));
 }
 
 TEST(SilencePolicy, AHeadIsOverdueByTheTargetOrThePrediction)
