Failing tests: a new configuration that drops a deployment ends the gateway

Cause: none changed yet; a request that was admitted under an older configuration looks its retry budget up in the newest one.

--- a/coltsfootbend/gateway/exchange_test.cpp
+++ b/coltsfootbend/gateway/exchange_test.cpp
@@ -156,6 +156,18 @@
         context->picker.setServers(registered, *context->catalogue);
     }
 
+    // Puts a newer configuration in force, which knows neither the route nor the deployment of `configure`. The servers
+    // stay registered.
+    void dropDeployment()
+    {
+        catalogue::contents contents;
+        contents.version = config_version(2);
+        contents.deployments = { { deployment_id("other"), "", 0, std::nullopt } };
+        context->catalogue = std::make_shared<const catalogue>(std::move(contents));
+        context->retryBudgets.clear();
+        context->retryBudgets.emplace(deployment_id("other"), retry_budget({}));
+    }
+
     recording_responder& run(const std::string& id = "r1", const std::string& timeLeft = "3000",
         const std::vector<http_header>& moreHeaders = {})
     {
@@ -279,6 +291,40 @@
     });
 }
 
+TEST(Exchange, ARequestIsAnsweredAlthoughANewConfigurationDroppedItsDeployment)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        scripted_server server(fixture.runtime, [&](byte_stream& stream, const std::string& head, int number) {
+            fixture.dropDeployment();
+            respondWithSuccess(stream, head, number);
+        });
+        fixture.configure(makeRoute(route_kind::Idempotent, 2), { &server });
+        EXPECT_EQ(fixture.run().status, 200);
+        server.close();
+    });
+}
+
+TEST(Exchange, ARequestIsSentAgainAlthoughANewConfigurationDroppedItsDeployment)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        int attempts = 0;
+        const auto dropThenBreak = [&](byte_stream& stream, const std::string& head, int number) {
+            fixture.dropDeployment();
+            if (++attempts == 1)
+                stream.close();
+            else
+                respondWithSuccess(stream, head, number);
+        };
+        scripted_server first(fixture.runtime, dropThenBreak);
+        scripted_server second(fixture.runtime, dropThenBreak);
+        fixture.configure(makeRoute(route_kind::Idempotent, 2), { &first, &second });
+        EXPECT_EQ(fixture.run().status, 200);
+        EXPECT_EQ(attempts, 2);
+        first.close();
+        second.close();
+    });
+}
+
 TEST(Exchange, TriesAnotherServerAfterProofOfNotRunning)
 {
     onRuntime([](exchange_fixture& fixture) {
