A request keeps the retry budget that it was admitted with

Cause: exchange::retryBudget() looked the budget up by deployment in a map that each configuration, each change of the number of gateways and each SIGHUP rebuilt by the newest configuration only; std::out_of_range then ended the process. Change: limits/retry_budgets keeps the budgets of all deployments and creates them on first use; an exchange holds its budget from its admission on.

--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -130,6 +130,7 @@
     m_route = admitted->matched;
     m_customer = admitted->caller;
     m_deployment = admitted->deployment;
+    m_retryBudget = m_context.retryBudgets.budgetOf(m_deployment);
     m_deadline = admitted->deadline;
     m_isReturning = admitted->isReturning;
     m_context.metrics.count("requests_total", { { "route", m_route->name } });
@@ -276,7 +277,7 @@
     leaveQueue();
     if (!m_context.picker.notices().tryAcquire(server.instance(), clock_type::now()))
         return next_step::TryAgain;
-    if (m_sentCount > 0 && !retryBudget().takeRetry(clock_type::now())) {
+    if (m_sentCount > 0 && !m_retryBudget->takeRetry(clock_type::now())) {
         finishWithoutServer(final_reason::RetryBudgetUsed);
         return next_step::Finished;
     }
@@ -422,7 +423,7 @@
     }
     if (isSuccess(head.status))
         clearSuspicion();
-    retryBudget().recordSuccess();
+    m_retryBudget->recordSuccess();
     m_context.metrics.observe("answer_seconds", toMilliseconds(clock_type::now() - m_arrivedAt) / 1000);
     logEvent(log_event::RequestAnswered,
         logFields() + " backend=" + picked.server.id.text() + " status=" + std::to_string(head.status));
@@ -490,7 +491,7 @@
             picked.server, m_caller->connection, m_context.codec.readBackend(head).keepAliveTimeout);
     recordOutcome(picked, backend_outcome::Answered, latency);
     clearSuspicion();
-    retryBudget().recordSuccess();
+    m_retryBudget->recordSuccess();
     logEvent(log_event::RequestAnswered,
         logFields() + " backend=" + picked.server.id.text() + " events=" + std::to_string(m_events.eventCount()));
     (void)m_responder.end();
@@ -642,8 +643,6 @@
     m_context.picker.onRequestFinished(picked.server.instance(), outcome, latency, clock_type::now());
 }
 
-retry_budget& exchange::retryBudget() { return m_context.retryBudgets.at(m_deployment); }
-
 void exchange::clearSuspicion()
 {
     if (m_context.quarantine.isActive())
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -15,11 +15,10 @@
 #include "coltsfootbend/gateway/response_watchdog.h"
 #include "coltsfootbend/gateway/waiting_policy.h"
 #include "coltsfootbend/limits/patience_tracker.h"
-#include "coltsfootbend/limits/retry_budget.h"
+#include "coltsfootbend/limits/retry_budgets.h"
 #include "coltsfootbend/metrics/metrics.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -35,8 +34,8 @@
     backend_picker picker;
     backend_connection_pool connections;
     response_watchdog watchdog;
-    // One budget for each deployment, which bounds the share of requests that are sent again.
-    std::map<deployment_id, retry_budget> retryBudgets;
+    // Bound the share of requests that are sent again.
+    retry_budgets retryBudgets;
     patience_tracker patience;
     request_quarantine& quarantine;
     catalogue_ptr catalogue;
@@ -131,7 +130,6 @@
     time_point stalledGroupTimeoutAt(time_point lastActivityAt) const;
     // Returns the priority of the next attempt; 0 comes first.
     std::uint32_t priority() const;
-    retry_budget& retryBudget();
     // Notifies the quarantine that this request was served without a crash.
     void clearSuspicion();
     // Returns the fingerprint by which the quarantine recognises a repetition of this request. Computed on first use.
@@ -150,6 +148,7 @@
     const route* m_route = nullptr;
     const customer* m_customer = nullptr;
     deployment_id m_deployment;
+    std::shared_ptr<retry_budget> m_retryBudget; // Of the deployment; kept if that leaves the configuration.
     time_point m_deadline {};
     bool m_isReturning = false;
     request_fingerprint m_fingerprint;
--- a/coltsfootbend/gateway/exchange_test.cpp
+++ b/coltsfootbend/gateway/exchange_test.cpp
@@ -133,13 +133,12 @@
               .picker = backend_picker({}, 1),
               .connections = backend_connection_pool(runtime),
               .watchdog = {},
-              .retryBudgets = {},
+              .retryBudgets = retry_budgets(retry_budget::options {}),
               .patience = {},
               .quarantine = m_quarantine,
               .catalogue = {},
               .onNotice = {} })
     {
-        context->retryBudgets.emplace(service, retry_budget({}));
     }
 
     void configure(const route& onlyRoute, const std::vector<scripted_server*>& servers)
@@ -164,8 +163,7 @@
         contents.version = config_version(2);
         contents.deployments = { { deployment_id("other"), "", 0, std::nullopt } };
         context->catalogue = std::make_shared<const catalogue>(std::move(contents));
-        context->retryBudgets.clear();
-        context->retryBudgets.emplace(deployment_id("other"), retry_budget({}));
+        context->retryBudgets.setOptions({}, clock_type::now());
     }
 
     recording_responder& run(const std::string& id = "r1", const std::string& timeLeft = "3000",
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -78,7 +78,7 @@
         .picker = backend_picker({ .localDataCentre = m_settings.dataCentre }, std::random_device {}()),
         .connections = backend_connection_pool(m_runtime),
         .watchdog = {},
-        .retryBudgets = {},
+        .retryBudgets = retry_budgets(retry_budget::options {}),
         .patience = {},
         .quarantine = m_quarantine->requests(),
         .catalogue = {},
@@ -221,17 +221,11 @@
     // Within one window a gateway can spend a full bucket and as much as refills meanwhile, so each is half of its
     // share.
     const double reserve = std::max(1.0, usedBudgetShare * shared.extra / m_gatewayEstimate.all() / 2);
-    const retry_budget::options options { .retriesPerSuccess = usedBudgetShare * shared.ratio,
-        .reserve = reserve,
-        .maxRetries = reserve,
-        .reservePerSecond = reserve / window };
-    m_context->retryBudgets.clear();
-    for (const auto& deployment : m_context->catalogue->deployments())
-        m_context->retryBudgets.emplace(deployment.id, retry_budget(options));
-    for (const auto& route : m_context->catalogue->routes()) {
-        for (const auto& part : route.deployments)
-            m_context->retryBudgets.emplace(part.deployment, retry_budget(options));
-    }
+    m_context->retryBudgets.setOptions({ .retriesPerSuccess = usedBudgetShare * shared.ratio,
+                                           .reserve = reserve,
+                                           .maxRetries = reserve,
+                                           .reservePerSecond = reserve / window },
+        clock_type::now());
 }
 
 void gateway_service::subscribeLoop()
--- /dev/null
+++ b/coltsfootbend/limits/retry_budgets.cpp
@@ -0,0 +1,19 @@
+#include "coltsfootbend/limits/retry_budgets.h"
+
+namespace coltsfootbend {
+
+void retry_budgets::setOptions(const retry_budget::options& options, time_point /*now*/)
+{
+    m_options = options;
+    m_budgets.clear();
+}
+
+std::shared_ptr<retry_budget> retry_budgets::budgetOf(const deployment_id& deployment)
+{
+    auto& budget = m_budgets[deployment];
+    if (!budget)
+        budget = std::make_shared<retry_budget>(m_options);
+    return budget;
+}
+
+} // namespace coltsfootbend
