Retry budgets keep what was spent when their options change

Cause: setOptions replaced the budgets by full ones at each configuration, change of the number of gateways and SIGHUP. Change: the options are changed in place; the deficit against the reserve is kept, also below zero, and so is the budget of a deployment that leaves the configuration while anything of it is spent or a request uses it. Others are removed.

--- a/coltsfootbend/limits/retry_budgets.cpp
+++ b/coltsfootbend/limits/retry_budgets.cpp
@@ -2,10 +2,13 @@
 
 namespace coltsfootbend {
 
-void retry_budgets::setOptions(const retry_budget::options& options, time_point /*now*/)
+void retry_budgets::setOptions(const retry_budget::options& options, time_point now)
 {
     m_options = options;
-    m_budgets.clear();
+    std::erase_if(
+        m_budgets, [&](const auto& entry) { return entry.second.use_count() == 1 && !entry.second->isAnySpent(now); });
+    for (const auto& [deployment, budget] : m_budgets)
+        budget->setOptions(options, now);
 }
 
 std::shared_ptr<retry_budget> retry_budgets::budgetOf(const deployment_id& deployment)
--- a/coltsfootbend/limits/retry_budgets.h
+++ b/coltsfootbend/limits/retry_budgets.h
@@ -1,7 +1,8 @@
 #pragma once
 
 // The retry budgets of all deployments that one gateway sends requests to. A request keeps the budget that it got at
-// its admission until it ends, so it may use that budget after its deployment has left the configuration.
+// its admission until it ends, so it may use that budget after its deployment has left the configuration. What was
+// spent remains spent when options change, and when a deployment leaves the configuration and returns.
 //
 //     budgets.setOptions({ .retriesPerSuccess = 0.1, .reserve = 10, .maxRetries = 10 }, now);
 //     const auto budget = budgets.budgetOf(deployment);
@@ -25,7 +26,8 @@
     {
     }
 
-    // Replaces all budgets by new ones with these options.
+    // Changes the options of all budgets. Removes the budgets that no request uses and of which nothing is spent, which
+    // are the same as new ones. O(budgets).
     void setOptions(const retry_budget::options&, time_point now);
 
     // Returns the budget of a deployment, which may be one that the configuration does not contain.
