--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -16,11 +16,10 @@
 #include "coltsfootbend/gateway/standby_attempt.h"
 #include "coltsfootbend/gateway/waiting_policy.h"
 #include "coltsfootbend/limits/patience_tracker.h"
-#include "coltsfootbend/limits/retry_budget.h"
+#include "coltsfootbend/limits/retry_budgets.h"
 #include "coltsfootbend/metrics/metrics.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -36,8 +35,8 @@
     backend_picker picker;
     backend_connection_pool connections;
     response_watchdog watchdog;
-    // One budget for each deployment, which bounds the share of requests that are sent again.
-    std::map<deployment_id, retry_budget> retryBudgets;
+    // Bound the share of requests that are sent again.
+    retry_budgets retryBudgets;
     patience_tracker patience;
     request_quarantine& quarantine;
     catalogue_ptr catalogue;
@@ -160,7 +159,6 @@
     pick_request pickRequest() const;
     // Returns the priority of the next attempt; 0 comes first.
     std::uint32_t priority() const;
-    retry_budget& retryBudget();
     // Notifies the quarantine that this request was served without a crash.
     void clearSuspicion();
     // Returns the fingerprint by which the quarantine recognises a repetition of this request. Computed on first use.
@@ -179,6 +177,7 @@
     const route* m_route = nullptr;
     const customer* m_customer = nullptr;
     deployment_id m_deployment;
+    std::shared_ptr<retry_budget> m_retryBudget; // Of the deployment; kept if that leaves the configuration.
     time_point m_deadline {};
     request_fingerprint m_fingerprint;
     std::set<crash_suspect> m_suspects; // Empty until first used.
--- a/coltsfootbend/gateway/exchange_test.cpp
+++ b/coltsfootbend/gateway/exchange_test.cpp
@@ -87,6 +87,8 @@
         headers = response.head.headers;
         body = response.body;
         isComplete = true;
+        if (onSend)
+            onSend();
         return {};
     }
     io_result<void> begin(const http_head& head) override
@@ -117,6 +119,7 @@
     bool isAborted = false;
     std::function<void()> onDisconnect;
     std::function<void()> onWrite;
+    std::function<void()> onSend;
 };
 
 // The gateway state for exchanges with scripted servers, and a caller.
@@ -133,13 +136,12 @@
               .picker = backend_picker({}, 1),
               .connections = backend_connection_pool(runtime),
               .watchdog = {},
-              .retryBudgets = {},
+              .retryBudgets = retry_budgets(retry_budget::options {}),
               .patience = {},
               .quarantine = m_quarantine,
               .catalogue = {},
               .onNotice = {} })
     {
-        context->retryBudgets.emplace(service, retry_budget({}));
     }
 
     void configure(const route& onlyRoute, const std::vector<scripted_server*>& servers)
@@ -156,6 +158,17 @@
         context->picker.setServers(registered, *context->catalogue);
     }
 
+    // Puts a newer configuration in force, which knows neither the route nor the deployment of `configure`. The servers
+    // stay registered.
+    void dropDeployment()
+    {
+        catalogue::contents contents;
+        contents.version = config_version(2);
+        contents.deployments = { { deployment_id("other"), "", 0, std::nullopt } };
+        context->catalogue = std::make_shared<const catalogue>(std::move(contents));
+        context->retryBudgets.setOptions({}, clock_type::now());
+    }
+
     recording_responder& run(const std::string& id = "r1", const std::string& timeLeft = "3000",
         const std::vector<http_header>& moreHeaders = {})
     {
@@ -279,6 +292,40 @@
     });
 }
 
+TEST(Exchange, ARequestIsAnsweredAlthoughANewConfigurationDroppedItsDeployment)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        scripted_server server(fixture.runtime, [&](byte_stream& stream, const std::string& head, int number) {
+            fixture.dropDeployment();
+            respondWithSuccess(stream, head, number);
+        });
+        fixture.configure(makeRoute(route_kind::Idempotent, 2), { &server });
+        EXPECT_EQ(fixture.run().status, 200);
+        server.close();
+    });
+}
+
+TEST(Exchange, ARequestIsSentAgainAlthoughANewConfigurationDroppedItsDeployment)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        int attempts = 0;
+        const auto dropThenBreak = [&](byte_stream& stream, const std::string& head, int number) {
+            fixture.dropDeployment();
+            if (++attempts == 1)
+                stream.close();
+            else
+                respondWithSuccess(stream, head, number);
+        };
+        scripted_server first(fixture.runtime, dropThenBreak);
+        scripted_server second(fixture.runtime, dropThenBreak);
+        fixture.configure(makeRoute(route_kind::Idempotent, 2), { &first, &second });
+        EXPECT_EQ(fixture.run().status, 200);
+        EXPECT_EQ(attempts, 2);
+        first.close();
+        second.close();
+    });
+}
+
 TEST(Exchange, TriesAnotherServerAfterProofOfNotRunning)
 {
     onRuntime([](exchange_fixture& fixture) {
@@ -596,8 +643,7 @@
         auto longer = makeRoute(route_kind::Stream, 2, true);
         longer.timeout = 8s;
         fixture.configure(longer, { &first, &second });
-        fixture.context->retryBudgets.clear();
-        fixture.context->retryBudgets.emplace(service, retry_budget({ .reserve = 0, .reservePerSecond = 0 }));
+        fixture.context->retryBudgets = retry_budgets({ .reserve = 0, .reservePerSecond = 0 });
         const auto& response = fixture.run("r1", "8000");
         EXPECT_TRUE(response.isComplete);
         EXPECT_EQ(response.body, event(1) + event(2));
@@ -851,5 +897,48 @@
     });
 }
 
+TEST(Exchange, AnExceptionLeavesNoRequestInFlightAtTheServer)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        bool isClosed = false;
+        scripted_server server(fixture.runtime, [&](byte_stream& stream, const std::string& head, int) {
+            (void)stream.writeAll(streamHead(head) + chunk(event(1)));
+            isClosed = stream.waitForClose();
+        });
+        fixture.configure(makeRoute(route_kind::Stream, 2, true), { &server });
+        fixture.responder.onWrite = [] { throw std::runtime_error("a fault of one request"); };
+        EXPECT_THROW(fixture.run(), std::runtime_error);
+        const auto now = clock_type::now();
+        const auto next = fixture.context->picker.pick({ .deployment = service, .deadline = now + 1s }, now);
+        ASSERT_TRUE(next);
+        EXPECT_EQ(next->load, 0);
+        fixture.runtime.sleepFor(50ms);
+        EXPECT_TRUE(isClosed) << "the server goes on with a request that no caller waits for";
+        server.close();
+    });
+}
+
+TEST(Exchange, AnExceptionLeavesNoPlaceInTheQueueForLimitedServers)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        scripted_server server(fixture.runtime, respondWithSuccess);
+        fixture.configure(makeRoute(route_kind::AtMostOnce, 1), { &server });
+        auto& picker = fixture.context->picker;
+        auto& notices = picker.notices();
+        const backend_instance limited { backend_id("b0"), {} };
+        (void)notices.receiveAnswer(limited, { .requestsPerSecond = 20 }, clock_type::now(), clock_type::now());
+        std::uint64_t lastSerial = 0;
+        picker.onPermitRequest([&](const backend_server&, std::uint64_t serial) { lastSerial = serial; });
+        fixture.responder.onSend = [] { throw std::runtime_error("a fault of one request"); };
+        EXPECT_THROW(fixture.run(), std::runtime_error) << "it waits for a permit in vain and is refused";
+        const auto now = clock_type::now();
+        notices.grant(limited.id, lastSerial, now);
+        EXPECT_TRUE(notices.canAcquire(limited, now));
+        EXPECT_TRUE(picker.pick({ .deployment = service, .deadline = now + 1s }, now))
+            << "the next request waits behind one that has ended";
+        server.close();
+    });
+}
+
 } // namespace
 } // namespace coltsfootbend
