--- /dev/null
+++ b/coltsfootbend/net/closing_connections_test.cpp
@@ -0,0 +1,196 @@
+// A server closes connections: it stops, or a connection has been idle for too long. A request whose bytes have arrived
+// by then must get its whole answer, also if the server has not read them yet.
+
+#include "coltsfootbend/net/http.h"
+
+#include <array>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+constexpr std::string_view requestText = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr std::string_view answerBegin = "HTTP/1.1 200";
+
+// Runs `work` on a new runtime in a new thread, because the fiber scheduler of a thread cannot be replaced.
+void onRuntime(const std::function<void(fiber_runtime&)>& work)
+{
+    std::thread([&] {
+        fiber_runtime runtime;
+        runtime.spawn([&] {
+            work(runtime);
+            runtime.spawn([&] {
+                const auto limit = clock_type::now() + 5s;
+                while (runtime.fibers() > 1 && clock_type::now() < limit)
+                    runtime.sleepFor(1ms);
+                runtime.stop();
+            });
+        });
+        runtime.run();
+    }).join();
+}
+
+// Represents a server that answers every request with "whole" after `workTime`.
+struct trial_server {
+    explicit trial_server(fiber_runtime& runtime)
+    {
+        const auto opened = listener::open(
+            runtime, { .address = { "127.0.0.1", 0 }, .tls = {} }, [this, &runtime](const byte_stream_ptr& stream) {
+                serveHttp(
+                    runtime, stream, options,
+                    [this, &runtime](const http_request&, http_responder& responder) {
+                        ++requests;
+                        runtime.sleepFor(workTime);
+                        (void)responder.send({ { 200, {} }, "whole" });
+                    },
+                    [this] { return isLeaving; }, &idle);
+            });
+        EXPECT_TRUE(opened);
+        connections = *opened;
+    }
+
+    // Ends the fibers of this server, which refer to it.
+    void stop(fiber_runtime& runtime)
+    {
+        isLeaving = true;
+        connections->close();
+        while (connections->connections() > 0) {
+            idle.closeAll();
+            runtime.sleepFor(1ms);
+        }
+    }
+
+    http_server_options options;
+    duration workTime = 10ms;
+    bool isLeaving = false;
+    int requests = 0;
+    idle_connections idle;
+    std::shared_ptr<listener> connections;
+};
+
+// A client whose calls block the thread: no fiber of the server runs between two of them.
+class blocking_client {
+public:
+    explicit blocking_client(const listener& server)
+        : m_socket(m_io)
+    {
+        m_socket.connect({ asio::ip::make_address("127.0.0.1"), server.port() });
+    }
+
+    void send(std::string_view bytes) { asio::write(m_socket, asio::buffer(bytes.data(), bytes.size())); }
+
+    // Returns what has arrived.
+    std::string receive()
+    {
+        std::array<char, 4096> bytes {};
+        boost::system::error_code code;
+        m_socket.non_blocking(true, code);
+        const auto got = m_socket.read_some(asio::buffer(bytes), code);
+        return std::string(bytes.data(), got);
+    }
+
+private:
+    asio::io_context m_io;
+    tcp::socket m_socket;
+};
+
+void waitForIdleConnection(fiber_runtime& runtime, const trial_server& server)
+{
+    const auto limit = clock_type::now() + 1s;
+    while (server.idle.size() == 0 && clock_type::now() < limit)
+        runtime.sleepFor(1ms);
+    ASSERT_EQ(server.idle.size(), 1U);
+}
+
+TEST(ClosingConnections, ARequestThatArrivedBeforeIdleConnectionsAreClosedIsAnswered)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        trial_server server(runtime);
+        blocking_client client(*server.connections);
+        waitForIdleConnection(runtime, server);
+        client.send(requestText);
+        server.idle.closeAll();
+        runtime.sleepFor(100ms);
+        EXPECT_EQ(client.receive().substr(0, answerBegin.size()), answerBegin);
+        server.stop(runtime);
+    });
+}
+
+TEST(ClosingConnections, AConnectionThatTheListenerHasNotAcceptedWhenItClosesIsServed)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        trial_server server(runtime);
+        runtime.sleepFor(10ms);
+        blocking_client client(*server.connections);
+        client.send(requestText);
+        server.connections->close();
+        runtime.sleepFor(100ms);
+        EXPECT_EQ(client.receive().substr(0, answerBegin.size()), answerBegin);
+        server.stop(runtime);
+    });
+}
+
+TEST(ClosingConnections, AnIdleLimitThatIsRaisedAppliesToConnectionsThatAreIdleAlready)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        trial_server server(runtime);
+        server.options.idleLimit = 200ms;
+        blocking_client client(*server.connections);
+        waitForIdleConnection(runtime, server);
+        server.options.idleLimit = 2s;
+        runtime.sleepFor(500ms);
+        EXPECT_NO_THROW(client.send(requestText));
+        runtime.sleepFor(100ms);
+        EXPECT_EQ(client.receive().substr(0, answerBegin.size()), answerBegin);
+        server.stop(runtime);
+    });
+}
+
+TEST(ClosingConnections, AResponseThatIsSentWhileTheServerLeavesAnnouncesTheCloseOfItsConnection)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        trial_server server(runtime);
+        server.workTime = 100ms;
+        blocking_client client(*server.connections);
+        client.send(requestText);
+        runtime.sleepFor(50ms);
+        ASSERT_EQ(server.requests, 1);
+        server.isLeaving = true;
+        runtime.sleepFor(150ms);
+        const auto answer = client.receive();
+        EXPECT_EQ(answer.substr(0, answerBegin.size()), answerBegin);
+        EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+        server.stop(runtime);
+    });
+}
+
+// A limit that is lowered applies to the next request, not to one that is being received.
+TEST(ClosingConnections, LimitsThatAreLoweredWhileARequestArrivesDoNotApplyToIt)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        trial_server server(runtime);
+        blocking_client client(*server.connections);
+        client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
+        client.send(std::string(500, 'x'));
+        runtime.sleepFor(50ms);
+        server.options.maxBodyBytes = 10;
+        server.options.maxHeaderBytes = 10;
+        server.options.headLimit = 1ms;
+        server.options.idleLimit = 1ms;
+        runtime.sleepFor(100ms);
+        client.send(std::string(500, 'x'));
+        runtime.sleepFor(100ms);
+        EXPECT_EQ(client.receive().substr(0, answerBegin.size()), answerBegin);
+        server.stop(runtime);
+    });
+}
+
+} // namespace
+} // namespace coltsfootbend
