Idle connections are closed by the fibers that serve them, unless bytes of a request have arrived

Cause: idle_connections::closeAll closed sockets from outside. Bytes that had arrived, but were not read yet, were lost with a reset; a request that the read had just returned was handled, and its answer could not be written. Change: closeAll ends the waits (readSomeUntil leaves the connection open when it is cancelled or its time is up); the serving fiber then closes the connection only if nothing has arrived.

--- a/coltsfootbend/net/byte_stream.cpp
+++ b/coltsfootbend/net/byte_stream.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/ssl/ssl_stream.hpp>
 #include <charconv>
@@ -66,6 +67,20 @@
         return m_stream.async_write_some(buffer, useFiber);
     }
 
+    io_result<std::size_t> readSomeUntil(asio::mutable_buffer buffer, time_point until) override
+    {
+        lowest().expires_never();
+        const auto hasEnded = std::make_shared<bool>(false);
+        asio::steady_timer timer(socket().get_executor(), until);
+        timer.async_wait([this, hasEnded](boost::system::error_code code) {
+            if (!code && !*hasEnded)
+                cancelWait();
+        });
+        auto got = m_stream.async_read_some(buffer, useFiber);
+        *hasEnded = true;
+        return got;
+    }
+
     void setDeadline(time_point deadline) override { lowest().expires_at(deadline); }
 
     bool waitForClose() override
--- a/coltsfootbend/net/byte_stream.h
+++ b/coltsfootbend/net/byte_stream.h
@@ -47,13 +47,20 @@
     // Reads at least one byte. Fails with end-of-file when the peer has closed the connection.
     virtual io_result<std::size_t> readSome(boost::asio::mutable_buffer) = 0;
     virtual io_result<std::size_t> writeSome(boost::asio::const_buffer) = 0;
+    // Reads at least one byte as `readSome` does, but without the deadline. TCP and TLS connections stay open at
+    // `until` and after `cancelWait`: the call then fails with "operation aborted" without having read anything.
+    virtual io_result<std::size_t> readSomeUntil(boost::asio::mutable_buffer buffer, time_point until)
+    {
+        setDeadline(until);
+        return readSome(buffer);
+    }
 
     // Sets the time at which operations in progress fail.
     virtual void setDeadline(time_point deadline) = 0;
 
     // Blocks until bytes can be read or the peer has disconnected. Returns whether it has disconnected.
     virtual bool waitForClose() = 0;
-    // Ends a `waitForClose` in progress.
+    // Ends a `waitForClose` or `readSomeUntil` in progress.
     virtual void cancelWait() = 0;
     virtual void close() = 0;
     // Returns whether the peer has neither closed the connection nor sent any unread bytes. Does not block.
--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -210,16 +210,31 @@
         && code != http::error::end_of_stream && code != http::error::partial_message;
 }
 
-// Waits until the first bytes of a request are in `buffer`. Returns false when none arrive within `idleLimit`.
-bool waitForRequest(
-    const byte_stream_ptr& stream, beast::flat_buffer& buffer, duration idleLimit, idle_connections* idle)
+// Reads the first bytes of a request. Fails when the connection has ended, has been idle for too long, or is to be
+// closed; never when bytes have arrived before.
+io_result<std::size_t> readFirstBytes(const byte_stream_ptr& stream, boost::asio::mutable_buffer buffer,
+    const http_server_options& options, const idle_connections* idle)
+{
+    const auto limit = clock_type::now() + options.idleLimit;
+    while (true) {
+        auto got = stream->readSomeUntil(buffer, limit);
+        if (got || got.error() != boost::asio::error::operation_aborted)
+            return got;
+        const bool isEnding = clock_type::now() >= limit || (idle && idle->isClosing(stream));
+        if (isEnding && stream->isOpenAndIdle())
+            return got;
+    }
+}
+
+// Waits until the first bytes of a request are in `buffer`. Returns false when none arrive within the idle limit.
+bool waitForRequest(const byte_stream_ptr& stream, beast::flat_buffer& buffer, const http_server_options& options,
+    idle_connections* idle)
 {
     if (buffer.size() > 0)
         return true;
-    stream->setDeadline(clock_type::now() + idleLimit);
     if (idle)
         idle->add(stream);
-    const auto got = stream->readSome(buffer.prepare(streamBufferBytes));
+    const auto got = readFirstBytes(stream, buffer.prepare(streamBufferBytes), options, idle);
     if (idle)
         idle->remove(stream);
     if (got)
@@ -260,7 +275,7 @@
     const http_server_options& options, const http_handler& handler, const std::function<bool()>& isLeaving,
     idle_connections* idle)
 {
-    if (!waitForRequest(stream, buffer, options.idleLimit, idle))
+    if (!waitForRequest(stream, buffer, options, idle))
         return false;
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(options.maxHeaderBytes));
--- a/coltsfootbend/net/http.h
+++ b/coltsfootbend/net/http.h
@@ -14,7 +14,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -101,17 +100,25 @@
 // The connections that wait for a request. A leaving process closes these without cutting off requests in progress.
 class idle_connections {
 public:
-    void add(const byte_stream_ptr& stream) { m_streams.insert(stream); }
-    void remove(const byte_stream_ptr& stream) { m_streams.erase(stream); }
-    std::size_t size() const { return m_streams.size(); }
+    void add(const byte_stream_ptr& stream) { m_isClosing.emplace(stream, false); }
+    void remove(const byte_stream_ptr& stream) { m_isClosing.erase(stream); }
+    std::size_t size() const { return m_isClosing.size(); }
+    // Ends the waits of all connections. The fiber that serves a connection closes it, unless bytes have arrived.
     void closeAll()
     {
-        for (const auto& stream : m_streams)
-            stream->close();
+        for (auto& [stream, isClosing] : m_isClosing) {
+            isClosing = true;
+            stream->cancelWait();
+        }
+    }
+    bool isClosing(const byte_stream_ptr& stream) const
+    {
+        const auto found = m_isClosing.find(stream);
+        return found != m_isClosing.end() && found->second;
     }
 
 private:
-    std::set<byte_stream_ptr> m_streams;
+    std::map<byte_stream_ptr, bool> m_isClosing;
 };
 
 using http_handler = std::function<void(const http_request&, http_responder&)>;
