An idle limit that a configuration raises applies to connections that are idle already

Cause: the limit was read once, when a connection became idle. Callers that rely on the raised limit reused connections that were being closed. Change: at its limit, a wait reads the limit again.

--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -215,12 +215,13 @@
 io_result<std::size_t> readFirstBytes(const byte_stream_ptr& stream, boost::asio::mutable_buffer buffer,
     const http_server_options& options, const idle_connections* idle)
 {
-    const auto limit = clock_type::now() + options.idleLimit;
+    const auto idleSince = clock_type::now();
     while (true) {
-        auto got = stream->readSomeUntil(buffer, limit);
+        auto got = stream->readSomeUntil(buffer, idleSince + options.idleLimit);
         if (got || got.error() != boost::asio::error::operation_aborted)
             return got;
-        const bool isEnding = clock_type::now() >= limit || (idle && idle->isClosing(stream));
+        // The limit may have been raised during the wait.
+        const bool isEnding = clock_type::now() >= idleSince + options.idleLimit || (idle && idle->isClosing(stream));
         if (isEnding && stream->isOpenAndIdle())
             return got;
     }
