A response that begins while the process leaves announces the close of its connection

Cause: keep-alive was decided when the request had been read. An answer that began after SIGTERM promised a connection that was closed soon after; the caller's next request crossed the close. Change: it is decided when the response begins.

--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -51,12 +51,13 @@
 class beast_responder final : public http_responder {
 public:
     beast_responder(fiber_runtime& runtime, byte_stream_ptr stream, const http_server_options& options,
-        unsigned version, bool keepAlive)
+        unsigned version, bool keepAlive, const std::function<bool()>& isLeaving)
         : m_runtime(runtime)
         , m_stream(std::move(stream))
         , m_options(options)
         , m_version(version)
         , m_keepAlive(keepAlive)
+        , m_isLeaving(isLeaving)
     {
     }
 
@@ -65,6 +66,7 @@
         stopWatching();
         http::response<http::string_body> message(static_cast<http::status>(response.head.status), m_version);
         setHeaders(message, response.head.headers);
+        m_keepAlive = m_keepAlive && !m_isLeaving();
         message.keep_alive(m_keepAlive);
         message.body() = response.body;
         message.prepare_payload();
@@ -79,6 +81,7 @@
     {
         m_message.emplace(static_cast<http::status>(head.status), m_version);
         setHeaders(*m_message, head.headers);
+        m_keepAlive = m_keepAlive && !m_isLeaving();
         m_message->keep_alive(m_keepAlive);
         m_message->chunked(m_version >= 11);
         m_serializer.emplace(*m_message);
@@ -185,6 +188,7 @@
     const http_server_options& m_options;
     const unsigned m_version;
     bool m_keepAlive;
+    const std::function<bool()>& m_isLeaving;
     bool m_answered = false;
     std::optional<incomplete_end> m_incomplete;
     std::optional<http::response<http::empty_body>> m_message;
@@ -285,7 +289,7 @@
     stream->setDeadline(clock_type::now() + options.headLimit);
     http::read_header(*stream, buffer, parser, code);
     if (!code && hasUnknownFraming(parser.get())) {
-        beast_responder responder(runtime, stream, options, 11, false);
+        beast_responder responder(runtime, stream, options, 11, false, isLeaving);
         (void)responder.send(errorResponse(400,
             { error_kind::BadInput, "the framing of the body is not understood",
                 "Send either one Content-Length or 'Transfer-Encoding: chunked'" }));
@@ -300,7 +304,7 @@
     }
     if (code) {
         if (isParseError(code)) {
-            beast_responder responder(runtime, stream, options, 11, false);
+            beast_responder responder(runtime, stream, options, 11, false, isLeaving);
             (void)responder.send(parseFailure(code));
         } else {
             report(options, incomplete_response::RequestUnfinished, code.message());
@@ -310,7 +314,7 @@
     auto& message = parser.get();
     http_request request { std::string(message.method_string()), std::string(message.target()), copyHeaders(message),
         std::move(message.body()) };
-    beast_responder responder(runtime, stream, options, message.version(), message.keep_alive() && !isLeaving());
+    beast_responder responder(runtime, stream, options, message.version(), message.keep_alive(), isLeaving);
     callHandler(handler, request, responder, options);
     responder.stopWatching();
     if (!responder.isAnswered()) {
--- a/coltsfootbend/net/http.h
+++ b/coltsfootbend/net/http.h
@@ -124,8 +124,9 @@
 using http_handler = std::function<void(const http_request&, http_responder&)>;
 
 // Serves the requests of one connection sequentially until it closes. Malformed and oversize requests receive an error
-// response, after which the connection is closed. While `isLeaving` returns true, the connection is closed after the
-// next response. `idle`, when given, contains the connection while it waits for a request.
+// response, after which the connection is closed. A response that begins while `isLeaving` returns true announces the
+// close of its connection, and is the last one on it. `idle`, when given, contains the connection while it waits for a
+// request.
 void serveHttp(fiber_runtime&, const byte_stream_ptr&, const http_server_options&, const http_handler&,
     const std::function<bool()>& isLeaving, idle_connections* idle = nullptr);
 
