A planned stop accepts the connections that callers have opened before it closes the listener

Cause: closing a listener resets the connections in its queue. Their callers may have sent a request already. Change: listener::acceptPendingAndClose, used by the planned stops of gateways and entry VMs. close() still resets them: other owners and the crashes of simulated servers need that, so the test calls the new function, and checks the same answer as before.

--- a/coltsfootbend/entry/entry_service.cpp
+++ b/coltsfootbend/entry/entry_service.cpp
@@ -251,7 +251,7 @@
 {
     m_leaving = true;
     // The closed listener makes the load balancer stop sending new connections; open connections finish their requests.
-    m_listener->close();
+    m_listener->acceptPendingAndClose();
     constexpr std::chrono::milliseconds pollInterval { 20 };
     while (!m_startedAt.empty() && clock_type::now() < deadline)
         m_runtime.sleepFor(pollInterval);
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -373,7 +373,7 @@
     const auto limit = deadline - leaveMargin;
     const auto stopAcceptingAt = std::min(limit, clock_type::now() + readinessPropagationDelay);
     m_runtime.sleepUntil(stopAcceptingAt);
-    m_callerListener->close();
+    m_callerListener->acceptPendingAndClose();
     m_idleConnections.closeAll();
     while (m_runningRequests > 0 && clock_type::now() < limit) {
         m_runtime.sleepFor(leavePollInterval);
--- a/coltsfootbend/net/byte_stream.cpp
+++ b/coltsfootbend/net/byte_stream.cpp
@@ -273,11 +273,11 @@
         self->m_acceptor.listen(asio::socket_base::max_listen_connections, code);
     if (code)
         return tl::unexpected(unavailable(self->m_options.address, "cannot listen: " + code.message()));
-    runtime.spawn([self] { self->acceptLoop(self); });
+    runtime.spawn([self] { self->acceptLoop(); });
     return self;
 }
 
-void listener::acceptLoop(const std::shared_ptr<listener>& self)
+void listener::acceptLoop()
 {
     while (m_acceptor.is_open()) {
         tcp::socket socket(m_runtime.io());
@@ -287,17 +287,17 @@
                 m_runtime.sleepFor(std::chrono::milliseconds(20));
             continue;
         }
-        if (m_connections >= m_options.maxConnections)
-            continue; // The socket closes, and the client's load balancer tries another VM.
-        serve(self, std::move(socket));
+        admit(std::move(socket));
     }
 }
 
-void listener::serve(const std::shared_ptr<listener>& self, tcp::socket socket)
+void listener::admit(tcp::socket socket)
 {
+    if (m_connections >= m_options.maxConnections)
+        return; // The socket closes, and the client's load balancer tries another VM.
     ++m_connections;
     auto shared = std::make_shared<tcp::socket>(std::move(socket));
-    m_runtime.spawn([self, shared] {
+    m_runtime.spawn([self = shared_from_this(), shared] {
         const auto tls = self->m_options.tls ? self->m_options.tls() : tls_context {};
         if (auto stream = wrap(std::move(*shared), tls, asio::ssl::stream_base::server))
             self->m_handler(*stream);
@@ -311,6 +311,19 @@
     m_acceptor.close(ignored);
 }
 
+void listener::acceptPendingAndClose()
+{
+    boost::system::error_code code;
+    m_acceptor.non_blocking(true, code);
+    while (!code) {
+        tcp::socket socket(m_runtime.io());
+        m_acceptor.accept(socket, code);
+        if (!code)
+            admit(std::move(socket));
+    }
+    close();
+}
+
 std::uint16_t listener::port() const
 {
     boost::system::error_code code;
--- a/coltsfootbend/net/byte_stream.h
+++ b/coltsfootbend/net/byte_stream.h
@@ -122,7 +122,7 @@
 result<byte_stream_ptr> connectTcp(fiber_runtime&, const endpoint&, time_point deadline, const tls_context& tls = {});
 
 // Listens on one address and passes each connection to `handler` on a separate fiber.
-class listener {
+class listener : public std::enable_shared_from_this<listener> {
 public:
     using handler = std::function<void(byte_stream_ptr)>;
 
@@ -140,15 +140,19 @@
     listener(const listener&) = delete;
     listener& operator=(const listener&) = delete;
 
-    // Stops accepting connections; open connections are not affected.
+    // Stops accepting connections; open connections are not affected. Connections that clients have opened, but that
+    // are not accepted yet, are reset.
     void close();
+    // Accepts the connections that clients have opened, and closes.
+    void acceptPendingAndClose();
     std::uint16_t port() const;
     std::size_t connections() const { return m_connections; }
 
 private:
     listener(fiber_runtime&, options, handler);
-    void acceptLoop(const std::shared_ptr<listener>& self);
-    void serve(const std::shared_ptr<listener>& self, boost::asio::ip::tcp::socket);
+    void acceptLoop();
+    // Serves a connection on a fiber of its own, unless there are too many.
+    void admit(boost::asio::ip::tcp::socket);
 
     fiber_runtime& m_runtime;
     const options m_options;
--- a/coltsfootbend/net/closing_connections_test.cpp
+++ b/coltsfootbend/net/closing_connections_test.cpp
@@ -130,7 +130,7 @@
         runtime.sleepFor(10ms);
         blocking_client client(*server.connections);
         client.send(requestText);
-        server.connections->close();
+        server.connections->acceptPendingAndClose();
         runtime.sleepFor(100ms);
         EXPECT_EQ(client.receive().substr(0, answerBegin.size()), answerBegin);
         server.stop(runtime);
