A planned stop waits for requests that are being received

Cause: the stop waited for requests that were handled. A request whose head or body was still arriving, and a connection that was accepted but not served yet, ended with the process. Change: the stop lasts until all connections have ended, or until the drain limit as before; E508 cause=stopped names both counts.

--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -366,7 +366,7 @@
 }
 
 // Reports not ready at once, so that no new connections are routed here, serves the requests that still arrive, and
-// waits for those in progress.
+// waits for those in progress and for those that are being received.
 void gateway_service::leave(time_point deadline)
 {
     m_leaving = true;
@@ -375,12 +375,16 @@
     m_runtime.sleepUntil(stopAcceptingAt);
     m_callerListener->acceptPendingAndClose();
     m_idleConnections.closeAll();
-    while (m_runningRequests > 0 && clock_type::now() < limit) {
+    // Connections that are not idle have a request in progress, or one that is being received.
+    while (m_callerListener->connections() > 0 && clock_type::now() < limit) {
         m_runtime.sleepFor(leavePollInterval);
         m_idleConnections.closeAll();
     }
-    if (m_runningRequests > 0)
-        onIncompleteAnswer("stopped", "requests=" + std::to_string(m_runningRequests));
+    if (m_callerListener->connections() > 0) {
+        onIncompleteAnswer("stopped",
+            "requests=" + std::to_string(m_runningRequests)
+                + " connections=" + std::to_string(m_callerListener->connections()));
+    }
 }
 
 void gateway_service::stop()
