The time in which a caller takes no events does not count as its server's silence

Cause: the watchdog's deadline stayed set while the gateway waited for the caller to take the events. A caller that read nothing for 1.5 s had its sound server given up, and its stream cut (after 58 of 400 events, cause=no_server). Change: the deadline is cleared once data has arrived, and set again when the gateway reads on.

--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -455,6 +455,8 @@
         const auto now = clock_type::now();
         watched.setDeadlines(mayResume ? now + streamStallLimit : time_point::max(), stalledGroupTimeoutAt(now));
         auto bytes = connection.readBody(m_deadline + deadlineGrace);
+        // Nothing is read from the server until the caller has taken the events, which may take long.
+        watched.clearDeadlines();
         if (!bytes)
             return handleFailure(picked, watched.hasExpired() ? unresponsiveServerError() : bytes.error());
         if (*bytes && !latency)
@@ -463,7 +465,6 @@
         if (!*bytes && m_events.hasPartialEvent())
             return handleFailure(picked, { error_kind::Lost, "the stream ended inside an event", "" });
         if (!*bytes) {
-            watched.clearDeadlines();
             if (const auto checked = checkUnframedEnd(picked, connection); !checked)
                 return handleFailure(picked, checked.error());
         }
