--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -596,6 +596,7 @@
         m_awaitingSince = clock_type::now();
         watched.setOverdueTimes(streamOverdueTimes(*m_route, m_awaitingSince));
         auto bytes = connection.readBody(m_deadline + deadlineGrace);
+        // Nothing is read from the server until the caller has taken the events, which may take long.
         watched.setOverdueTimes({});
         // A complete response wins. Other data that arrived just as the connection was closed is received again.
         if (isStandbyReady() && (!bytes || *bytes))
--- a/coltsfootbend/net/byte_stream.h
+++ b/coltsfootbend/net/byte_stream.h
@@ -47,13 +47,20 @@
     // Reads at least one byte. Fails with end-of-file when the peer has closed the connection.
     virtual io_result<std::size_t> readSome(boost::asio::mutable_buffer) = 0;
     virtual io_result<std::size_t> writeSome(boost::asio::const_buffer) = 0;
+    // Reads at least one byte as `readSome` does, but without the deadline. TCP and TLS connections stay open at
+    // `until` and after `cancelWait`: the call then fails with "operation aborted" without having read anything.
+    virtual io_result<std::size_t> readSomeUntil(boost::asio::mutable_buffer buffer, time_point until)
+    {
+        setDeadline(until);
+        return readSome(buffer);
+    }
 
     // Sets the time at which operations in progress fail.
     virtual void setDeadline(time_point deadline) = 0;
 
     // Blocks until bytes can be read or the peer has disconnected. Returns whether it has disconnected.
     virtual bool waitForClose() = 0;
-    // Ends a `waitForClose` in progress.
+    // Ends a `waitForClose` or `readSomeUntil` in progress.
     virtual void cancelWait() = 0;
     virtual void close() = 0;
     // Returns whether the peer has neither closed the connection nor sent any unread bytes. Does not block.
@@ -115,7 +122,7 @@
 result<byte_stream_ptr> connectTcp(fiber_runtime&, const endpoint&, time_point deadline, const tls_context& tls = {});
 
 // Listens on one address and passes each connection to `handler` on a separate fiber.
-class listener {
+class listener : public std::enable_shared_from_this<listener> {
 public:
     using handler = std::function<void(byte_stream_ptr)>;
 
@@ -133,15 +140,19 @@
     listener(const listener&) = delete;
     listener& operator=(const listener&) = delete;
 
-    // Stops accepting connections; open connections are not affected.
+    // Stops accepting connections; open connections are not affected. Connections that clients have opened, but that
+    // are not accepted yet, are reset.
     void close();
+    // Accepts the connections that clients have opened, and closes.
+    void acceptPendingAndClose();
     std::uint16_t port() const;
     std::size_t connections() const { return m_connections; }
 
 private:
     listener(fiber_runtime&, options, handler);
-    void acceptLoop(const std::shared_ptr<listener>& self);
-    void serve(const std::shared_ptr<listener>& self, boost::asio::ip::tcp::socket);
+    void acceptLoop();
+    // Serves a connection on a fiber of its own, unless there are too many.
+    void admit(boost::asio::ip::tcp::socket);
 
     fiber_runtime& m_runtime;
     const options m_options;
--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -51,12 +51,13 @@
 class beast_responder final : public http_responder {
 public:
     beast_responder(fiber_runtime& runtime, byte_stream_ptr stream, const http_server_options& options,
-        unsigned version, bool keepAlive)
+        unsigned version, bool keepAlive, const std::function<bool()>& isLeaving)
         : m_runtime(runtime)
         , m_stream(std::move(stream))
         , m_options(options)
         , m_version(version)
         , m_keepAlive(keepAlive)
+        , m_isLeaving(isLeaving)
     {
     }
 
@@ -65,6 +66,7 @@
         stopWatching();
         http::response<http::string_body> message(static_cast<http::status>(response.head.status), m_version);
         setHeaders(message, response.head.headers);
+        m_keepAlive = m_keepAlive && !m_isLeaving();
         message.keep_alive(m_keepAlive);
         message.body() = response.body;
         message.prepare_payload();
@@ -79,6 +81,7 @@
     {
         m_message.emplace(static_cast<http::status>(head.status), m_version);
         setHeaders(*m_message, head.headers);
+        m_keepAlive = m_keepAlive && !m_isLeaving();
         m_message->keep_alive(m_keepAlive);
         m_message->chunked(m_version >= 11);
         m_serializer.emplace(*m_message);
@@ -185,6 +188,7 @@
     const http_server_options& m_options;
     const unsigned m_version;
     bool m_keepAlive;
+    const std::function<bool()>& m_isLeaving;
     bool m_answered = false;
     std::optional<incomplete_end> m_incomplete;
     std::optional<http::response<http::empty_body>> m_message;
@@ -210,16 +214,32 @@
         && code != http::error::end_of_stream && code != http::error::partial_message;
 }
 
-// Waits until the first bytes of a request are in `buffer`. Returns false when none arrive within `idleLimit`.
-bool waitForRequest(
-    const byte_stream_ptr& stream, beast::flat_buffer& buffer, duration idleLimit, idle_connections* idle)
+// Reads the first bytes of a request. Fails when the connection has ended, has been idle for too long, or is to be
+// closed; never when bytes have arrived before.
+io_result<std::size_t> readFirstBytes(const byte_stream_ptr& stream, boost::asio::mutable_buffer buffer,
+    const http_server_options& options, const idle_connections* idle)
+{
+    const auto idleSince = clock_type::now();
+    while (true) {
+        auto got = stream->readSomeUntil(buffer, idleSince + options.idleLimit);
+        if (got || got.error() != boost::asio::error::operation_aborted)
+            return got;
+        // The limit may have been raised during the wait.
+        const bool isEnding = clock_type::now() >= idleSince + options.idleLimit || (idle && idle->isClosing(stream));
+        if (isEnding && stream->isOpenAndIdle())
+            return got;
+    }
+}
+
+// Waits until the first bytes of a request are in `buffer`. Returns false when none arrive within the idle limit.
+bool waitForRequest(const byte_stream_ptr& stream, beast::flat_buffer& buffer, const http_server_options& options,
+    idle_connections* idle)
 {
     if (buffer.size() > 0)
         return true;
-    stream->setDeadline(clock_type::now() + idleLimit);
     if (idle)
         idle->add(stream);
-    const auto got = stream->readSome(buffer.prepare(streamBufferBytes));
+    const auto got = readFirstBytes(stream, buffer.prepare(streamBufferBytes), options, idle);
     if (idle)
         idle->remove(stream);
     if (got)
@@ -260,7 +280,7 @@
     const http_server_options& options, const http_handler& handler, const std::function<bool()>& isLeaving,
     idle_connections* idle)
 {
-    if (!waitForRequest(stream, buffer, options.idleLimit, idle))
+    if (!waitForRequest(stream, buffer, options, idle))
         return false;
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(options.maxHeaderBytes));
@@ -269,7 +289,7 @@
     stream->setDeadline(clock_type::now() + options.headLimit);
     http::read_header(*stream, buffer, parser, code);
     if (!code && hasUnknownFraming(parser.get())) {
-        beast_responder responder(runtime, stream, options, 11, false);
+        beast_responder responder(runtime, stream, options, 11, false, isLeaving);
         (void)responder.send(errorResponse(400,
             { error_kind::BadInput, "the framing of the body is not understood",
                 "Send either one Content-Length or 'Transfer-Encoding: chunked'" }));
@@ -284,7 +304,7 @@
     }
     if (code) {
         if (isParseError(code)) {
-            beast_responder responder(runtime, stream, options, 11, false);
+            beast_responder responder(runtime, stream, options, 11, false, isLeaving);
             (void)responder.send(parseFailure(code));
         } else {
             report(options, incomplete_response::RequestUnfinished, code.message());
@@ -294,7 +314,7 @@
     auto& message = parser.get();
     http_request request { std::string(message.method_string()), std::string(message.target()), copyHeaders(message),
         std::move(message.body()) };
-    beast_responder responder(runtime, stream, options, message.version(), message.keep_alive() && !isLeaving());
+    beast_responder responder(runtime, stream, options, message.version(), message.keep_alive(), isLeaving);
     callHandler(handler, request, responder, options);
     responder.stopWatching();
     if (!responder.isAnswered()) {
