A second server takes a stream over with its first event; what the review of the fix found

Cause, found by reading with the interleaving of the fibers in mind: a second attempt could call its exchange after that had ended; the first server was given up at the second one's head and the second one for a failure, an unproven end or half an event of the first one; a caller that had left, a quarantine and a crash were not looked at while the second server was awaited; asking for a server used up a cold server's turn; declined attempts made old connections look fresh. Change: the second attempt has an outcome when its first complete event (of other responses, the head) has arrived; it is cancelled only by a complete event, a proven end or a usable success of the first server, and used after any other end of it. A retry is taken before the connection is opened and given back if the request is not sent. Crashes at the second server are reported. A server whose first events take long does not count as silent. The class is named second_attempt, because "standby" names a duty of following the store.

--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -164,7 +164,14 @@
 
 bool backend_picker::isAvoided(const backend_state& state, time_point now) const
 {
-    return now < state.ejectedUntil || now < state.avoidedUntil || silenceOf(state, now) >= m_options.silenceLimit;
+    if (now < state.ejectedUntil || now < state.avoidedUntil)
+        return true;
+    const auto silence = silenceOf(state, now);
+    if (silence < m_options.silenceLimit)
+        return false;
+    // A server whose first events take long now is not silent.
+    const auto deployment = m_deployments.find(state.server.deployment);
+    return deployment == m_deployments.end() || silence >= 2 * predictFirstEvent(state, deployment->second, now);
 }
 
 bool backend_picker::mayTakeOver(const backend_state& state, const pick_request& request, time_point now) const
@@ -573,7 +580,7 @@
             return tl::unexpected(
                 refuse(refusal_reason::Overloaded, predictedLatency, startLatencyAt(chosen, deployment), request, now));
     }
-    if (chosen.nextColdSendAt)
+    if (chosen.nextColdSendAt && !request.isInquiry)
         chosen.nextColdSendAt = now + coldInterval(deployment);
     return picked_backend { .server = chosen.server,
         .predictedLatency = predictedLatency,
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -30,8 +30,8 @@
 constexpr std::chrono::milliseconds minTimeToCrash { 10 };
 // Time limit of a probe of a server's port: several round trips between the data centres farthest apart.
 constexpr std::chrono::milliseconds probeTimeout { 300 };
-// Time for which another server must have been able to take over a request before that is sent to it. When the network
-// or all servers go on after a pause, some of them send a moment before the others.
+// Time for which another server must have been able to take over a request before that is sent to it: at two checks of
+// the watchdog in a row. When all servers go on after a pause, some of them send a moment before the others.
 constexpr std::chrono::milliseconds takeoverDelay { 80 };
 // Limit in bytes for a response that is buffered before it is passed on.
 constexpr std::size_t maxBufferedBodySize = std::size_t { 16 } * 1024 * 1024;
@@ -305,6 +305,7 @@
     ++m_sentCount;
     m_excludedServers.push_back(server.instance());
     m_context.picker.onRequestSent(server.instance(), now);
+    m_takeoverPossibleSince.reset();
     logEvent(m_sentCount == 1 ? log_event::RequestSent : log_event::RequestResumed,
         logFields() + " backend=" + server.id.text() + " attempt=" + std::to_string(m_sentCount)
             + " load=" + std::to_string(picked.load).substr(0, 5) + " report_age_ms="
@@ -333,7 +334,7 @@
 exchange::next_step exchange::receiveResponse(
     const picked_backend& picked, backend_connection& connection, time_point sentAt)
 {
-    watched_response watched(m_context.watchdog, picked.server.instance(), [this] { prepareStandby(); });
+    watched_response watched(m_context.watchdog, picked.server.instance(), [this] { prepareSecondAttempt(); });
     m_awaitingSince = sentAt;
     watched.setOverdueTimes(
         headOverdueTimes(*m_route, picked.predictedLatency, sentAt, m_hasBegunStream ? m_lastEventAt : m_arrivedAt));
@@ -342,8 +343,8 @@
     const auto head = connection.readHead(
         m_deadline + deadlineGrace, [this](const http_head& received) { return matchesRequest(received); });
     watched.setOverdueTimes({});
-    if (isStandbyReady())
-        return moveToStandby(picked);
+    if (isSecondAttemptReady())
+        return moveToSecondAttempt(picked);
     if (!head)
         return handleFailure(picked, head.error());
     return relayResponse(picked, connection, *head, watched, sentAt);
@@ -361,6 +362,8 @@
             picked, { error_kind::BadInput, "a successful response without signature or with a content encoding", "" });
     if (isSuccess(head.status) && m_route->kind == route_kind::Stream)
         return relayStream(picked, connection, head, watched, sentAt);
+    if (isSuccess(head.status))
+        cancelSecondAttempt();
     return relayBody(picked, connection, head, sentAt);
 }
 
@@ -368,7 +371,6 @@
 {
     m_context.picker.onDataReceived(picked.server.instance(), clock_type::now());
     m_takeoverPossibleSince.reset();
-    cancelStandby();
 }
 
 void exchange::receiveServerState(const backend_server& server, const response_metadata& metadata, time_point sentAt)
@@ -379,21 +381,22 @@
             server.instance(), metadata.load->running, metadata.load->waiting, clock_type::now());
 }
 
-bool exchange::mayUseStandby(time_point now)
+bool exchange::mayUseSecondAttempt(time_point now)
 {
     return !m_caller->isDisconnected && !m_isRecalled && !reasonAgainstRetry(true) && !quarantinedUntil(now)
-        && m_context.quarantine.mayTryAnotherServer(suspects()) && m_retryBudget->hasRetry(now);
+        && m_context.quarantine.mayTryAnotherServer(suspects());
 }
 
-void exchange::prepareStandby()
+void exchange::prepareSecondAttempt()
 {
     const auto now = clock_type::now();
-    if (m_standby && m_standby->hasEnded() && !isStandbyReady())
-        m_standby.reset();
-    if (m_standby || !mayUseStandby(now))
+    if (m_secondAttempt && m_secondAttempt->hasOutcome() && !isSecondAttemptReady())
+        m_secondAttempt.reset();
+    if (m_secondAttempt || !mayUseSecondAttempt(now) || !m_retryBudget->hasRetry(now))
         return;
     auto request = pickRequest();
     request.silentSince = m_awaitingSince;
+    request.isInquiry = !m_takeoverPossibleSince || now < *m_takeoverPossibleSince + takeoverDelay;
     const auto picked = m_context.picker.pick(request, now);
     if (!picked) {
         m_takeoverPossibleSince.reset();
@@ -401,103 +404,151 @@
     }
     if (!m_takeoverPossibleSince)
         m_takeoverPossibleSince = now;
-    if (now < *m_takeoverPossibleSince + takeoverDelay
-        || !m_context.picker.notices().tryAcquire(picked->server.instance(), now))
+    if (request.isInquiry || !m_context.picker.notices().tryAcquire(picked->server.instance(), now)
+        || !m_retryBudget->takeRetry(now))
         return;
-    m_standby = std::make_unique<standby_attempt>(m_context.runtime, m_context.connections,
-        standby_attempt::options { .picked = *picked,
+    m_holdsUnusedRetry = true;
+    m_secondAttempt = std::make_unique<second_attempt>(m_context.runtime, m_context.connections,
+        second_attempt::options { .picked = *picked,
             .deadline = m_deadline + deadlineGrace,
-            .onConnected = [this] { return beginStandby(); },
+            .onConnected = [this] { return beginSecondAttempt(); },
             .matchesRequest = [this](const http_head& head) { return matchesRequest(head); },
-            .onEnded = [this] { onStandbyEnded(); } });
+            .hasBegun
+            = [this](const http_head& head, const std::string& received) { return hasBegunAnswer(head, received); },
+            .onEnded = [this] { onSecondAttemptEnded(); } });
 }
 
-std::optional<http_request> exchange::beginStandby()
+std::optional<http_request> exchange::beginSecondAttempt()
 {
     const auto now = clock_type::now();
-    const auto& picked = m_standby->picked();
-    if (!mayUseStandby(now) || m_context.picker.notices().isUnavailable(picked.server.instance(), now)
-        || !m_retryBudget->takeRetry(now))
+    const auto& picked = m_secondAttempt->picked();
+    if (!mayUseSecondAttempt(now) || m_context.picker.notices().isUnavailable(picked.server.instance(), now))
         return std::nullopt;
+    m_holdsUnusedRetry = false;
     recordSent(picked, now);
     return requestTo(picked.server, now);
 }
 
-bool exchange::isStandbyReady() const
+bool exchange::hasBegunAnswer(const http_head& head, const std::string& received) const
+{
+    if (m_route->kind != route_kind::Stream || !isSuccess(head.status)
+        || !isUsableSuccess(m_context.codec.readBackend(head)))
+        return true;
+    return !event_splitter(m_events.lastEventId()).feed(received).empty();
+}
+
+void exchange::returnUnusedRetry()
 {
-    if (!m_standby || !m_standby->hasEnded() || !m_standby->head())
+    if (std::exchange(m_holdsUnusedRetry, false))
+        m_retryBudget->returnRetry();
+}
+
+bool exchange::isSecondAttemptReady() const
+{
+    if (!m_secondAttempt || !m_secondAttempt->hasOutcome() || !m_secondAttempt->head())
         return false;
-    const auto& head = *m_standby->head();
+    const auto& head = *m_secondAttempt->head();
     return isSuccess(head.status) && isUsableSuccess(m_context.codec.readBackend(head));
 }
 
-void exchange::onStandbyEnded()
+void exchange::onSecondAttemptEnded()
 {
-    if (m_isAwaitingStandby)
+    if (m_isAwaitingSecondAttempt)
         return;
-    if (!isStandbyReady())
-        recordFailedStandby();
+    if (!isSecondAttemptReady())
+        recordFailedSecondAttempt();
     else if (m_caller->connection)
         m_caller->connection->close(); // The fiber that awaits the first server continues with the second one.
 }
 
-void exchange::recordFailedStandby()
+void exchange::recordFailedSecondAttempt()
 {
-    if (m_standby->wasDeclined())
+    returnUnusedRetry();
+    if (m_secondAttempt->wasDeclined())
         return;
-    const auto& picked = m_standby->picked();
-    const auto& head = m_standby->head();
-    if (!m_standby->sentAt())
-        m_context.picker.onRequestSent(picked.server.instance(), clock_type::now());
+    const auto& picked = m_secondAttempt->picked();
+    const auto& head = m_secondAttempt->head();
+    const auto now = clock_type::now();
+    if (!m_secondAttempt->sentAt())
+        m_context.picker.onRequestSent(picked.server.instance(), now);
     const auto metadata = head ? m_context.codec.readBackend(*head) : response_metadata {};
-    if (head)
-        receiveServerState(picked.server, metadata, *m_standby->sentAt());
-    recordOutcome(picked,
-        !head ? backend_outcome::Broken : (metadata.isNotRun ? backend_outcome::Busy : backend_outcome::Failed));
+    if (head) {
+        m_context.picker.onDataReceived(picked.server.instance(), now);
+        receiveServerState(picked.server, metadata, *m_secondAttempt->sentAt());
+    }
+    m_mayHaveRun = m_mayHaveRun || (m_secondAttempt->sentAt() && !metadata.isNotRun);
+    auto outcome = metadata.isNotRun ? backend_outcome::Busy : backend_outcome::Failed;
+    if (!head)
+        outcome = now >= m_deadline ? backend_outcome::Abandoned : backend_outcome::Broken;
+    recordOutcome(picked, outcome);
     logEvent(log_event::RequestFailed,
-        logFields() + " backend=" + picked.server.id.text() + " standby=yes why=\""
-            + (head ? "status " + std::to_string(head->status) : toString(head.error())) + "\"");
+        logFields() + " backend=" + picked.server.id.text() + " second_attempt=yes why=\""
+            + (head ? "status " + std::to_string(head->status) : toString(head.error()))
+            + "\" request=" + shortName(fingerprint()) + " parts=" + joinTexts(m_callerMetadata.promptParts));
+    if (!head && m_secondAttempt->sentAt())
+        reportBroken(picked, head.error(), *m_secondAttempt->sentAt(), std::nullopt);
 }
 
-bool exchange::mayAdoptStandby() const
+// Where servers crash together, a request that moves to the next server may reach it just as that server ends. Such a
+// loss is not attributed to the request.
+void exchange::reportBroken(
+    const picked_backend& picked, const error& why, time_point sentAt, std::optional<time_point> begunAt)
 {
-    return m_standby && m_standby->sentAt() && (!m_standby->hasEnded() || isStandbyReady());
+    const auto now = clock_type::now();
+    if (why.kind != error_kind::Lost || now < sentAt + minTimeToCrash)
+        return;
+    m_context.quarantine.onExchangeBroken(picked.server,
+        { .request = fingerprint(), .parts = m_callerMetadata.promptParts, .begunAt = begunAt, .brokenAt = now });
+}
+
+bool exchange::mayAdoptSecondAttempt() const
+{
+    return m_secondAttempt && m_secondAttempt->sentAt() && (!m_secondAttempt->hasOutcome() || isSecondAttemptReady());
 }
 
-void exchange::cancelStandby()
+void exchange::cancelSecondAttempt()
 {
-    if (!m_standby)
+    if (!m_secondAttempt)
         return;
-    if (mayAdoptStandby())
-        recordOutcome(m_standby->picked(), backend_outcome::Abandoned);
-    m_standby.reset();
+    returnUnusedRetry();
+    if (mayAdoptSecondAttempt())
+        recordOutcome(m_secondAttempt->picked(), backend_outcome::Abandoned);
+    m_secondAttempt.reset();
 }
 
-exchange::next_step exchange::moveToStandby(const picked_backend& silent)
+exchange::next_step exchange::moveToSecondAttempt(const picked_backend& silent)
 {
+    if (m_caller->isDisconnected) {
+        abandon(silent);
+        return next_step::TryAgain; // `runAttempts` ends the exchange.
+    }
     recordOutcome(silent, backend_outcome::Unresponsive);
     logEvent(log_event::RequestFailed,
         logFields() + " backend=" + silent.server.id.text() + " events=" + std::to_string(m_events.eventCount())
-            + " why=\"" + toString(unresponsiveServerError()) + "\" moved_to=" + m_standby->picked().server.id.text());
+            + " why=\"" + toString(unresponsiveServerError())
+            + "\" moved_to=" + m_secondAttempt->picked().server.id.text());
     m_events.dropPartialEvent();
     m_mayHaveRun = true;
-    return adoptStandby();
+    return adoptSecondAttempt();
 }
 
-exchange::next_step exchange::adoptStandby()
+exchange::next_step exchange::adoptSecondAttempt()
 {
-    m_isAwaitingStandby = true;
-    m_caller->connection = m_standby->takeConnection();
-    m_standby->waitForEnd();
-    m_isAwaitingStandby = false;
-    const auto standby = std::move(m_standby);
-    m_sentAt = *standby->sentAt();
+    m_isAwaitingSecondAttempt = true;
+    m_sentAt = *m_secondAttempt->sentAt();
     m_begunAt.reset();
-    if (!standby->head())
-        return handleFailure(standby->picked(), standby->head().error());
+    m_isRecalled = false;
+    m_caller->connection = m_secondAttempt->takeConnection();
+    m_secondAttempt->waitForEnd();
+    m_isAwaitingSecondAttempt = false;
+    const auto adopted = std::move(m_secondAttempt);
+    if (!adopted->head())
+        return handleFailure(adopted->picked(), adopted->head().error());
+    m_receivedBeforehand = adopted->received();
     const auto connection = m_caller->connection;
-    watched_response watched(m_context.watchdog, standby->picked().server.instance(), [this] { prepareStandby(); });
-    return relayResponse(standby->picked(), *connection, *standby->head(), watched, m_sentAt);
+    watched_response watched(
+        m_context.watchdog, adopted->picked().server.instance(), [this] { prepareSecondAttempt(); });
+    return relayResponse(adopted->picked(), *connection, *adopted->head(), watched, m_sentAt);
 }
 
 void exchange::receiveNotice(const backend_server& server, const response_metadata& metadata, time_point sentAt)
@@ -552,6 +603,8 @@
     if (head.status >= 500) {
         m_serverErrorResponse = std::move(response);
         m_mayHaveRun = true;
+        if (mayAdoptSecondAttempt())
+            return adoptSecondAttempt();
         const auto finalReason = reasonAgainstRetry(true);
         if (!finalReason)
             return next_step::TryAgain;
@@ -559,9 +612,12 @@
         return next_step::Finished;
     }
     if (m_hasBegunStream) { // A whole response cannot continue a stream.
+        if (mayAdoptSecondAttempt())
+            return adoptSecondAttempt();
         finishWithoutServer(final_reason::UnusableResponse);
         return next_step::Finished;
     }
+    cancelSecondAttempt();
     if (isSuccess(head.status))
         clearSuspicion();
     m_retryBudget->recordSuccess();
@@ -581,6 +637,8 @@
     logEvent(log_event::RequestFailed,
         logFields() + " backend=" + picked.server.id.text() + " not_run=yes status=" + std::to_string(head.status)
             + (metadata.atFault ? " at_fault=" + toString(*metadata.atFault) : ""));
+    if (mayAdoptSecondAttempt())
+        return adoptSecondAttempt();
     const auto finalReason = reasonAgainstRetry(false);
     if (!finalReason)
         return next_step::TryAgain;
@@ -595,15 +653,16 @@
     while (true) {
         m_awaitingSince = clock_type::now();
         watched.setOverdueTimes(streamOverdueTimes(*m_route, m_awaitingSince));
-        auto bytes = connection.readBody(m_deadline + deadlineGrace);
+        auto bytes = readStream(connection);
         // Nothing is read from the server until the caller has taken the events, which may take long.
         watched.setOverdueTimes({});
         // A complete response wins. Other data that arrived just as the connection was closed is received again.
-        if (isStandbyReady() && (!bytes || *bytes))
-            return moveToStandby(picked);
+        if (isSecondAttemptReady() && (!bytes || *bytes))
+            return moveToSecondAttempt(picked);
         if (!bytes)
             return handleFailure(picked, bytes.error());
-        onDataReceived(picked);
+        if (*bytes)
+            onDataReceived(picked);
         if (*bytes && !latency)
             latency = clock_type::now() - sentAt;
         const auto completeEvents = *bytes ? m_events.feed(**bytes) : std::string();
@@ -613,6 +672,8 @@
             if (const auto checked = checkUnframedEnd(picked, connection); !checked)
                 return handleFailure(picked, checked.error());
         }
+        if (!completeEvents.empty() || !*bytes)
+            cancelSecondAttempt();
         if (!m_hasBegunStream && (!completeEvents.empty() || !*bytes)) {
             m_hasBegunStream = true;
             m_context.metrics.observe("first_event_seconds", toMilliseconds(clock_type::now() - m_arrivedAt) / 1000);
@@ -643,9 +704,16 @@
     return next_step::Finished;
 }
 
+result<std::optional<std::string>> exchange::readStream(backend_connection& connection)
+{
+    if (!m_receivedBeforehand.empty())
+        return std::optional(std::exchange(m_receivedBeforehand, {}));
+    return connection.readBody(m_deadline + deadlineGrace);
+}
+
 void exchange::abandon(const picked_backend& picked)
 {
-    cancelStandby();
+    cancelSecondAttempt();
     if (m_caller->connection)
         m_caller->connection->close();
     recordOutcome(picked, backend_outcome::Abandoned);
@@ -653,6 +721,8 @@
 
 void exchange::recallIfRefused(time_point now)
 {
+    if (!m_isAwaitingSecondAttempt && m_secondAttempt && !m_secondAttempt->hasOutcome() && quarantinedUntil(now))
+        cancelSecondAttempt();
     if (m_begunAt || m_isRecalled || !m_route->mayRepeat() || !m_caller->connection || !quarantinedUntil(now))
         return;
     m_isRecalled = true;
@@ -677,12 +747,12 @@
     if (m_caller->connection)
         m_caller->connection->close();
     if (m_caller->isDisconnected) {
-        cancelStandby();
+        cancelSecondAttempt();
         recordOutcome(picked, backend_outcome::Abandoned);
         return next_step::TryAgain; // `runAttempts` ends the exchange.
     }
     if (m_isRecalled) {
-        cancelStandby();
+        cancelSecondAttempt();
         return finishRecalled(picked);
     }
     const bool isOverdue = clock_type::now() >= m_deadline;
@@ -692,19 +762,12 @@
             + " why=\"" + toString(why) + "\"" + " request=" + shortName(fingerprint())
             + " begun=" + (m_begunAt ? "yes" : "no") + " parts=" + joinTexts(m_callerMetadata.promptParts));
     const bool mayTryAnotherServer = m_context.quarantine.mayTryAnotherServer(suspects());
-    // Where servers crash together, a request that moves to the next server may reach it just as that server ends. Such
-    // a loss is not attributed to the request.
-    if (why.kind == error_kind::Lost && clock_type::now() >= m_sentAt + minTimeToCrash)
-        m_context.quarantine.onExchangeBroken(picked.server,
-            { .request = fingerprint(),
-                .parts = m_callerMetadata.promptParts,
-                .begunAt = m_begunAt,
-                .brokenAt = clock_type::now() });
+    reportBroken(picked, why, m_sentAt, m_begunAt);
     m_events.dropPartialEvent();
     m_mayHaveRun = true;
-    if (!isOverdue && mayAdoptStandby())
-        return adoptStandby();
-    cancelStandby();
+    if (!isOverdue && mayAdoptSecondAttempt())
+        return adoptSecondAttempt();
+    cancelSecondAttempt();
     auto finalReason = reasonAgainstRetry(true);
     if (!finalReason && !mayTryAnotherServer)
         finalReason = final_reason::Quarantined;
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -13,7 +13,7 @@
 #include "coltsfootbend/gateway/request_admission.h"
 #include "coltsfootbend/gateway/request_quarantine.h"
 #include "coltsfootbend/gateway/response_watchdog.h"
-#include "coltsfootbend/gateway/standby_attempt.h"
+#include "coltsfootbend/gateway/second_attempt.h"
 #include "coltsfootbend/gateway/waiting_policy.h"
 #include "coltsfootbend/limits/patience_tracker.h"
 #include "coltsfootbend/limits/retry_budgets.h"
@@ -91,33 +91,43 @@
         const picked_backend&, backend_connection&, const http_head&, watched_response&, time_point sentAt);
     // Records what the head states about its server.
     void receiveServerState(const backend_server&, const response_metadata&, time_point sentAt);
-    // Sends the request to a second server if the first one is overdue and everything that this takes is available. The
-    // first server is awaited all the while. Called repeatedly while the response is overdue.
-    void prepareStandby();
+    // Sends the request to a second server if the route, the attempts, the retry budget and the quarantine allow it and
+    // a server that is not silent itself can take it. The first server is awaited all the while. Called repeatedly
+    // while the response is overdue.
+    void prepareSecondAttempt();
     // Returns whether the request may be sent to a second server now.
-    bool mayUseStandby(time_point now);
+    bool mayUseSecondAttempt(time_point now);
     // Called when the connection to the second server is open. Returns the request to send to it, if still needed.
-    std::optional<http_request> beginStandby();
+    std::optional<http_request> beginSecondAttempt();
     // Called when the second server has begun to respond, or has failed.
-    void onStandbyEnded();
+    void onSecondAttemptEnded();
+    // Returns true if the response of a second server has begun: a stream with its first complete event, any other
+    // response with its head. `received`: the part of the body that has arrived.
+    bool hasBegunAnswer(const http_head&, const std::string& received) const;
+    // Gives back the retry that was taken for a second server to which the request was not sent.
+    void returnUnusedRetry();
     // Returns true if the second server has begun a response that can be passed on, so that the first one was given up.
-    bool isStandbyReady() const;
+    bool isSecondAttemptReady() const;
     // Returns true if the request was sent to the second server and that has not failed.
-    bool mayAdoptStandby() const;
+    bool mayAdoptSecondAttempt() const;
     // Records the failure of the second server; the first one is still awaited.
-    void recordFailedStandby();
+    void recordFailedSecondAttempt();
     // Ends the attempt at the second server, if there is one, because the first one goes on.
-    void cancelStandby();
+    void cancelSecondAttempt();
     // Gives up the silent server and continues with the second one.
-    next_step moveToStandby(const picked_backend& silent);
+    next_step moveToSecondAttempt(const picked_backend& silent);
     // Continues with the second server's response, which it waits for if necessary.
-    next_step adoptStandby();
-    // Records that the server has sent something, which ends an attempt at a second one.
+    next_step adoptSecondAttempt();
+    // Records that the server has sent something.
     void onDataReceived(const picked_backend&);
     // Records that the request is sent to a server.
     void recordSent(const picked_backend&, time_point now);
     // Returns the request in the form in which it is sent to a server.
     http_request requestTo(const backend_server&, time_point now) const;
+    // Returns the next bytes of a stream: first those that arrived before it was relayed.
+    result<std::optional<std::string>> readStream(backend_connection&);
+    // Reports an exchange that broke to the quarantine, unless the request cannot be the cause.
+    void reportBroken(const picked_backend&, const error& why, time_point sentAt, std::optional<time_point> begunAt);
     // Returns whether a response belongs to this request. Servers may send responses to earlier requests late.
     bool matchesRequest(const http_head&) const;
     // Records the limit, backoff or leaving that the response states. Ignores a response that another server sent.
@@ -196,17 +206,19 @@
     std::optional<duration> m_retryAfter; // Retry-After of the last refusal by the picker.
     std::optional<http_response> m_serverErrorResponse; // A server's 5xx, passed on if no other attempt succeeds.
     event_splitter m_events;
-    std::unique_ptr<standby_attempt> m_standby; // Attempt at a second server while the first one is silent.
+    std::unique_ptr<second_attempt> m_secondAttempt; // Attempt at a second server while the first one is silent.
     time_point m_awaitingSince {}; // When the wait for the next data of the server began.
-    time_point m_sentAt {}; // When the request was sent to the last server.
-    std::optional<time_point> m_begunAt; // When the last server to which the request was sent began its response.
+    std::string m_receivedBeforehand; // Beginning of the stream of a second server that has taken the request over.
+    time_point m_sentAt {}; // When the request was sent to the server whose response is awaited or relayed.
+    std::optional<time_point> m_begunAt; // When that server began its response.
     time_point m_lastEventAt {}; // When the caller last received an event.
     // Since when another server could take the request over from the silent one; none if it cannot.
     std::optional<time_point> m_takeoverPossibleSince;
     bool m_isReturning = false;
     bool m_wasHeld = false; // The request has waited in this gateway for a slot or for its group.
     bool m_mayHaveRun = false; // A server may have run the request, so the final response must not claim that none did.
-    bool m_isAwaitingStandby = false; // The first server has failed, so the request depends on the second one.
+    bool m_holdsUnusedRetry = false; // A retry was taken for a second server, and the request is not sent to it yet.
+    bool m_isAwaitingSecondAttempt = false; // The first server has failed, so the request depends on the second one.
     bool m_isRecalled = false; // The request was recalled from the last server before that began its response.
     bool m_hasBegunStream = false; // The caller has received the head of a stream.
 };
--- a/coltsfootbend/gateway/pick.h
+++ b/coltsfootbend/gateway/pick.h
@@ -64,6 +64,8 @@
     // Set if the request would move away from a server that has been silent since then. Only servers that have sent
     // something later, or from which nothing is awaited, can take it.
     std::optional<time_point> silentSince;
+    // Set if the caller only inquires which server could take the request, and does not send it.
+    bool isInquiry = false;
 };
 
 // The server that a request is to be sent to.
--- a/coltsfootbend/gateway/response_watchdog.cpp
+++ b/coltsfootbend/gateway/response_watchdog.cpp
@@ -1,5 +1,6 @@
 #include "coltsfootbend/gateway/response_watchdog.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace coltsfootbend {
--- a/coltsfootbend/gateway/standby_attempt.h
+++ b/coltsfootbend/gateway/second_attempt.h
@@ -1,12 +1,11 @@
 #pragma once
 
 // Sends a request to a second backend server while the response of the first one is awaited. Opens the connection,
-// sends the request and receives the head of the response on a fiber of its own, so that the first server is given up
-// only when the second one has begun to respond. Does not decide whether a second attempt is allowed and does not read
-// the body.
+// sends the request and receives the beginning of the response on a fiber of its own, so that the first server is given
+// up only when the second one has begun to respond. Does not decide whether a second attempt is allowed.
 //
-//     m_standby = std::make_unique<standby_attempt>(runtime, connections,
-//         standby_attempt::options { .picked = picked, .deadline = deadline, .onConnected = ..., .onEnded = ... });
+//     m_secondAttempt = std::make_unique<second_attempt>(runtime, connections,
+//         second_attempt::options { .picked = picked, .deadline = deadline, .onConnected = ..., .onEnded = ... });
 
 #include "coltsfootbend/gateway/backend_connection.h"
 #include "coltsfootbend/gateway/pick.h"
@@ -18,8 +17,8 @@
 
 namespace coltsfootbend {
 
-// An attempt at a second server, from the choice of the server until the head of its response has arrived.
-class standby_attempt {
+// An attempt at a second server, from the choice of the server until its response has begun.
+class second_attempt {
 public:
     struct options {
         picked_backend picked;
@@ -29,26 +28,30 @@
         std::function<std::optional<http_request>()> onConnected;
         // Returns whether a head belongs to the request.
         std::function<bool(const http_head&)> matchesRequest;
-        // Called once when the attempt has ended: its head has arrived, or it has failed.
+        // Returns whether the response has begun with this head and this part of its body.
+        std::function<bool(const http_head&, const std::string& received)> hasBegun;
+        // Called once when the attempt has an outcome: the response has begun, or the attempt has failed.
         std::function<void()> onEnded;
     };
 
     // Starts the attempt. The callbacks are called until this object is destroyed; they must not destroy it.
-    standby_attempt(fiber_runtime&, backend_connection_pool&, options);
+    second_attempt(fiber_runtime&, backend_connection_pool&, options);
     // Ends the attempt and closes its connection.
-    ~standby_attempt();
-    standby_attempt(const standby_attempt&) = delete;
-    standby_attempt& operator=(const standby_attempt&) = delete;
+    ~second_attempt();
+    second_attempt(const second_attempt&) = delete;
+    second_attempt& operator=(const second_attempt&) = delete;
 
     const picked_backend& picked() const;
     // Returns when the request was sent, or none if it was not.
     std::optional<time_point> sentAt() const;
     // Returns true if the attempt was given up before the request was sent, without a failure.
     bool wasDeclined() const;
-    // Returns true when the head has arrived or the attempt has failed.
-    bool hasEnded() const;
+    // Returns true when the response has begun or the attempt has failed.
+    bool hasOutcome() const;
     // Returns the head, or why the attempt failed. Must only be called when the attempt has ended.
     const result<http_head>& head() const;
+    // Returns the part of the body that has been received. Must only be called when the attempt has ended.
+    const std::string& received() const;
     // Blocks the calling fiber until the attempt has ended.
     void waitForEnd();
     // Returns the connection, and leaves it to the caller.
@@ -60,6 +63,8 @@
 
     static void run(const std::shared_ptr<shared_state>&, backend_connection_pool&);
     static result<http_head> receiveHead(const std::shared_ptr<shared_state>&, backend_connection_pool&);
+    // Receives the body until the response has begun.
+    static result<void> receiveBeginning(shared_state&, backend_connection&, const http_head&);
 
     std::shared_ptr<shared_state> m_state;
 };
--- a/coltsfootbend/gateway/silence_policy.h
+++ b/coltsfootbend/gateway/silence_policy.h
@@ -3,7 +3,7 @@
 // Decides when the response of a silent backend server is overdue, so that another server should be made ready to take
 // the request over. A sound server may send nothing for a second or so and continue, and a silent connection may belong
 // to a server that sends on its other connections, so the time depends on what is known of the server. Deterministic.
-// Does not end a wait: see `gateway/standby_attempt.h`.
+// Does not end a wait: see `gateway/second_attempt.h`.
 //
 //     const auto overdue = streamOverdueTimes(route, lastDataAt);
 //     if (isOverdue(overdue, condition, now))
--- a/coltsfootbend/limits/retry_budget.h
+++ b/coltsfootbend/limits/retry_budget.h
@@ -54,6 +54,13 @@
         return m_tokens < m_options.reserve;
     }
 
+    // Returns whether `takeRetry` would succeed.
+    bool hasRetry(time_point now)
+    {
+        refill(now);
+        return m_tokens >= 1;
+    }
+
     // Gives back a retry that was taken and not used.
     void returnRetry() { m_tokens = std::min(m_options.maxRetries, m_tokens + 1); }
 
