An exception in one request ends that request alone

Cause: callHandler rethrew the exception out of the connection's fiber, which ends the process; an exchange that unwound kept its place in the queue, its count at the picker and its connection. Change: the request gets status 500 with a typed error that does not claim that it has not run, or its response is aborted (HandlerFault) if it was begun; a whole response stays whole. The exchange releases what it holds in any case, and the gateway counts running requests by a guard.

--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -103,8 +103,22 @@
         if (caller->connection)
             caller->connection->close();
     });
+    const struct releaser {
+        exchange& owner;
+        ~releaser() { owner.release(); }
+    } releasedAtEnd { *this };
     runAttempts();
+}
+
+void exchange::release()
+{
     leaveQueue();
+    if (!m_sentTo)
+        return;
+    m_context.picker.onRequestFinished(*m_sentTo, backend_outcome::Abandoned, std::nullopt, clock_type::now());
+    if (m_caller->connection)
+        m_caller->connection->close();
+    m_caller->connection.reset();
 }
 
 void exchange::leaveQueue()
@@ -285,7 +299,7 @@
     if (m_caller->isDisconnected)
         return next_step::TryAgain; // `runAttempts` ends the exchange.
     if (!connection) {
-        m_context.picker.onRequestSent(server.instance(), clock_type::now());
+        recordSent(server.instance(), clock_type::now());
         recordOutcome(picked, backend_outcome::Broken);
         logEvent(log_event::RequestFailed,
             logFields() + " backend=" + server.id.text() + " not_run=yes why=\"" + toString(connection.error()) + "\"");
@@ -313,7 +327,7 @@
     m_isRecalled = false;
     m_excludedServers.push_back(server.instance());
     m_caller->connection = *connection;
-    m_context.picker.onRequestSent(server.instance(), now);
+    recordSent(server.instance(), now);
     logEvent(m_sentCount == 1 ? log_event::RequestSent : log_event::RequestResumed,
         logFields() + " backend=" + server.id.text() + " attempt=" + std::to_string(m_sentCount)
             + " load=" + std::to_string(picked.load).substr(0, 5) + " report_age_ms="
@@ -637,10 +651,17 @@
     (void)m_responder.send(response);
 }
 
+void exchange::recordSent(const backend_instance& server, time_point now)
+{
+    m_context.picker.onRequestSent(server, now);
+    m_sentTo = server;
+}
+
 void exchange::recordOutcome(const picked_backend& picked, backend_outcome outcome, std::optional<duration> latency)
 {
     m_context.metrics.count("attempts_total", { { "outcome", toString(outcome) } });
     m_context.picker.onRequestFinished(picked.server.instance(), outcome, latency, clock_type::now());
+    m_sentTo.reset();
 }
 
 void exchange::clearSuspicion()
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -105,6 +105,8 @@
     next_step finishRecalled(const picked_backend&);
     // Leaves the queue of requests that wait for rate-limited servers.
     void leaveQueue();
+    // Releases what the exchange still holds of the shared state. An exception may end it at any point.
+    void release();
     // Returns why no other server may be tried after a failure, or none if one may be. `mayHaveRun`: the request may
     // have run at the last server.
     std::optional<final_reason> reasonAgainstRetry(bool mayHaveRun) const;
@@ -120,6 +122,7 @@
     void sendError(int status, const error&, std::optional<duration> retryAfter = std::nullopt);
     // Ends an attempt whose caller has disconnected.
     void abandon(const picked_backend&);
+    void recordSent(const backend_instance&, time_point now);
     void recordOutcome(const picked_backend&, backend_outcome, std::optional<duration> latency = std::nullopt);
     pick_request pickRequest() const;
     // Returns when the attempt is given up if no response head has arrived while the group advances; never for a
@@ -155,6 +158,7 @@
     std::set<crash_suspect> m_suspects; // Empty until first used.
     bool m_wasHeld = false; // The request has waited in this gateway for a slot or for its group.
     std::optional<waiting_queue::place> m_queuePlace; // Set while it waits for rate-limited servers.
+    std::optional<backend_instance> m_sentTo; // The server at which the picker counts this request as in flight.
 
     // Shared with the watcher of the caller's connection, which may outlive this exchange.
     struct caller_state {
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -40,6 +40,22 @@
 // differently and the number of gateways changes.
 constexpr double usedBudgetShare = 0.7;
 
+// Counts a request as long as this object exists.
+class running_request {
+public:
+    explicit running_request(std::size_t& count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~running_request() { --m_count; }
+    running_request(const running_request&) = delete;
+    running_request& operator=(const running_request&) = delete;
+
+private:
+    std::size_t& m_count;
+};
+
 } // namespace
 
 gateway_service::gateway_service(
@@ -162,9 +178,8 @@
     serveHttp(
         m_runtime, stream, m_serverOptions,
         [this](const http_request& request, http_responder& responder) {
-            ++m_runningRequests;
+            const running_request counted(m_runningRequests);
             exchange(*m_context, request, responder).run();
-            --m_runningRequests;
         },
         [this] { return m_leaving; }, &m_idleConnections);
 }
--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -72,6 +72,7 @@
         extendDeadline();
         boost::system::error_code code;
         http::write(*m_stream, message, code);
+        m_isComplete = !code;
         return finish(code);
     }
 
@@ -111,18 +112,22 @@
             boost::asio::write(*m_stream, http::make_chunk_last(), code);
         else
             m_keepAlive = false;
+        m_isComplete = !code;
         return finish(code);
     }
 
-    void abort() override
+    void abort() override { abortBecause({ incomplete_response::Aborted, "the handler aborted it" }); }
+
+    // Ends the response after an exception of its handler: with an error response if none was begun, else so that the
+    // peer can detect that the response is incomplete.
+    void endAfterFault()
     {
-        stopWatching();
-        m_keepAlive = false;
-        m_incomplete = incomplete_end { incomplete_response::Aborted, "the handler aborted it" };
-        if (m_version >= 11)
-            m_stream->close(); // The last chunk is missing.
-        else
-            resetConnection(*m_stream);
+        if (!m_answered)
+            (void)send(errorResponse(500,
+                { error_kind::Internal, "handling the request failed",
+                    "Look whether it took effect before repeating it; report this" }));
+        else if (!m_isComplete && !m_incomplete)
+            abortBecause({ incomplete_response::HandlerFault, "the handler ended with an exception" });
     }
 
     void watch(std::function<void()> onDisconnect) override
@@ -169,6 +174,17 @@
         fiber_signal changed;
     };
 
+    void abortBecause(incomplete_end end)
+    {
+        stopWatching();
+        m_keepAlive = false;
+        m_incomplete = std::move(end);
+        if (m_version >= 11)
+            m_stream->close(); // The last chunk is missing.
+        else
+            resetConnection(*m_stream);
+    }
+
     void extendDeadline() { m_stream->setDeadline(clock_type::now() + m_options.writeLimit); }
 
     io_result<void> finish(boost::system::error_code code)
@@ -186,6 +202,7 @@
     const unsigned m_version;
     bool m_keepAlive;
     bool m_answered = false;
+    bool m_isComplete = false; // The whole response is written.
     std::optional<incomplete_end> m_incomplete;
     std::optional<http::response<http::empty_body>> m_message;
     std::optional<http::response_serializer<http::empty_body>> m_serializer;
@@ -243,15 +260,26 @@
         options.onIncomplete(incomplete, why);
 }
 
+void reportFault(const http_server_options& options, const http_request& request, const std::string& why)
+{
+    if (!options.onFault)
+        return;
+    try {
+        options.onFault(request, why);
+    } catch (const std::exception&) { // NOLINT(bugprone-empty-catch)
+        // A fault in the report has no other effect, as the fault that it reports.
+    }
+}
+
+// Calls the handler and ends the response if the handler throws: a fault in one request must not end others.
 void callHandler(const http_handler& handler, const http_request& request, beast_responder& responder,
     const http_server_options& options)
 {
     try {
         handler(request, responder);
     } catch (const std::exception& fault) {
-        if (options.onFault)
-            options.onFault(request, fault.what());
-        throw;
+        reportFault(options, request, fault.what());
+        responder.endAfterFault();
     }
 }
 
--- a/coltsfootbend/net/http.h
+++ b/coltsfootbend/net/http.h
@@ -94,7 +94,8 @@
     duration writeLimit = std::chrono::seconds(10);
     // Called once for each connection that ends without a complete response to a request on it; may be empty.
     std::function<void(incomplete_response, const std::string& why)> onIncomplete;
-    // Called when the handler of a request ends with an exception; may be empty.
+    // Called when the handler of a request ends with an exception; may be empty. The request gets a response with
+    // status 500, or is aborted if a response was begun.
     std::function<void(const http_request&, const std::string& why)> onFault;
 };
 
