--- a/coltsfootbend/gateway/exchange_test.cpp
+++ b/coltsfootbend/gateway/exchange_test.cpp
@@ -787,7 +787,7 @@
         const auto now = clock_type::now();
         notices.grant(limited.id, lastSerial, now);
         EXPECT_TRUE(notices.canAcquire(limited, now));
-        EXPECT_TRUE(picker.pick({ .deployment = service, .deadline = now + 1s }, now))
+        EXPECT_TRUE(picker.pick({ .deployment = service, .deadline = now + 1s, .priority = 9 }, now))
             << "the next request waits behind one that has ended";
         server.close();
     });
