--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -103,8 +103,23 @@
         if (caller->connection)
             caller->connection->close();
     });
+    const struct releaser {
+        exchange& owner;
+        ~releaser() { owner.release(); }
+    } releasedAtEnd { *this };
     runAttempts();
+}
+
+void exchange::release()
+{
     leaveQueue();
+    cancelSecondAttempt();
+    for (const auto& server : m_inFlightAt)
+        m_context.picker.onRequestFinished(server, backend_outcome::Abandoned, std::nullopt, clock_type::now());
+    if (!m_inFlightAt.empty() && m_caller->connection)
+        m_caller->connection->close();
+    m_inFlightAt.clear();
+    m_caller->connection.reset();
 }
 
 void exchange::leaveQueue()
@@ -271,7 +286,7 @@
     if (m_caller->isDisconnected)
         return next_step::TryAgain; // `runAttempts` ends the exchange.
     if (!connection) {
-        m_context.picker.onRequestSent(server.instance(), clock_type::now());
+        countInFlight(server.instance(), clock_type::now());
         recordOutcome(picked, backend_outcome::Broken);
         logEvent(log_event::RequestFailed,
             logFields() + " backend=" + server.id.text() + " not_run=yes why=\"" + toString(connection.error()) + "\"");
@@ -304,7 +319,7 @@
     const auto& server = picked.server;
     ++m_sentCount;
     m_excludedServers.push_back(server.instance());
-    m_context.picker.onRequestSent(server.instance(), now);
+    countInFlight(server.instance(), now);
     m_takeoverPossibleSince.reset();
     logEvent(m_sentCount == 1 ? log_event::RequestSent : log_event::RequestResumed,
         logFields() + " backend=" + server.id.text() + " attempt=" + std::to_string(m_sentCount)
@@ -470,7 +485,7 @@
     const auto& head = m_secondAttempt->head();
     const auto now = clock_type::now();
     if (!m_secondAttempt->sentAt())
-        m_context.picker.onRequestSent(picked.server.instance(), now);
+        countInFlight(picked.server.instance(), now);
     const auto metadata = head ? m_context.codec.readBackend(*head) : response_metadata {};
     if (head) {
         m_context.picker.onDataReceived(picked.server.instance(), now);
@@ -849,10 +864,17 @@
     (void)m_responder.send(response);
 }
 
+void exchange::countInFlight(const backend_instance& server, time_point now)
+{
+    m_context.picker.onRequestSent(server, now);
+    m_inFlightAt.push_back(server);
+}
+
 void exchange::recordOutcome(const picked_backend& picked, backend_outcome outcome, std::optional<duration> latency)
 {
     m_context.metrics.count("attempts_total", { { "outcome", toString(outcome) } });
     m_context.picker.onRequestFinished(picked.server.instance(), outcome, latency, clock_type::now());
+    std::erase(m_inFlightAt, picked.server.instance());
 }
 
 void exchange::clearSuspicion()
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -150,6 +150,8 @@
     next_step finishRecalled(const picked_backend&);
     // Leaves the queue of requests that wait for rate-limited servers.
     void leaveQueue();
+    // Releases what the exchange still holds of the shared state. An exception may end it at any point.
+    void release();
     // Returns why no other server may be tried after a failure, or none if one may be. `mayHaveRun`: the request may
     // have run at the last server.
     std::optional<final_reason> reasonAgainstRetry(bool mayHaveRun) const;
@@ -165,6 +167,8 @@
     void sendError(int status, const error&, std::optional<duration> retryAfter = std::nullopt);
     // Ends an attempt whose caller has disconnected.
     void abandon(const picked_backend&);
+    // Counts this request as in flight at a server until `recordOutcome`.
+    void countInFlight(const backend_instance&, time_point now);
     void recordOutcome(const picked_backend&, backend_outcome, std::optional<duration> latency = std::nullopt);
     pick_request pickRequest() const;
     // Returns the priority of the next attempt; 0 comes first.
@@ -192,6 +196,7 @@
     request_fingerprint m_fingerprint;
     std::set<crash_suspect> m_suspects; // Empty until first used.
     std::optional<waiting_queue::place> m_queuePlace; // Set while it waits for rate-limited servers.
+    std::vector<backend_instance> m_inFlightAt; // The servers at which the picker counts this request as in flight.
 
     // Shared with the watcher of the caller's connection, which may outlive this exchange.
     struct caller_state {
