Connections that are refused, and exceptions that end the process, are logged

Cause: a connection beyond the limit was closed, and a failure to accept one was retried, without a line or a counter. An exception that left a fiber or a callback ended the process without a numbered event. Change: E510 and connections_refused_total; E105 before the process ends. No decision changes.

--- a/coltsfootbend/base/log_event.cpp
+++ b/coltsfootbend/base/log_event.cpp
@@ -70,6 +70,7 @@
     case log_event::SettingsRefused:
     case log_event::DeploymentRowUnreadable:
     case log_event::RequestFaulted:
+    case log_event::ProcessFaulted:
         return google::GLOG_ERROR;
     case log_event::StoreLost:
     case log_event::StoreCallFailed:
@@ -82,6 +83,7 @@
     case log_event::RequestUnknown:
     case log_event::RequestFailed:
     case log_event::AnswerIncomplete:
+    case log_event::ConnectionRefused:
     case log_event::EngineFailed:
     case log_event::OperatorRefused:
     case log_event::MapChangeFailed:
--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -62,7 +62,7 @@
                 leave();
         });
         awaitReload();
-        m_runtime.run();
+        runLogged([this] { m_runtime.run(); });
         logEvent(log_event::ProcessStopped, "vm=" + m_settings.vm.text());
         endProcess(EXIT_SUCCESS);
     }
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -128,9 +128,12 @@
         return tl::unexpected(health.error());
     m_healthListener = *health;
     observeCallers();
-    auto callers
-        = listener::open(m_runtime, { .address = gateway.callers, .tls = {}, .maxConnections = gateway.maxConnections },
-            [this](const byte_stream_ptr& stream) { serveCaller(stream); });
+    auto callers = listener::open(m_runtime,
+        { .address = gateway.callers,
+            .tls = {},
+            .maxConnections = gateway.maxConnections,
+            .onRefused = [this](const std::string& why) { onRefusedConnection(why); } },
+        [this](const byte_stream_ptr& stream) { serveCaller(stream); });
     if (!callers)
         return tl::unexpected(callers.error());
     m_callerListener = *callers;
@@ -143,6 +146,13 @@
     logEvent(log_event::AnswerIncomplete, "cause=" + cause + " " + details);
 }
 
+void gateway_service::onRefusedConnection(const std::string& why)
+{
+    m_metrics->count("connections_refused_total");
+    logEvent(log_event::ConnectionRefused,
+        "why=\"" + why + "\" connections=" + std::to_string(m_callerListener ? m_callerListener->connections() : 0));
+}
+
 void gateway_service::observeCallers()
 {
     m_serverOptions.onIncomplete = [this](incomplete_response reason, const std::string& why) {
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -44,6 +44,7 @@
     // Log and count what ends a caller's connection without a complete response.
     void observeCallers();
     void onIncompleteAnswer(const std::string& cause, const std::string& details);
+    void onRefusedConnection(const std::string& why);
     // Responds to requests for readiness and metrics.
     void serveHealth(const http_request&, http_responder&) const;
     // Subscribes to the load of the used engines, and reports to their agents what this gateway knows of the
--- a/coltsfootbend/net/byte_stream.cpp
+++ b/coltsfootbend/net/byte_stream.cpp
@@ -283,8 +283,10 @@
         tcp::socket socket(m_runtime.io());
         if (const auto done = m_acceptor.async_accept(socket, useFiber); !done) {
             // The process may be out of file descriptors: back off, because an immediate retry would spin.
-            if (m_acceptor.is_open())
+            if (m_acceptor.is_open()) {
+                reportRefused(done.error().message());
                 m_runtime.sleepFor(std::chrono::milliseconds(20));
+            }
             continue;
         }
         admit(std::move(socket));
@@ -293,8 +295,10 @@
 
 void listener::admit(tcp::socket socket)
 {
-    if (m_connections >= m_options.maxConnections)
+    if (m_connections >= m_options.maxConnections) {
+        reportRefused("too many connections");
         return; // The socket closes, and the client's load balancer tries another VM.
+    }
     ++m_connections;
     auto shared = std::make_shared<tcp::socket>(std::move(socket));
     m_runtime.spawn([self = shared_from_this(), shared] {
@@ -305,6 +309,12 @@
     });
 }
 
+void listener::reportRefused(const std::string& why) const
+{
+    if (m_options.onRefused)
+        m_options.onRefused(why);
+}
+
 void listener::close()
 {
     boost::system::error_code ignored;
--- a/coltsfootbend/net/byte_stream.h
+++ b/coltsfootbend/net/byte_stream.h
@@ -131,6 +131,9 @@
         // Called for each connection, so that new connections use a reloaded certificate; none for plain TCP.
         std::function<tls_context()> tls;
         std::size_t maxConnections = 4096;
+        // Called for each connection that is closed because there are too many, and after each failure to accept one;
+        // may be empty.
+        std::function<void(const std::string& why)> onRefused = {};
     };
 
     // Starts to listen. Fails with `Unavailable` when the address cannot be bound.
@@ -153,6 +156,7 @@
     void acceptLoop();
     // Serves a connection on a fiber of its own, unless there are too many.
     void admit(boost::asio::ip::tcp::socket);
+    void reportRefused(const std::string& why) const;
 
     fiber_runtime& m_runtime;
     const options m_options;
--- a/coltsfootbend/net/closing_connections_test.cpp
+++ b/coltsfootbend/net/closing_connections_test.cpp
@@ -7,7 +7,10 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
+#include <stdexcept>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace coltsfootbend {
 namespace {
@@ -192,5 +195,32 @@
     });
 }
 
+TEST(ClosingConnections, AConnectionBeyondTheLimitIsReported)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        std::vector<std::string> refused;
+        const auto opened = listener::open(runtime,
+            { .address = { "127.0.0.1", 0 },
+                .tls = {},
+                .maxConnections = 1,
+                .onRefused = [&](const std::string& why) { refused.push_back(why); } },
+            [](const byte_stream_ptr& stream) { (void)stream->waitForClose(); });
+        ASSERT_TRUE(opened);
+        {
+            const blocking_client first(**opened);
+            const blocking_client second(**opened);
+            runtime.sleepFor(50ms);
+            EXPECT_EQ(refused, std::vector<std::string> { "too many connections" });
+        }
+        (*opened)->close();
+    });
+}
+
+TEST(FiberRuntimeDeathTest, AnExceptionThatLeavesAFiberIsLoggedBeforeTheProcessEnds)
+{
+    testing::FLAGS_gtest_death_test_style = "threadsafe";
+    EXPECT_DEATH(onRuntime([](fiber_runtime&) { throw std::out_of_range("no such budget"); }), "E105 .*no such budget");
+}
+
 } // namespace
 } // namespace coltsfootbend
--- a/coltsfootbend/net/fiber_runtime.cpp
+++ b/coltsfootbend/net/fiber_runtime.cpp
@@ -1,5 +1,6 @@
 #include "coltsfootbend/net/fiber_runtime.h"
 
+#include "coltsfootbend/base/log_event.h"
 #include "coltsfootbend/net/use_fiber.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -16,6 +17,17 @@
 
 } // namespace
 
+void runLogged(const std::function<void()>& work)
+{
+    try {
+        work();
+    } catch (const std::exception& fault) {
+        logEvent(log_event::ProcessFaulted, "why=\"" + std::string(fault.what()) + "\"");
+        stopLog();
+        throw;
+    }
+}
+
 // Round-robin scheduler that counts the ready fibers other than the dispatcher. The main loop blocks on I/O when there
 // are none.
 class fiber_runtime::scheduler : public boost::fibers::algo::round_robin {
@@ -56,7 +68,7 @@
     ++m_fibers;
     boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, boost::fibers::fixedsize_stack(stackBytes),
         [this, work = std::move(work)] {
-            work();
+            runLogged(work);
             --m_fibers;
         })
         .detach();
--- a/coltsfootbend/net/fiber_runtime.h
+++ b/coltsfootbend/net/fiber_runtime.h
@@ -32,7 +32,7 @@
 
     boost::asio::io_context& io() { return m_io; }
 
-    // Schedules a new fiber that runs `work`. `work` must not throw.
+    // Schedules a new fiber that runs `work`. `work` must not throw: an exception is logged and ends the process.
     void spawn(std::function<void()> work);
 
     // Blocks the calling fiber, but not the thread.
@@ -58,4 +58,7 @@
     std::size_t m_fibers = 0;
 };
 
+// Runs `work`. Logs an exception that leaves it, and throws it on: it ends the process.
+void runLogged(const std::function<void()>& work);
+
 } // namespace coltsfootbend
