A stream returns to the silent server that it left if the next one breaks off

What callers saw: started streams cut although attempts were left and a sound server was there. Cause: the server that a stream had left for its silence stayed excluded, so no server was left when the second one broke off. Evidence: the model of exchanges with pausing servers cuts 4 of its 600 cases in this way. Change: a server that was only silent is not excluded.

--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -544,6 +544,7 @@
             + "\" moved_to=" + m_secondAttempt->picked().server.id.text());
     m_events.dropPartialEvent();
     m_mayHaveRun = true;
+    std::erase(m_excludedServers, silent.server.instance()); // It is sound and may take the request again.
     return adoptSecondAttempt();
 }
 
