A reload that is requested while a process starts does not end it

What callers saw: a gateway that was just started ended by SIGHUP, with the requests that it had begun to accept.

--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -265,6 +265,8 @@
 int main(int argc, char** argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    // A reload that is requested during the start does not end the process; the settings are read after this.
+    std::signal(SIGHUP, SIG_IGN);
     try {
         return coltsfootbend::runDaemon(argc, argv);
     } catch (const std::exception& exception) {
