--- a/review/standins/standins.hh
+++ b/review/standins/standins.hh
@@ -19,6 +19,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
