Review: scripts end what they started also when they are stopped

Cause: run.sh left its program and the gateway running when it was stopped halfway, seen with TERM and KILL.

--- a/review/standins/standins.hh
+++ b/review/standins/standins.hh
@@ -47,6 +47,15 @@
 inline double seconds() { return std::chrono::duration<double>(steady::now() - startedAt).count(); }
 inline void sleepMs(int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
 
+// Ends this process when its parent ends, and after `limitSeconds` in any case. The processes that it starts end with it.
+inline void endWithParent(unsigned limitSeconds)
+{
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() == 1)
+        std::_Exit(exitNotRun);
+    alarm(limitSeconds);
+}
+
 // Writes lines with the time in seconds to the case's record, and to standard output.
 class record {
 public:
@@ -377,10 +386,13 @@
 
     void start()
     {
+        const pid_t parent = getpid();
         m_pid = fork();
         if (m_pid != 0)
             return;
         prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (getppid() != parent)
+            _exit(127);
         const int log = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(log, 1);
         dup2(log, 2);
