Requests that a gateway gives up are withdrawn from their servers

Cause: a connection with a pending request was closed in order, by shutdown and close. The kernel then still delivers the whole request, and the end of the connection after it.

Change: backend_connection::close resets the connection from the start of `send` until the response is complete, so all ways of giving up have it: callers that leave, deadlines, takeovers, second attempts that are not needed, recalls, exceptions. The destructor closes in the same way. A connection that is idle or whose response is complete is closed in order, because a server may read the rest of a long body after its answer.

After a reset a server of the real kernel reads what lay in its receive buffer and then an error.

--- a/coltsfootbend/gateway/backend_connection.cpp
+++ b/coltsfootbend/gateway/backend_connection.cpp
@@ -1,5 +1,7 @@
 #include "coltsfootbend/gateway/backend_connection.h"
 
+#include "coltsfootbend/net/connection_reset.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/beast/http/read.hpp>
@@ -55,6 +57,7 @@
 {
     const auto message = toBeast(request);
     m_method = request.method;
+    m_hasMatchingHead = false;
     ++m_requestCount;
     m_stream->setDeadline(deadline);
     boost::system::error_code code;
@@ -93,8 +96,10 @@
             ++interimResponses; // An interim (1xx) response has no body, and the final response follows.
             continue;
         }
-        if (matchesRequest(*head))
+        if (matchesRequest(*head)) {
+            m_hasMatchingHead = true;
             return head;
+        }
         ++staleAnswers;
         if (const auto skipped = skipBody(deadline); !skipped)
             return tl::unexpected(skipped.error());
@@ -137,6 +142,16 @@
     return std::optional<std::string>();
 }
 
+// After an orderly close the kernel still delivers the whole request: a server that was suspended, or is reached again
+// after a network partition, would then run a request that its caller has given up.
+void backend_connection::close()
+{
+    if (isAwaitingResponse())
+        resetConnection(*m_stream);
+    else
+        m_stream->close();
+}
+
 bool backend_connection::isReusable() const
 {
     return m_parser && m_parser->is_done() && m_parser->get().keep_alive() && !m_parser->need_eof()
--- a/coltsfootbend/gateway/backend_connection.h
+++ b/coltsfootbend/gateway/backend_connection.h
@@ -31,6 +31,9 @@
         : m_stream(std::move(stream))
     {
     }
+    ~backend_connection() { close(); }
+    backend_connection(const backend_connection&) = delete;
+    backend_connection& operator=(const backend_connection&) = delete;
 
     // Sends a request. Fails with `TimedOut` at `deadline` and with `Lost` when the connection breaks; in both cases
     // the server may have received part of the request.
@@ -52,8 +55,10 @@
     bool endsWithConnection() const { return m_parser && m_parser->need_eof(); }
     // Returns true while an idle connection is open and the server has sent nothing on it.
     bool isOpenAndIdle() const { return m_buffer.size() == 0 && m_stream->isOpenAndIdle(); }
-    // Closes the connection. A call that is in progress in another fiber fails.
-    void close() { m_stream->close(); }
+    // Ends the connection. Resets it if a request on it has no complete response, so that a server that has not read
+    // the request yet does not run it later; else closes it in order. A call that is in progress in another fiber
+    // fails.
+    void close();
 
     // Returns the number of requests that were sent on this connection.
     std::uint32_t requestCount() const { return m_requestCount; }
@@ -61,6 +66,8 @@
 private:
     using response_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    // Returns true from the start of `send` until the response to that request is complete.
+    bool isAwaitingResponse() const { return m_requestCount > 0 && !(m_hasMatchingHead && m_parser->is_done()); }
     result<http_head> readOneHead(time_point deadline);
     // Drops the body of the current response. Fails like `readHead`, and with `BadInput` if it is too long.
     result<void> skipBody(time_point deadline);
@@ -71,6 +78,7 @@
     std::optional<response_parser> m_parser;
     std::string m_method;
     std::uint32_t m_requestCount = 0;
+    bool m_hasMatchingHead = false; // The head of the response to the last request has arrived.
 };
 
 using backend_connection_ptr = std::shared_ptr<backend_connection>;
--- a/coltsfootbend/gateway/exchange_test_support.h
+++ b/coltsfootbend/gateway/exchange_test_support.h
@@ -163,15 +163,24 @@
     }
 
     void configure(const route& onlyRoute, const std::vector<scripted_server*>& servers)
+    {
+        std::vector<endpoint> addresses;
+        for (const auto* server : servers)
+            addresses.push_back(server->address());
+        configureAddresses(onlyRoute, addresses);
+    }
+
+    // Registers the servers at the addresses as "b0", "b1" and so on.
+    void configureAddresses(const route& onlyRoute, const std::vector<endpoint>& addresses)
     {
         catalogue::contents contents;
         contents.routes = { onlyRoute };
         contents.deployments = { { service, "", 0, std::nullopt } };
         context->catalogue = std::make_shared<const catalogue>(std::move(contents));
         std::map<backend_id, backend_server> registered;
-        for (std::size_t i = 0; i < servers.size(); ++i) {
+        for (std::size_t i = 0; i < addresses.size(); ++i) {
             const backend_id id("b" + std::to_string(i));
-            registered[id] = { id, service, servers[i]->address(), {}, 4, false };
+            registered[id] = { id, service, addresses[i], {}, 4, false };
         }
         context->picker.setServers(registered, *context->catalogue);
     }
