Calls and orders that are given up do not take effect later

An h2 connection that a peer drops was closed in order too. An accepted h2 stream still returned the bytes of a request after its peer had reset it: an agent that stood still read order and reset in one batch and carried out an order that its leader had given up.

Change: http_client resets the connection of a call that fails; h2_connection resets the connection if this side has open streams of its own; `receive` on an accepted stream fails once the stream is broken. The peer that opened a stream still gets all bytes that arrived, as they may be a complete answer.

--- a/coltsfootbend/net/h2.cpp
+++ b/coltsfootbend/net/h2.cpp
@@ -1,5 +1,7 @@
 #include "coltsfootbend/net/h2.h"
 
+#include "coltsfootbend/net/connection_reset.h"
+
 #include <algorithm>
 #include <array>
 #include <nghttp2/nghttp2.h>
@@ -65,7 +67,8 @@
 
     static void acceptStream(h2_connection& connection, nghttp2_session* session, std::int32_t id)
     {
-        const auto stream = std::make_shared<h2_stream>(connection.m_runtime, connection.weak_from_this(), id);
+        const auto stream = std::make_shared<h2_stream>(
+            connection.m_runtime, connection.weak_from_this(), id, h2_stream::role::Accepted);
         connection.m_streams[id] = stream;
         const auto status = header(":status", "200");
         const auto provider = dataProvider();
@@ -251,13 +254,22 @@
     if (m_closed)
         return;
     m_closed = true;
-    m_stream->close();
+    if (hasOpenedStream())
+        resetConnection(*m_stream);
+    else
+        m_stream->close();
     for (const auto& [id, stream] : m_streams)
         breakStream(*stream);
     m_streams.clear();
     wakeWriter();
 }
 
+bool h2_connection::hasOpenedStream() const
+{
+    return std::any_of(m_streams.begin(), m_streams.end(),
+        [](const auto& entry) { return entry.second->m_role == h2_stream::role::Opened; });
+}
+
 void h2_connection::close() { fail(); }
 
 h2_stream_ptr h2_connection::find(std::int32_t id) const
@@ -284,7 +296,7 @@
         : nghttp2_submit_request(native(m_session.get()), nullptr, headers.data(), headers.size(), &provider, nullptr);
     if (id < 0)
         return coltsfootbend::fail(error_kind::Unavailable, "the connection is closing", "Connect again");
-    auto stream = std::make_shared<h2_stream>(m_runtime, weak_from_this(), id);
+    auto stream = std::make_shared<h2_stream>(m_runtime, weak_from_this(), id, h2_stream::role::Opened);
     m_streams[id] = stream;
     wakeWriter();
     return stream;
@@ -312,7 +324,8 @@
         if (!m_incomingSignal.waitUntil(deadline))
             break;
     }
-    if (!m_incoming.empty()) {
+    const bool isGivenUp = m_broken && m_role == role::Accepted;
+    if (!m_incoming.empty() && !isGivenUp) {
         auto bytes = std::exchange(m_incoming, {});
         if (const auto connection = m_connection.lock())
             connection->consumed(m_id, bytes.size());
--- a/coltsfootbend/net/h2.h
+++ b/coltsfootbend/net/h2.h
@@ -29,9 +29,13 @@
 // A bidirectional stream. It ends when both peers have ended it, when either peer resets it, or with its connection.
 class h2_stream {
 public:
-    h2_stream(fiber_runtime& runtime, std::weak_ptr<h2_connection> connection, std::int32_t id)
+    // The peer that opens a stream sends a request on it, and the one that accepts it answers.
+    enum class role { Opened, Accepted };
+
+    h2_stream(fiber_runtime& runtime, std::weak_ptr<h2_connection> connection, std::int32_t id, role role)
         : m_connection(std::move(connection))
         , m_id(id)
+        , m_role(role)
         , m_incomingSignal(runtime)
     {
     }
@@ -41,7 +45,8 @@
     result<void> send(std::string_view bytes, bool last);
 
     // Returns the next bytes, or none when the peer has ended its direction. Fails with `Lost` when the stream is
-    // broken and with `TimedOut` at `deadline`.
+    // broken and with `TimedOut` at `deadline`. Bytes that arrived before the stream broke are still returned to the
+    // peer that opened it, as they may be a complete answer; to the other one they are a request that was given up.
     result<std::optional<std::string>> receive(time_point deadline);
 
     // Resets the stream in both directions.
@@ -52,6 +57,7 @@
 
     std::weak_ptr<h2_connection> m_connection;
     const std::int32_t m_id;
+    const role m_role;
     std::string m_outgoing;
     bool m_outgoingEnded = false;
     std::string m_incoming;
@@ -85,6 +91,8 @@
     result<h2_stream_ptr> open(const std::string& path);
 
     bool isOpen() const { return !m_closed; }
+    // Ends the connection and breaks its streams. Resets it if this side has opened one of them, so that the peer does
+    // not serve it later.
     void close();
     std::size_t streams() const { return m_streams.size(); }
     // Returns the number of bytes sent and received on this connection, including framing.
@@ -103,6 +111,7 @@
     void writeLoop();
     void wakeWriter();
     void fail();
+    bool hasOpenedStream() const;
     void breakStream(h2_stream&);
     void consumed(std::int32_t stream, std::size_t bytes);
     h2_stream_ptr find(std::int32_t) const;
--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -459,6 +459,8 @@
     auto& idle = m_idle[address];
     if (idle.size() < m_options.maxIdlePerEndpoint)
         idle.push_back(std::move(stream));
+    else
+        stream->close();
 }
 
 result<http_response> http_client::send(
@@ -492,13 +494,18 @@
         return tl::unexpected(connection.error());
     (*connection)->setDeadline(deadline);
     if (call)
-        call->attach([stream = *connection] { stream->close(); });
+        call->attach([stream = *connection] { resetConnection(*stream); });
     bool keepsAlive = false;
     auto done = exchange(**connection, address, request, streaming, keepsAlive);
     if (call)
         call->detach();
-    if (done && keepsAlive)
+    // A call that was given up must not take effect later, when a server that was suspended reads it.
+    if (!done)
+        resetConnection(**connection);
+    else if (keepsAlive)
         keep(address, *connection);
+    else
+        (*connection)->close();
     // When a reused connection is unresponsive, the other idle connections to this server may be as well: drop them.
     const bool wasUnresponsive = clock_type::now() >= deadline || (call && call->isCancelled());
     if (!done && reused && wasUnresponsive)
@@ -534,10 +541,8 @@
         if (code)
             return tl::unexpected(lost(address, code));
         const auto got = bytes.size() - parser.get().body().size;
-        if (got > 0 && !streaming.onBytes({ bytes.data(), got })) {
-            stream.close();
+        if (got > 0 && !streaming.onBytes({ bytes.data(), got }))
             return fail(error_kind::Lost, "cancelled", "Ask again if the answer is still wanted");
-        }
     }
     keepsAlive = parser.get().keep_alive();
     return {};
