Connections of a client that ends without closing them are reset

A process that is killed, or that leaves when its drain limit has passed, does not close the connections of its pending requests; the kernel does, in order, so requests that nobody waits for still reached servers.

Change: connectTcp sets SO_LINGER with no time on each connection, and `close` turns it off. Set by setsockopt, because Asio's destructor of a socket would turn the option off again. One more system call a connection, and one more when it is closed in order.

--- a/coltsfootbend/net/byte_stream.cpp
+++ b/coltsfootbend/net/byte_stream.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/ssl/ssl_stream.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace coltsfootbend {
@@ -42,13 +43,14 @@
     set(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedLimitMs);
 }
 
-// The common part of plain TCP and TLS streams. `Stream` is the layer that bytes are read from and written to.
 // A stream whose connection can be reset.
 class resettable_stream : public byte_stream {
 public:
     virtual void reset() = 0;
+    virtual void resetUnlessClosed() = 0;
 };
 
+// The common part of plain TCP and TLS streams. `Stream` is the layer that bytes are read from and written to.
 template <typename Stream> class stream_base : public resettable_stream {
 public:
     template <typename... Args>
@@ -99,18 +101,26 @@
         socket().cancel(ignored);
     }
 
+    // Makes the kernel reset the connection unless `close` is called: also when the process ends, however it ends.
+    void resetUnlessClosed() override
+    {
+        m_isResetUnlessClosed = true;
+        setLinger(true);
+    }
+
     void close() override
     {
+        if (std::exchange(m_isResetUnlessClosed, false))
+            setLinger(false);
         boost::system::error_code ignored;
         socket().shutdown(tcp::socket::shutdown_both, ignored);
         socket().close(ignored);
     }
 
-    // A socket that lingers for no time is reset when it is closed.
     void reset() override
     {
+        setLinger(true);
         boost::system::error_code ignored;
-        socket().set_option(asio::socket_base::linger(true, 0), ignored);
         socket().close(ignored);
     }
 
@@ -128,10 +138,21 @@
         return code || got == 0 ? peek_result::Closed : peek_result::Bytes;
     }
 
+    // A socket that lingers for no time is reset when it is closed. The option is not set through Asio, because Asio's
+    // destructor of a socket would then turn it off.
+    void setLinger(bool isReset)
+    {
+        const ::linger option { .l_onoff = isReset ? 1 : 0, .l_linger = 0 };
+        (void)::setsockopt(socket().native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
+    }
+
     beast::tcp_stream& lowest() { return beast::get_lowest_layer(m_stream); }
     tcp::socket& socket() { return lowest().socket(); }
 
     Stream m_stream;
+
+private:
+    bool m_isResetUnlessClosed = false;
 };
 
 using tcp_byte_stream = stream_base<beast::tcp_stream>;
@@ -170,17 +191,26 @@
     tls_context m_context;
 };
 
+// What this side has sent as a client is a request. It is withdrawn if the stream is not closed in order.
+template <typename Stream> byte_stream_ptr finishWrapping(std::shared_ptr<Stream> stream, bool isClient)
+{
+    if (isClient)
+        stream->resetUnlessClosed();
+    return stream;
+}
+
 io_result<byte_stream_ptr> wrap(tcp::socket socket, const tls_context& tls, asio::ssl::stream_base::handshake_type type)
 {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     enableKeepAliveProbes(socket);
+    const bool isClient = type == asio::ssl::stream_base::client;
     if (!tls)
-        return std::make_shared<tcp_byte_stream>(std::move(socket));
+        return finishWrapping(std::make_shared<tcp_byte_stream>(std::move(socket)), isClient);
     auto stream = std::make_shared<tls_byte_stream>(std::move(socket), tls);
     if (auto done = stream->handshake(type); !done)
         return tl::unexpected(done.error());
-    return stream;
+    return finishWrapping(std::move(stream), isClient);
 }
 
 error unavailable(const endpoint& address, const std::string& what)
--- a/coltsfootbend/net/byte_stream.h
+++ b/coltsfootbend/net/byte_stream.h
@@ -62,6 +62,8 @@
     virtual bool waitForClose() = 0;
     // Ends a `waitForClose` or `readSomeUntil` in progress.
     virtual void cancelWait() = 0;
+    // Closes the connection in order: the peer receives all bytes that were written before. `connection_reset.h` has
+    // the other way.
     virtual void close() = 0;
     // Returns whether the peer has neither closed the connection nor sent any unread bytes. Does not block.
     virtual bool isOpenAndIdle() = 0;
@@ -118,7 +120,8 @@
 
 using byte_stream_ptr = std::shared_ptr<byte_stream>;
 
-// Connects by `deadline`, with TLS when `tls` is given. Fails with `Unavailable`.
+// Connects by `deadline`, with TLS when `tls` is given. Fails with `Unavailable`. The connection is reset if the
+// process ends, or the stream is destroyed, without a call of `close`.
 result<byte_stream_ptr> connectTcp(fiber_runtime&, const endpoint&, time_point deadline, const tls_context& tls = {});
 
 // Listens on one address and passes each connection to `handler` on a separate fiber.
--- a/coltsfootbend/net/connection_reset_test.cpp
+++ b/coltsfootbend/net/connection_reset_test.cpp
@@ -1,6 +1,7 @@
 #include "coltsfootbend/net/connection_reset.h"
 
 #include "coltsfootbend/net/http.h"
+#include "coltsfootbend/net/paused_server.h"
 #include "coltsfootbend/net/port_probe.h"
 
 #include <boost/asio/error.hpp>
@@ -53,6 +54,36 @@
         });
 }
 
+// Guards against requests of a process that was killed, or whose drain limit has passed, that reach a server which
+// stood still: the kernel then ends the connection, and no code of the process runs.
+TEST(ConnectionReset, AClientConnectionThatNobodyClosedIsReset)
+{
+    paused_server server;
+    withListener([](fiber_runtime&, const byte_stream_ptr&) {},
+        [&](fiber_runtime& runtime, const endpoint&) {
+            const std::string request(20'000, 'r');
+            const auto stream = *connectTcp(runtime, server.address(), soon());
+            ASSERT_TRUE(stream->writeAll(request));
+        });
+    const auto received = server.resume();
+    EXPECT_TRUE(received.wasReset);
+    EXPECT_LT(received.bytes.size(), 20'000U);
+}
+
+TEST(ConnectionReset, AClientConnectionThatIsClosedEndsInOrder)
+{
+    paused_server server;
+    withListener([](fiber_runtime&, const byte_stream_ptr&) {},
+        [&](fiber_runtime& runtime, const endpoint&) {
+            const auto stream = *connectTcp(runtime, server.address(), soon());
+            ASSERT_TRUE(stream->writeAll(std::string(20'000, 'r')));
+            stream->close();
+        });
+    const auto received = server.resume();
+    EXPECT_TRUE(received.hasEnded);
+    EXPECT_EQ(received.bytes.size(), 20'000U);
+}
+
 // Guards against a stream that looks complete to a caller whose protocol version has no chunks, although it broke off.
 TEST(ConnectionReset, ABrokenResponseWithoutChunksIsReset)
 {
