A server that stands still gets no new requests

Cause: two parts of backend_picker. A load report older than 1.5 s is not used, so the server counted with this gateway's own requests only, which made it look like the emptiest of all. And silence counted only while requests were in flight: once the callers that waited had left, the server looked sound again.

Change: a server that has sent nothing, and whose agent on the same VM has reported nothing, for twice the usual interval and at least 0.5 s gets no new requests while another one can take them. After 4 s it is used again: the registration of a server that is lost has lapsed by then, so only the agent is. If all agents are silent, nothing changes. A caller that leaves a silent server marks it as a request that moves away from it does.

Measured: backend_picker_test.SilenceCountsAfterTheCallersHaveLeft and stopped_reports_test.TheServerGetsNoNewRequests failed before and pass now.

--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds reportSettleTime { 300 };
 // Interval at which all gateways together send a probing request to a stalled group that has no work.
 constexpr std::chrono::milliseconds probeInterval { 30 };
+// Number of usual report intervals without a report after which the reports have stopped.
+constexpr int reportPauseFactor = 2;
 // Part of the slots that returning callers, which were refused before, may fill; the rest is reserved for new ones.
 constexpr double maxReturningSlotShare = 0.8;
 
@@ -95,6 +97,9 @@
             state.reportedColdUntil = now + m_deployments[state.server.deployment].coldTime;
         state.report = report;
         state.reportedAt = now;
+        if (state.agentReportedAt != time_point {})
+            state.reportInterval = now - state.agentReportedAt;
+        state.agentReportedAt = now;
         std::erase_if(state.unreportedSentAt, [&](time_point sent) { return sent + reportLag < now; });
         const auto unreported = std::min<std::size_t>(state.unreportedSentAt.size(), state.inFlight);
         m_deployments[state.server.deployment].share.record(
@@ -139,8 +144,12 @@
 
 bool backend_picker::isAvoided(const backend_state& state, time_point now) const
 {
-    if (now < state.ejectedUntil || now < state.avoidedUntil)
-        return true;
+    return now < state.ejectedUntil || now < state.avoidedUntil || isSilent(state, now)
+        || hasStoppedReporting(state, now);
+}
+
+bool backend_picker::isSilent(const backend_state& state, time_point now) const
+{
     const auto silence = silenceOf(state, now);
     if (silence < m_options.silenceLimit)
         return false;
@@ -149,6 +158,17 @@
     return deployment == m_deployments.end() || silence >= 2 * predictFirstEvent(state, deployment->second, now);
 }
 
+// A server whose VM is suspended gets no reports across, so its load seems to fall to what this gateway itself sends:
+// it would look like the emptiest server of all.
+bool backend_picker::hasStoppedReporting(const backend_state& state, time_point now) const
+{
+    if (state.agentReportedAt == time_point {})
+        return false;
+    const duration pause = now - std::max(state.agentReportedAt, state.lastDataAt);
+    const auto limit = std::max(m_options.silenceLimit, reportPauseFactor * state.reportInterval);
+    return pause >= limit && pause < m_options.maxReportPause;
+}
+
 bool backend_picker::mayTakeOver(const backend_state& state, const pick_request& request, time_point now) const
 {
     if (!request.silentSince)
@@ -470,18 +490,22 @@
     if (!found)
         return;
     auto& state = *found;
+    const bool wasSilent = isSilent(state, now);
     if (state.inFlight > 0)
         --state.inFlight;
     if (outcome == backend_outcome::Replaced)
         state.replacedUntil = now + m_options.maxReplacedTime;
     // While its group makes no passes, no rank can answer, so a failure does not indicate a fault of this server.
-    if (outcome == backend_outcome::Abandoned || isGroupKnownClosed(state, now))
+    if (isGroupKnownClosed(state, now))
         return;
-    // Silence is no fault: sound servers pause. It only counts until the server sends something.
-    if (outcome == backend_outcome::Unresponsive) {
+    // Silence is no fault: sound servers pause. It only counts until the server sends something, also after the callers
+    // that waited have left.
+    if (outcome == backend_outcome::Unresponsive || (outcome == backend_outcome::Abandoned && wasSilent)) {
         state.avoidedUntil = now + backoffAfter(++state.consecutiveMoves);
         return;
     }
+    if (outcome == backend_outcome::Abandoned)
+        return;
     const bool isFailure = outcome == backend_outcome::Broken || outcome == backend_outcome::Failed;
     state.failureRate += m_options.smoothingFactor * ((isFailure ? 1 : 0) - state.failureRate);
     if (outcome == backend_outcome::Broken) {
--- a/coltsfootbend/gateway/backend_picker_test.cpp
+++ b/coltsfootbend/gateway/backend_picker_test.cpp
@@ -426,6 +426,117 @@
     EXPECT_EQ(picked->server.id, idOf(3));
 }
 
+// Guards against a suspended server that gets the requests of all callers, because it looks idle once no caller waits
+// for it any more.
+TEST_F(backend_picker_test, SilenceCountsAfterTheCallersHaveLeft)
+{
+    use(plain, 2);
+    const backend_instance silent { idOf(1), {} };
+    m_picker.onRequestSent(silent, m_now);
+    m_now += 2s;
+    m_picker.onRequestFinished(silent, backend_outcome::Abandoned, std::nullopt, m_now);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(m_picker.pick(request(plain), m_now)->server.id, idOf(2));
+}
+
+TEST_F(backend_picker_test, ACallerThatLeavesEarlyDoesNotCountAgainstTheServer)
+{
+    use(plain, 1);
+    const backend_instance server { idOf(1), {} };
+    m_picker.onRequestSent(server, m_now);
+    m_now += 300ms;
+    m_picker.onRequestFinished(server, backend_outcome::Abandoned, std::nullopt, m_now);
+    use(plain, 2);
+    std::set<backend_id> used;
+    for (int i = 0; i < 40; ++i)
+        used.insert(m_picker.pick(request(plain), m_now)->server.id);
+    EXPECT_EQ(used.size(), 2U);
+}
+
+// The servers of a deployment with engines, of which the first one stops to report.
+class stopped_reports_test : public backend_picker_test {
+protected:
+    stopped_reports_test()
+    {
+        use(llm, 3);
+        reportAll(2, 0);
+    }
+
+    // Lets `length` pass, in which all servers but the first one report.
+    void passWithoutReportsOfTheFirst(duration length)
+    {
+        const auto end = m_now + length;
+        while (m_now < end) {
+            m_now += 100ms;
+            for (int i = 2; i <= 3; ++i)
+                report(i);
+        }
+    }
+
+    void report(int server)
+    {
+        m_picker.receiveReport(addressOf(server),
+            { .running = 2, .waiting = 0, .pace = 1, .group = "g", .epoch = 1, .step = ++m_step, .isOpen = true },
+            m_now);
+    }
+
+    std::set<backend_id> chosen()
+    {
+        std::set<backend_id> servers;
+        for (int i = 0; i < 60; ++i)
+            servers.insert(m_picker.pick(request(llm), m_now)->server.id);
+        return servers;
+    }
+};
+
+// Guards against a suspended VM whose server looks emptier than all others, because the load that it reported is no
+// longer used.
+TEST_F(stopped_reports_test, TheServerGetsNoNewRequests)
+{
+    for (int tenth = 6; tenth <= 38; ++tenth) {
+        passWithoutReportsOfTheFirst(tenth == 6 ? 600ms : 100ms);
+        EXPECT_FALSE(chosen().contains(idOf(1))) << tenth << " tenths of a second after the last report";
+    }
+}
+
+TEST_F(stopped_reports_test, TheServerIsUsedOnceItReportsAgain)
+{
+    passWithoutReportsOfTheFirst(2s);
+    report(1);
+    EXPECT_TRUE(chosen().contains(idOf(1)));
+}
+
+TEST_F(stopped_reports_test, TheServerIsUsedWhileItSends)
+{
+    passWithoutReportsOfTheFirst(2s);
+    m_picker.onDataReceived({ idOf(1), {} }, m_now);
+    EXPECT_TRUE(chosen().contains(idOf(1)));
+}
+
+// Its registration would have lapsed if the server were lost, so only its agent is.
+TEST_F(stopped_reports_test, TheServerIsUsedAgainAfterAWhile)
+{
+    passWithoutReportsOfTheFirst(4100ms);
+    EXPECT_TRUE(chosen().contains(idOf(1)));
+}
+
+// This gateway was suspended itself, or is cut off from all agents.
+TEST_F(stopped_reports_test, AllServersAreUsedIfNoneReports)
+{
+    m_now += 2s;
+    EXPECT_EQ(chosen().size(), 3U);
+}
+
+TEST_F(stopped_reports_test, AServerThatReportsRarelyIsUsed)
+{
+    for (int i = 0; i < 4; ++i) {
+        passWithoutReportsOfTheFirst(600ms);
+        report(1);
+    }
+    passWithoutReportsOfTheFirst(900ms);
+    EXPECT_TRUE(chosen().contains(idOf(1)));
+}
+
 TEST_F(backend_picker_test, ServerIsChosenEvenIfAllAreEjected)
 {
     use(plain, 2);
