Callers that read slowly are not reset

Cause: TCP_USER_TIMEOUT of 3 s on callers' connections also counts the time for which the receive window of a caller is closed, although the caller acknowledges every probe. Evidence: the new test's caller, whose window is closed for 4.5 s, gets "connection reset by peer" after 12,288 of 500,000 bytes.

Change: accepted connections have 10 s, the limit of a write to a caller; connections that a process opens keep 3 s. A caller behind a partition is noticed later while bytes are on their way to it; idle connections are probed as before.

--- a/coltsfootbend/net/byte_stream.cpp
+++ b/coltsfootbend/net/byte_stream.cpp
@@ -23,14 +23,19 @@
 
 constexpr std::chrono::seconds tlsHandshakeLimit { 5 };
 
-// A peer behind a network partition sends nothing, not even a reset. These probes close its connections within three
-// seconds, which is shorter than the time that callers and backend servers wait for each other.
+// A peer behind a network partition sends nothing, not even a reset. These probes close its idle connections within
+// three seconds, which is shorter than the time that callers and backend servers wait for each other.
 constexpr int keepAliveIdleSeconds = 1;
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
-constexpr int unacknowledgedLimitMs = 3000;
-
-void enableKeepAliveProbes(tcp::socket& socket)
+// Limits for bytes that the peer does not acknowledge. The kernel also counts the time for which the peer's receive
+// window is closed, although the peer acknowledges its probes. A caller may read slowly, and its window opens again
+// only when a good part of its buffer is free, so what was accepted from callers has the longer limit: that of a write
+// to a caller (`http_server_options::writeLimit`).
+constexpr int connectedUnacknowledgedLimitMs = 3000;
+constexpr int acceptedUnacknowledgedLimitMs = 10'000;
+
+void enableKeepAliveProbes(tcp::socket& socket, int unacknowledgedLimitMs)
 {
     const auto set = [&](int level, int name, int value) {
         // Best effort: without the probes, a broken connection is detected later, at its deadline.
@@ -203,8 +208,8 @@
 {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    enableKeepAliveProbes(socket);
     const bool isClient = type == asio::ssl::stream_base::client;
+    enableKeepAliveProbes(socket, isClient ? connectedUnacknowledgedLimitMs : acceptedUnacknowledgedLimitMs);
     if (!tls)
         return finishWrapping(std::make_shared<tcp_byte_stream>(std::move(socket)), isClient);
     auto stream = std::make_shared<tls_byte_stream>(std::move(socket), tls);
--- a/coltsfootbend/net/closing_connections_test.cpp
+++ b/coltsfootbend/net/closing_connections_test.cpp
@@ -222,5 +222,38 @@
     EXPECT_DEATH(onRuntime([](fiber_runtime&) { throw std::out_of_range("no such budget"); }), "E105 .*no such budget");
 }
 
+// Guards against callers that are reset although they read all the time: their receive window may stay closed for
+// seconds, because it opens only when a good part of the buffer is free.
+TEST(ClosingConnections, ACallerWhoseWindowIsClosedForSecondsGetsItsWholeResponse)
+{
+    static constexpr std::size_t bodyBytes = 500'000;
+    onRuntime([](fiber_runtime& runtime) {
+        const auto server
+            = *listenHttp(runtime, { "127.0.0.1", 0 }, {}, [](const http_request&, http_responder& responder) {
+                  (void)responder.send({ { 200, {} }, std::string(bodyBytes, 'b') });
+              });
+        asio::io_context io;
+        tcp::socket caller(io);
+        caller.open(tcp::v4());
+        caller.set_option(asio::socket_base::receive_buffer_size(8192));
+        caller.connect({ asio::ip::make_address("127.0.0.1"), server->port() });
+        asio::write(caller, asio::buffer(requestText.data(), requestText.size()));
+        runtime.sleepFor(4500ms);
+        caller.non_blocking(true);
+        std::size_t received = 0;
+        boost::system::error_code code;
+        const auto limit = clock_type::now() + 5s;
+        while (received < bodyBytes && clock_type::now() < limit && (!code || code == asio::error::would_block)) {
+            std::array<char, 4096> bytes {};
+            received += caller.read_some(asio::buffer(bytes), code);
+            if (code == asio::error::would_block)
+                runtime.sleepFor(1ms);
+        }
+        EXPECT_GE(received, bodyBytes) << code.message();
+        caller.close();
+        server->close();
+    });
+}
+
 } // namespace
 } // namespace coltsfootbend
