E507 says whether another server could take the request over

Change: the exchange keeps what came of its last consideration, and E507 has it as `takeover`. No decision changes.

--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -139,7 +139,7 @@
 {
     while (true) {
         if (m_caller->isDisconnected) {
-            logEvent(log_event::CallerDisconnected, logFields());
+            logEvent(log_event::CallerDisconnected, logFields() + " takeover=" + toString(m_takeover));
             return;
         }
         const auto now = clock_type::now();
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -61,6 +61,18 @@
 
 const char* toString(final_reason);
 
+// Whether another server could take a request over when that was last considered.
+enum class takeover_state {
+    NotDue, // The response has never been overdue.
+    NotAllowed, // The request must not be sent to another server.
+    NoRetry, // The deployment's retry budget is used up.
+    NoServer, // No other server has room and sends.
+    Considered, // Another server has room; the request is sent if that is still so after a moment.
+    Sent,
+};
+
+const char* toString(takeover_state);
+
 // One request of a caller and the attempts to have it served. Used for one call of `run`.
 class exchange {
 public:
@@ -98,6 +110,8 @@
     // a server that is not silent itself can take it. The first server is awaited all the while. Called repeatedly
     // while the response is overdue.
     void prepareSecondAttempt();
+    // Does so without a check of what is in progress. Returns what came of it.
+    takeover_state tryTakeover(time_point now);
     // Returns whether the request may be sent to a second server now.
     bool mayUseSecondAttempt(time_point now);
     // Called when the connection to the second server is open. Returns the request to send to it, if still needed.
@@ -223,6 +237,7 @@
     time_point m_lastEventAt {}; // When the caller last received an event.
     // Since when another server could take the request over from the silent one; none if it cannot.
     std::optional<time_point> m_takeoverPossibleSince;
+    takeover_state m_takeover = takeover_state::NotDue;
     bool m_isReturning = false;
     bool m_wasHeld = false; // The request has waited at this gateway for a server.
     bool m_mayHaveRun = false; // A server may have run the request, so the final response must not claim that none did.
--- a/coltsfootbend/gateway/exchange_takeover.cpp
+++ b/coltsfootbend/gateway/exchange_takeover.cpp
@@ -21,6 +21,25 @@
 
 } // namespace
 
+const char* toString(takeover_state state)
+{
+    switch (state) {
+    case takeover_state::NotDue:
+        return "not_due";
+    case takeover_state::NotAllowed:
+        return "not_allowed";
+    case takeover_state::NoRetry:
+        return "no_retry";
+    case takeover_state::NoServer:
+        return "no_server";
+    case takeover_state::Considered:
+        return "considered";
+    case takeover_state::Sent:
+        return "sent";
+    }
+    return "unknown";
+}
+
 bool exchange::mayUseSecondAttempt(time_point now)
 {
     return !m_caller->isDisconnected && !m_isRecalled && !reasonAgainstRetry(true) && !quarantinedUntil(now)
@@ -32,8 +51,16 @@
     const auto now = clock_type::now();
     if (m_secondAttempt && m_secondAttempt->hasOutcome() && !isSecondAttemptReady())
         m_secondAttempt.reset();
-    if (m_secondAttempt || !mayUseSecondAttempt(now) || !m_retryBudget->hasRetry(now))
-        return;
+    if (!m_secondAttempt)
+        m_takeover = tryTakeover(now);
+}
+
+takeover_state exchange::tryTakeover(time_point now)
+{
+    if (!mayUseSecondAttempt(now))
+        return takeover_state::NotAllowed;
+    if (!m_retryBudget->hasRetry(now))
+        return takeover_state::NoRetry;
     auto request = pickRequest();
     request.silentSince = m_awaitingSince;
     request.ahead = m_context.held.waiting(m_deployment);
@@ -41,13 +68,13 @@
     const auto picked = m_context.picker.pick(request, now);
     if (!picked) {
         m_takeoverPossibleSince.reset();
-        return;
+        return takeover_state::NoServer;
     }
     if (!m_takeoverPossibleSince)
         m_takeoverPossibleSince = now;
     if (request.isInquiry || !m_context.picker.notices().tryAcquire(picked->server.instance(), now)
         || !m_retryBudget->takeRetry(now))
-        return;
+        return takeover_state::Considered;
     m_holdsUnusedRetry = true;
     m_secondAttempt = std::make_unique<second_attempt>(m_context.runtime, m_context.connections,
         second_attempt::options { .picked = *picked,
@@ -57,6 +84,7 @@
             .hasBegun
             = [this](const http_head& head, const std::string& received) { return hasBegunAnswer(head, received); },
             .onEnded = [this] { onSecondAttemptEnded(); } });
+    return takeover_state::Sent;
 }
 
 std::optional<http_request> exchange::beginSecondAttempt()
