Callers that leave a silent server at once count as one sign of silence

Each caller that left a silent server doubled the time for which that server is avoided, so ten that left together, as callers do after the same pause, kept it idle for 4 s, also after it went on.

--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -158,8 +158,8 @@
     return deployment == m_deployments.end() || silence >= 2 * predictFirstEvent(state, deployment->second, now);
 }
 
-// A server whose VM is suspended gets no reports across, so its load seems to fall to what this gateway itself sends:
-// it would look like the emptiest server of all.
+// Without reports the load of a server is taken to be what this gateway itself sends to it, so a server whose VM is
+// suspended would look like the emptiest one of all.
 bool backend_picker::hasStoppedReporting(const backend_state& state, time_point now) const
 {
     if (state.agentReportedAt == time_point {})
@@ -498,14 +498,18 @@
     // While its group makes no passes, no rank can answer, so a failure does not indicate a fault of this server.
     if (isGroupKnownClosed(state, now))
         return;
-    // Silence is no fault: sound servers pause. It only counts until the server sends something, also after the callers
-    // that waited have left.
-    if (outcome == backend_outcome::Unresponsive || (outcome == backend_outcome::Abandoned && wasSilent)) {
+    // Silence is no fault: sound servers pause. It only counts until the server sends something.
+    if (outcome == backend_outcome::Unresponsive) {
         state.avoidedUntil = now + backoffAfter(++state.consecutiveMoves);
         return;
     }
-    if (outcome == backend_outcome::Abandoned)
+    // The callers that waited have left, so no response can end the silence. Callers leave at the same time, so their
+    // number does not show how long the silence lasts.
+    if (outcome == backend_outcome::Abandoned) {
+        if (wasSilent)
+            state.avoidedUntil = std::max<time_point>(state.avoidedUntil, now + m_options.baseEjectionTime);
         return;
+    }
     const bool isFailure = outcome == backend_outcome::Broken || outcome == backend_outcome::Failed;
     state.failureRate += m_options.smoothingFactor * ((isFailure ? 1 : 0) - state.failureRate);
     if (outcome == backend_outcome::Broken) {
--- a/coltsfootbend/gateway/backend_picker_test.cpp
+++ b/coltsfootbend/gateway/backend_picker_test.cpp
@@ -439,6 +439,24 @@
         EXPECT_EQ(m_picker.pick(request(plain), m_now)->server.id, idOf(2));
 }
 
+// Guards against a server that is kept idle for seconds after a short pause, because many callers left at once.
+TEST_F(backend_picker_test, ManyCallersThatLeaveASilentServerCountAsOne)
+{
+    use(plain, 1);
+    const backend_instance silent { idOf(1), {} };
+    for (int i = 0; i < 10; ++i)
+        m_picker.onRequestSent(silent, m_now);
+    m_now += 2s;
+    for (int i = 0; i < 10; ++i)
+        m_picker.onRequestFinished(silent, backend_outcome::Abandoned, std::nullopt, m_now);
+    use(plain, 2);
+    m_now += 500ms;
+    std::set<backend_id> used;
+    for (int i = 0; i < 40; ++i)
+        used.insert(m_picker.pick(request(plain), m_now)->server.id);
+    EXPECT_EQ(used.size(), 2U);
+}
+
 TEST_F(backend_picker_test, ACallerThatLeavesEarlyDoesNotCountAgainstTheServer)
 {
     use(plain, 1);
--- a/coltsfootbend/net/connection_reset_test.cpp
+++ b/coltsfootbend/net/connection_reset_test.cpp
@@ -56,7 +56,7 @@
 
 // Guards against requests of a process that was killed, or whose drain limit has passed, that reach a server which
 // stood still: the kernel then ends the connection, and no code of the process runs.
-TEST(ConnectionReset, AClientConnectionThatNobodyClosedIsReset)
+TEST(ConnectionReset, AClientConnectionThatIsNotClosedIsReset)
 {
     paused_server server;
     withListener([](fiber_runtime&, const byte_stream_ptr&) {},
