Servers without reports are avoided from when their last report is ignored

Suspected, not traced: reports that are late over the agents' links of 8 Mbit/s kept requests from sound servers after 0.5 s. Two findings of the linter in new test code are mended.

--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -24,8 +24,6 @@
 constexpr std::chrono::milliseconds reportSettleTime { 300 };
 // Interval at which all gateways together send a probing request to a stalled group that has no work.
 constexpr std::chrono::milliseconds probeInterval { 30 };
-// Number of usual report intervals without a report after which the reports have stopped.
-constexpr int reportPauseFactor = 2;
 // Part of the slots that returning callers, which were refused before, may fill; the rest is reserved for new ones.
 constexpr double maxReturningSlotShare = 0.8;
 
@@ -97,8 +95,6 @@
             state.reportedColdUntil = now + m_deployments[state.server.deployment].coldTime;
         state.report = report;
         state.reportedAt = now;
-        if (state.agentReportedAt != time_point {})
-            state.reportInterval = now - state.agentReportedAt;
         state.agentReportedAt = now;
         std::erase_if(state.unreportedSentAt, [&](time_point sent) { return sent + reportLag < now; });
         const auto unreported = std::min<std::size_t>(state.unreportedSentAt.size(), state.inFlight);
@@ -165,8 +161,7 @@
     if (state.agentReportedAt == time_point {})
         return false;
     const duration pause = now - std::max(state.agentReportedAt, state.lastDataAt);
-    const auto limit = std::max(m_options.silenceLimit, reportPauseFactor * state.reportInterval);
-    return pause >= limit && pause < m_options.maxReportPause;
+    return pause > m_options.maxReportAge && pause < m_options.maxReportPause;
 }
 
 bool backend_picker::mayTakeOver(const backend_state& state, const pick_request& request, time_point now) const
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -58,8 +58,9 @@
         // A server that sends nothing for this long on any connection, although responses are awaited from it, gets no
         // new requests while another server can take them.
         duration silenceLimit = std::chrono::milliseconds(500);
-        // A server whose agent has stopped to report gets no new requests for this long. Its registration lapses
-        // earlier if the server itself is lost, so one that is still listed then has lost only its agent.
+        // A server whose agent has stopped to report gets no new requests from when its last report is ignored until
+        // this long after that report. Its registration lapses earlier if the server itself is lost, so one that is
+        // still listed then has lost only its agent.
         duration maxReportPause = std::chrono::milliseconds(4000);
         // Weight of a new sample in the moving averages of latency and failure rate.
         double smoothingFactor = 0.2;
@@ -123,7 +124,6 @@
         std::optional<engine_report> report;
         time_point reportedAt {};
         time_point agentReportedAt {}; // When its agent last reported.
-        duration reportInterval {}; // Time between the last two reports of its agent.
         // Requests of this gateway that are in flight.
         std::uint32_t inFlight = 0;
         // Send times of this gateway's requests that the last report cannot include yet.
@@ -172,8 +172,8 @@
     static duration silenceOf(const backend_state&, time_point now);
     // Returns whether the server has been silent for so long that it is suspended or unreachable.
     bool isSilent(const backend_state&, time_point now) const;
-    // Returns whether neither the server nor its agent, which runs on the same VM, has sent anything for longer than
-    // usual.
+    // Returns whether neither the server nor its agent, which runs on the same VM, has sent anything for so long that
+    // its load is not known.
     bool hasStoppedReporting(const backend_state&, time_point now) const;
     // Returns whether the server gets no new requests while another one can take them.
     bool isAvoided(const backend_state&, time_point now) const;
--- a/coltsfootbend/gateway/exchange_test_support.h
+++ b/coltsfootbend/gateway/exchange_test_support.h
@@ -165,6 +165,7 @@
     void configure(const route& onlyRoute, const std::vector<scripted_server*>& servers)
     {
         std::vector<endpoint> addresses;
+        addresses.reserve(servers.size());
         for (const auto* server : servers)
             addresses.push_back(server->address());
         configureAddresses(onlyRoute, addresses);
--- a/coltsfootbend/net/paused_server.h
+++ b/coltsfootbend/net/paused_server.h
@@ -19,6 +19,7 @@
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
+#include <system_error>
 #include <unistd.h>
 
 namespace coltsfootbend {
@@ -44,9 +45,10 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof address;
-        ::bind(m_listening, reinterpret_cast<const sockaddr*>(&address), length);
-        ::listen(m_listening, SOMAXCONN);
-        ::getsockname(m_listening, reinterpret_cast<sockaddr*>(&address), &length);
+        auto* bound = reinterpret_cast<sockaddr*>(&address);
+        if (::bind(m_listening, bound, length) != 0 || ::listen(m_listening, SOMAXCONN) != 0
+            || ::getsockname(m_listening, bound, &length) != 0)
+            throw std::system_error(errno, std::generic_category(), "listening on a loopback port");
         m_port = ntohs(address.sin_port);
     }
     ~paused_server()
