Servers that refuse connections do not use up a request's tries

What callers saw: 7 to 9 of 100 requests refused (503, "no server took it") while two sound servers were idle, beside eight registered addresses at which nothing listens.

Cause: three servers without a connection ended a request, however quickly that was known. The limit is there for servers that do not answer for 0.3 s each.

Change: the limit of three applies only once 0.9 s have passed since the first of these attempts, which is what three servers that do not answer take. A refused connection takes no time, so the request goes on to the next server. When all servers have been tried, the request ends at once, as before. Nothing was sent, so neither attempts nor the retry budget are used.

--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -21,8 +21,10 @@
 constexpr std::uint32_t returningPriorityPenalty = 3;
 // A request that gets a server sooner than this has not waited.
 constexpr std::chrono::milliseconds minHoldTime { 1 };
-// Number of servers without a connection after which the request fails.
+// A request fails once this many servers could not be reached and the time below has passed since the first of these
+// attempts. A refused connection takes no time, so any number of them is tried.
 constexpr std::uint32_t maxUnreachableServers = 3;
+constexpr std::chrono::milliseconds maxUnreachableTime { 900 };
 // A server that is lost sooner after a request was sent cannot have crashed because of it: no request starts to run
 // within this time.
 constexpr std::chrono::milliseconds minTimeToCrash { 10 };
@@ -218,9 +220,13 @@
         finishWithoutServer(final_reason::NoServer);
         return next_step::Finished;
     }
+    const bool areAllTried = refused.reason == refusal_reason::NoServers && !m_excludedServers.empty();
+    if (areAllTried && m_unreachableCount >= maxUnreachableServers) {
+        finishWithoutServer(final_reason::Unreachable);
+        return next_step::Finished;
+    }
     // If all other servers are unavailable, servers that were tried already may be tried again.
-    if (refused.reason == refusal_reason::NoServers && !m_excludedServers.empty() && m_route->mayRepeat()
-        && m_sentCount < m_route->maxAttempts) {
+    if (areAllTried && m_route->mayRepeat() && m_sentCount < m_route->maxAttempts) {
         m_excludedServers.clear();
         return next_step::TryAgain;
     }
@@ -246,6 +252,8 @@
         finishWithoutServer(final_reason::RetryBudgetUsed);
         return next_step::Finished;
     }
+    if (m_unreachableCount == 0)
+        m_unreachableLimit = clock_type::now() + maxUnreachableTime;
     auto connection = m_context.connections.acquire(server, m_deadline, !m_route->mayRepeat());
     if (m_caller->isDisconnected) {
         releasePlace(server.instance());
@@ -256,7 +264,8 @@
         logEvent(log_event::RequestFailed,
             logFields() + " backend=" + server.id.text() + " not_run=yes why=\"" + toString(connection.error()) + "\"");
         m_excludedServers.push_back(server.instance());
-        if (++m_unreachableCount < maxUnreachableServers)
+        ++m_unreachableCount;
+        if (m_unreachableCount < maxUnreachableServers || clock_type::now() < m_unreachableLimit)
             return next_step::TryAgain;
         finishWithoutServer(final_reason::Unreachable);
         return next_step::Finished;
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -224,6 +224,7 @@
 
     std::uint32_t m_sentCount = 0; // Number of servers to which this request was sent.
     std::uint32_t m_unreachableCount = 0; // Number of servers to which no connection could be made.
+    time_point m_unreachableLimit {}; // From then on another such server ends the request.
     std::vector<backend_instance> m_excludedServers; // Servers that were tried already.
     std::optional<duration> m_retryAfter; // Retry-After of the last refusal by the picker.
     std::optional<http_response> m_serverErrorResponse; // A server's 5xx, passed on if no other attempt succeeds.
