A stopping gateway accepts only requests that it can answer before it ends

What callers saw: a planned stop cut streams 7.7 s after SIGTERM that had been sent 3 to 6 s after it, on connections that they went on using; and a request that no server had answered by then was closed without an answer.

Cause: work is accepted without a comparison of the time that it needs with the time that is left, and what is left at the end is dropped with the process. A response that begins before SIGTERM cannot announce the close of its connection, so its caller sends the next request on it whenever it has read the first one.

Change: gateway/stop_admission knows the longest answer of each route in the last 30 to 60 s. During a stop, a request is refused at once (503, not run, Retry-After 0, Connection: close) if that would not end in time; without a known answer, in the second half of the stop. At the end, requests that wait for a server are refused, those that a server has not answered get 502 and are withdrawn from it, and begun streams are cut, each with its own log line. Nothing depends on a deployment.

Why it works: whatever is accepted is expected to end before the limit; whatever does not is answered within the 0.2 s after it that the margin of 0.3 s allows.

--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -60,6 +60,8 @@
         return "unreachable";
     case final_reason::Quarantined:
         return "quarantined";
+    case final_reason::Stopping:
+        return "stopping";
     case final_reason::UnusableResponse:
         return "unusable_response";
     }
@@ -87,6 +89,7 @@
         if (caller->connection)
             caller->connection->close();
     });
+    m_context.running.insert(this);
     const struct releaser {
         exchange& owner;
         ~releaser() { owner.release(); }
@@ -94,8 +97,18 @@
     runAttempts();
 }
 
+void exchange::endForStop()
+{
+    m_isStopped = true;
+    if (!m_isAwaitingSecondAttempt)
+        cancelSecondAttempt();
+    if (m_caller->connection)
+        m_caller->connection->close();
+}
+
 void exchange::release()
 {
+    m_context.running.erase(this);
     cancelSecondAttempt();
     for (const auto& server : m_inFlightAt)
         m_context.picker.onRequestFinished(server, backend_outcome::Abandoned, std::nullopt, clock_type::now());
@@ -119,6 +132,10 @@
         return false;
     }
     m_route = admitted->matched;
+    if (!m_context.stop.mayAccept(m_route->name, m_arrivedAt)) {
+        refuseStopping();
+        return false;
+    }
     m_customer = admitted->caller;
     m_deployment = admitted->deployment;
     m_homeRegions = admitted->homeRegions;
@@ -144,6 +161,10 @@
             logEvent(log_event::CallerDisconnected, logFields() + " takeover=" + toString(m_takeover));
             return;
         }
+        if (m_isStopped) {
+            finishWithoutServer(final_reason::Stopping);
+            return;
+        }
         const auto now = clock_type::now();
         if (now >= m_deadline) {
             finishWithoutServer(final_reason::Deadline);
@@ -156,7 +177,7 @@
         }
         const auto outcome = m_context.held.acquire(
             m_context.picker, queuedRequest(),
-            [this] { return m_caller->isDisconnected || quarantinedUntil(clock_type::now()); },
+            [this] { return m_caller->isDisconnected || m_isStopped || quarantinedUntil(clock_type::now()); },
             [this] { return logFields(); });
         m_wasHeld = m_wasHeld || clock_type::now() - now >= minHoldTime;
         if (!outcome)
@@ -185,6 +206,14 @@
         until - now);
 }
 
+void exchange::refuseStopping()
+{
+    m_context.metrics.count("refused_total", { { "reason", "stopping" } });
+    sendError(statusUnavailable,
+        { error_kind::Unavailable, "not run: this process stops", "Send it again on a new connection" },
+        duration::zero());
+}
+
 pick_request exchange::pickRequest() const
 {
     return { .deployment = m_deployment,
@@ -255,7 +284,9 @@
     if (m_unreachableCount == 0)
         m_unreachableLimit = clock_type::now() + maxUnreachableTime;
     auto connection = m_context.connections.acquire(server, m_deadline, !m_route->mayRepeat());
-    if (m_caller->isDisconnected) {
+    if (m_caller->isDisconnected || m_isStopped) {
+        if (connection)
+            (*connection)->close();
         releasePlace(server.instance());
         return next_step::TryAgain; // `runAttempts` ends the exchange.
     }
@@ -456,6 +487,8 @@
     if (isSuccess(head.status))
         clearSuspicion();
     m_retryBudget->recordSuccess();
+    if (isSuccess(head.status))
+        m_context.stop.onAnswered(m_route->name, clock_type::now() - m_arrivedAt, clock_type::now());
     m_context.metrics.observe("answer_seconds", toMilliseconds(clock_type::now() - m_arrivedAt) / 1000);
     logEvent(log_event::RequestAnswered,
         logFields() + " backend=" + picked.server.id.text() + " status=" + std::to_string(head.status));
@@ -550,6 +583,7 @@
     recordOutcome(picked, backend_outcome::Answered, latency);
     clearSuspicion();
     m_retryBudget->recordSuccess();
+    m_context.stop.onAnswered(m_route->name, clock_type::now() - m_arrivedAt, clock_type::now());
     logEvent(log_event::RequestAnswered,
         logFields() + " backend=" + picked.server.id.text() + " events=" + std::to_string(m_events.eventCount()));
     (void)m_responder.end();
@@ -617,6 +651,12 @@
         cancelSecondAttempt();
         return finishRecalled(picked);
     }
+    if (m_isStopped) {
+        cancelSecondAttempt();
+        recordOutcome(picked, backend_outcome::Abandoned);
+        m_mayHaveRun = true;
+        return next_step::TryAgain; // `runAttempts` ends the exchange.
+    }
     const bool isOverdue = clock_type::now() >= m_deadline;
     // A lack of buffers is this gateway's own.
     const bool isServerFault = !isOverdue && why.kind != error_kind::Overloaded;
@@ -675,6 +715,10 @@
         (void)m_responder.send(*m_serverErrorResponse);
         return;
     }
+    if (reason == final_reason::Stopping && !m_mayHaveRun) {
+        refuseStopping();
+        return;
+    }
     if (clock_type::now() >= m_deadline) {
         sendError(statusGatewayTimeout,
             { error_kind::TimedOut, "no answer came in time", "It may have run; look before repeating it" });
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -16,6 +16,7 @@
 #include "coltsfootbend/gateway/request_quarantine.h"
 #include "coltsfootbend/gateway/response_watchdog.h"
 #include "coltsfootbend/gateway/second_attempt.h"
+#include "coltsfootbend/gateway/stop_admission.h"
 #include "coltsfootbend/limits/patience_tracker.h"
 #include "coltsfootbend/limits/retry_budgets.h"
 #include "coltsfootbend/metrics/metrics.h"
@@ -28,6 +29,8 @@
 
 namespace coltsfootbend {
 
+class exchange;
+
 // State that all exchanges of a process share.
 struct gateway_context {
     fiber_runtime& runtime;
@@ -43,6 +46,10 @@
     patience_tracker patience;
     request_quarantine& quarantine;
     catalogue_ptr catalogue;
+    // Which requests are accepted during a planned stop.
+    stop_admission stop = {};
+    // The exchanges that have been admitted and have not ended.
+    std::set<exchange*> running = {};
     // Called after a server's response has changed the notices of that server (limit, backoff, leaving); may be empty.
     std::function<void(const backend_server&)> onNotice;
 };
@@ -56,6 +63,7 @@
     NoServer, // No server can take the request.
     Unreachable, // Several servers could not be connected to.
     Quarantined, // The request, or a part of it, is suspected to crash servers.
+    Stopping, // The process ends.
     UnusableResponse, // The server's response cannot continue the stream that the caller has begun to receive.
 };
 
@@ -80,6 +88,8 @@
 
     // Serves the request and returns once the caller has the final response or has disconnected.
     void run();
+    // Withdraws the request from its server because the process ends. The caller gets a response if none was begun.
+    void endForStop();
 
 private:
     // Result of one attempt.
@@ -97,6 +107,8 @@
     // Returns the end of this request's quarantine, or none for a request that is not known to crash servers.
     std::optional<time_point> quarantinedUntil(time_point now);
     void refuseQuarantined(time_point now, time_point until);
+    // Refuses a request that has not run because the process ends; its caller may turn to another one at once.
+    void refuseStopping();
     // Sends the request to one server and relays the response.
     next_step attemptOnServer(const picked_backend&);
     // Reads the head of the response and relays the rest.
@@ -244,6 +256,7 @@
     bool m_mayHaveRun = false; // A server may have run the request, so the final response must not claim that none did.
     bool m_holdsUnusedRetry = false; // A retry was taken for a second server, and the request is not sent to it yet.
     bool m_isAwaitingSecondAttempt = false; // The first server has failed, so the request depends on the second one.
+    bool m_isStopped = false; // The process ends.
     bool m_isRecalled = false; // The request was recalled from the last server before that began its response.
     bool m_hasBegunStream = false; // The caller has received the head of a stream.
     bool m_hasBegunBody = false; // The caller has received the head of a response that is forwarded as it arrives.
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -32,6 +32,8 @@
 constexpr std::chrono::milliseconds leavePollInterval { 20 };
 // Time kept free before the process is killed, for sending the last responses.
 constexpr std::chrono::milliseconds leaveMargin { 300 };
+// Part of that time in which the requests that have not been answered by then get their responses.
+constexpr std::chrono::milliseconds lastResponsesTime { 200 };
 // Number of gateways assumed until agents report it. High, because all gateways share the retry budget.
 constexpr std::uint32_t initialGatewayCount = 48;
 // Validity of a duty that an agent assigned. Agents assign duties ten times a second, but some may be unreachable for a
@@ -406,6 +408,7 @@
     m_leaving = true;
     const auto limit = deadline - leaveMargin;
     const auto stopAcceptingAt = std::min(limit, clock_type::now() + readinessPropagationDelay);
+    m_context->stop.begin({ .begunAt = clock_type::now(), .endsAt = limit });
     m_runtime.sleepUntil(stopAcceptingAt);
     m_callerListener->acceptPendingAndClose();
     m_idleConnections.closeAll();
@@ -418,9 +421,19 @@
         onIncompleteAnswer("stopped",
             "requests=" + std::to_string(m_runningRequests)
                 + " connections=" + std::to_string(m_callerListener->connections()));
+        endRunningExchanges(limit + lastResponsesTime);
     }
 }
 
+void gateway_service::endRunningExchanges(time_point deadline)
+{
+    for (auto* running : m_context->running)
+        running->endForStop();
+    m_context->held.onChanged();
+    while (!m_context->running.empty() && clock_type::now() < deadline)
+        m_runtime.sleepFor(leavePollInterval);
+}
+
 void gateway_service::stop()
 {
     m_stopped = true;
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -41,6 +41,8 @@
     void applyBudgets();
     result<void> listen();
     void serveCaller(const byte_stream_ptr&);
+    // Ends the requests that are in progress, and waits for their last responses.
+    void endRunningExchanges(time_point deadline);
     // Log and count what ends a caller's connection without a complete response.
     void observeCallers();
     void onIncompleteAnswer(const std::string& cause, const std::string& details);
