Refusals of waiting requests are not postponed by changes that send nothing

What callers saw: refusals after the latency target, beside a load (502 to 579 ms of 500, limited_server_test).

Cause: waiting requests are reviewed every 30 ms, and a refusal leaves at the last review before its limit. Each change of the servers wakes the queues early; such an update reviews nothing if the last review is less than 30 ms old, but the next wait was again 30 ms long. So reviews came up to 65 ms apart, and the 25 ms that are kept for the way of the answer were used up.

Change: the wait ends when the next review is due.

Measured: deployment_queue_test.ARefusalIsNotLateBecauseOfChangesThatSendNothing fails with the old wait (460 to 475 ms, 455 allowed, four of eleven phases) and passes now.

--- a/coltsfootbend/gateway/deployment_queue.h
+++ b/coltsfootbend/gateway/deployment_queue.h
@@ -48,7 +48,7 @@
 
 class deployment_queue {
 public:
-    // Interval at which `update` is called at least: some conditions change with time alone.
+    // Interval at which all requests are tried at least: some conditions change with time alone.
     static constexpr std::chrono::milliseconds maxUpdateInterval { 30 };
 
     // `picker` must outlive the queue.
@@ -66,6 +66,8 @@
     // Returns the waits that have ended: requests that can be sent now, and those that no longer wait. Tries all
     // requests once in `maxUpdateInterval`, and in between only the first few. O(n * servers).
     std::vector<ended_wait> update(time_point now);
+    // Returns when `update` must be called next at the latest.
+    time_point nextUpdateAt() const { return m_nextReviewAt; }
 
     // Returns how many requests were ahead of the request when it joined. Precondition: it waits.
     std::size_t aheadAtJoin(wait_ticket ticket) const { return m_waiting.at(ticket).ahead; }
--- a/coltsfootbend/gateway/deployment_queue_test.cpp
+++ b/coltsfootbend/gateway/deployment_queue_test.cpp
@@ -71,6 +71,23 @@
         }
     }
 
+    // Joins a request when all slots are taken. Then only `changes` updates come, at these times after the arrival,
+    // beside those that are due. Returns how long the request waits for its refusal.
+    duration waitUntilRefused(const std::vector<duration>& changes)
+    {
+        const auto arrivedAt = m_now;
+        auto waiting = request(0);
+        waiting.isOrdered = false;
+        (void)m_queue.join(waiting, m_now);
+        auto change = changes.begin();
+        for ((void)sent(); m_refused.empty(); (void)sent()) {
+            m_now = m_queue.nextUpdateAt();
+            if (change != changes.end() && arrivedAt + *change < m_now)
+                m_now = arrivedAt + *change++;
+        }
+        return m_now - arrivedAt;
+    }
+
     // Returns the tickets of the requests that were sent, in order.
     std::vector<wait_ticket> sent()
     {
@@ -92,6 +109,24 @@
 };
 
 // Guards against waits where there is capacity.
+// Guards against refusals that leave after the latency target: updates that send nothing must not postpone the next
+// review.
+TEST_F(deployment_queue_test, ARefusalIsNotLateBecauseOfChangesThatSendNothing)
+{
+    fill();
+    const auto undisturbed = waitUntilRefused({});
+    ASSERT_GT(undisturbed, 300ms);
+    // Each change comes 25 ms after a review, from different times on.
+    for (duration first = 0ms; first < 55ms; first += 5ms) {
+        std::vector<duration> changes;
+        for (auto at = first; at < 500ms; at += 55ms)
+            changes.push_back(at);
+        m_refused.clear();
+        m_now += 10s;
+        EXPECT_LE(waitUntilRefused(changes), undisturbed + 5ms);
+    }
+}
+
 TEST_F(deployment_queue_test, RequestIsSentAtOnceWhileSlotsAreFree)
 {
     const auto ticket = m_queue.join(request(2), m_now);
--- a/coltsfootbend/gateway/held_requests.cpp
+++ b/coltsfootbend/gateway/held_requests.cpp
@@ -74,7 +74,7 @@
     void run(fiber_runtime& runtime)
     {
         while (isAnyWaiting()) {
-            (void)changed.waitUntil(clock_type::now() + deployment_queue::maxUpdateInterval);
+            (void)changed.waitUntil(nextUpdateAt());
             for (auto& [deployment, waits] : deployments)
                 tryUpdate(deployment, waits);
             runtime.sleepFor(minUpdateInterval);
@@ -95,6 +95,17 @@
         }
     }
 
+    // Returns when the first queue with waiting requests must be updated.
+    time_point nextUpdateAt() const
+    {
+        auto next = time_point::max();
+        for (const auto& [deployment, waits] : deployments) {
+            if (!waits.waiters.empty())
+                next = std::min(next, waits.queue.nextUpdateAt());
+        }
+        return next;
+    }
+
     bool isAnyWaiting() const
     {
         return std::any_of(
