--- a/coltsfootbend/net/closing_connections_test.cpp
+++ b/coltsfootbend/net/closing_connections_test.cpp
@@ -216,6 +216,32 @@
     });
 }
 
+// A client whose body is too large learns why, although it goes on sending while the answer is on its way.
+TEST(ClosingConnections, AnErrorAnswerReachesAClientThatStillSends)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        trial_server server(runtime);
+        server.options.maxBodyBytes = 1000;
+        const auto deadline = clock_type::now() + 5s;
+        for (int i = 0; i < 20; ++i) {
+            const auto client = *connectTcp(runtime, { "127.0.0.1", server.connections->port() }, deadline);
+            client->setDeadline(deadline);
+            ASSERT_TRUE(client->writeAll("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n"));
+            const std::string part(50'000, 'x');
+            bool isOpen = true;
+            for (int sent = 0; isOpen && sent < 80; ++sent)
+                isOpen = client->writeAll(part).has_value();
+            std::string answer;
+            std::array<char, 4096> bytes {};
+            while (const auto got = client->readSome(asio::buffer(bytes)))
+                answer.append(bytes.data(), *got);
+            EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 413") << "client " << i;
+            client->close();
+        }
+        server.stop(runtime);
+    });
+}
+
 TEST(FiberRuntimeDeathTest, AnExceptionThatLeavesAFiberIsLoggedBeforeTheProcessEnds)
 {
     testing::FLAGS_gtest_death_test_style = "threadsafe";
