The linter's cache serves every folder

Cause: the hash of what the linter reads held the folder of the checkout: its include path ends without the slash that was removed, so a clone in another folder never found the files that had passed.

Measured: of one file, two clones differed in that one line of the hashed text.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -20,7 +20,7 @@
   command=$(sed -E 's/^[^ ]*ccache //; s/ -o [^ ]+ -c / -c /' <<<"$command")
   preprocessed=$(cd build && eval "${command/ -c / -E -dD -dI -C }" 2>/dev/null) || return 1
   [ -n "$preprocessed" ] || return 1
-  printf '%s\n' "$common" "$command" "$preprocessed" | sed "s#$root/##g" | sha256sum | cut -d ' ' -f 1
+  printf '%s\n' "$common" "$command" "$preprocessed" | sed "s#$root/\?##g" | sha256sum | cut -d ' ' -f 1
 }
 
 lint_file() {
