Chunk headers and trailers are bounded, in answers and in requests

What callers saw: gateways and rank agents that exceed the memory of their VMs end, and with a gateway all requests that it serves.

Cause: Beast buffers a chunk header, and all trailers, until their end has arrived. These bytes are neither in the limit of heads nor counted as body, and our buffers had no maximum. A body that is no answer and does not end is such a chunk header as soon as the head announces chunks. The same buffer stands on each path that parses HTTP/1.1: answers of servers, of engines and of the store, requests of callers.

Change: the buffers hold the limit of heads and 32 KiB; beyond that parsing fails, as after any other bytes that are no answer.

Why it works: Beast reads no more than what the buffer may hold and reports an overflow instead.

--- a/coltsfootbend/gateway/backend_connection.cpp
+++ b/coltsfootbend/gateway/backend_connection.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr std::size_t readBufferSize = std::size_t { 8 } * 1024;
-constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
 // Effectively unlimited, because the length of a stream is not known in advance. Code that buffers a whole body applies
 // its own limit.
 constexpr std::uint64_t maxBodyBytes = std::uint64_t { 1 } << 40U;
--- a/coltsfootbend/gateway/backend_connection.h
+++ b/coltsfootbend/gateway/backend_connection.h
@@ -73,8 +73,10 @@
     result<void> skipBody(time_point deadline);
     error toError(boost::system::error_code) const;
 
+    static constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
+
     byte_stream_ptr m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { maxHeaderBytes + httpReadAheadBytes };
     std::optional<response_parser> m_parser;
     std::string m_method;
     std::uint32_t m_requestCount = 0;
--- a/coltsfootbend/gateway/endless_responses_test.cpp
+++ b/coltsfootbend/gateway/endless_responses_test.cpp
@@ -9,11 +9,14 @@
 
 constexpr std::size_t mebibyte = std::size_t { 1024 } * 1024;
 
+// Where a server stops that a gateway does not give up.
+constexpr std::size_t endlessBytes = 64 * mebibyte;
+
 // Sends `piece` until the gateway closes the connection. Returns the number of bytes sent.
 std::size_t sendWithoutEnd(byte_stream& stream, const std::string& piece)
 {
     std::size_t sent = 0;
-    while (stream.writeAll(piece))
+    while (sent < endlessBytes && stream.writeAll(piece))
         sent += piece.size();
     return sent;
 }
@@ -126,6 +129,36 @@
     });
 }
 
+// Guards against a chunked body whose next chunk header is read until the memory of the gateway is used up.
+TEST(EndlessResponses, ChunkHeaderThatDoesNotEndIsGivenUp)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        endless_server endless(fixture.runtime, streamHead, std::string(4096, '7'));
+        expectOtherServerAnswers(fixture, endless, makeRoute(route_kind::Idempotent, 2));
+    });
+}
+
+TEST(EndlessResponses, ChunkExtensionThatDoesNotEndIsGivenUp)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        endless_server endless(
+            fixture.runtime, [](const std::string& head) { return streamHead(head) + "5;name="; },
+            std::string(4096, 'a'));
+        expectOtherServerAnswers(fixture, endless, makeRoute(route_kind::Stream, 2, true));
+    });
+}
+
+// Guards against trailers that are read until the memory of the gateway is used up.
+TEST(EndlessResponses, TrailersThatDoNotEndAreGivenUp)
+{
+    onRuntime([](exchange_fixture& fixture) {
+        endless_server endless(
+            fixture.runtime, [](const std::string& head) { return streamHead(head) + chunk("answer") + "0\r\n"; },
+            "Name: value\r\n");
+        expectOtherServerAnswers(fixture, endless, makeRoute(route_kind::Idempotent, 2));
+    });
+}
+
 // Guards against large answers that fail, or are held whole for a slow caller.
 TEST(EndlessResponses, LargeAnswerIsForwardedAtThePaceOfTheCaller)
 {
--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -308,6 +308,7 @@
     const http_server_options& options, const http_handler& handler, const std::function<bool()>& isLeaving,
     idle_connections* idle)
 {
+    buffer.max_size(std::max(buffer.size(), options.maxHeaderBytes + httpReadAheadBytes));
     if (!waitForRequest(stream, buffer, options, idle))
         return false;
     http::request_parser<http::string_body> parser;
@@ -523,8 +524,9 @@
     if (code)
         return tl::unexpected(lost(address, code));
 
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(m_options.maxHeaderBytes + httpReadAheadBytes);
     http::response_parser<http::buffer_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(m_options.maxHeaderBytes));
     parser.body_limit(m_options.maxBodyBytes);
     parser.skip(request.method == "HEAD");
     http::read_header(stream, buffer, parser, code);
--- a/coltsfootbend/net/http.h
+++ b/coltsfootbend/net/http.h
@@ -20,6 +20,10 @@
 
 namespace coltsfootbend {
 
+// Bytes beyond the limit of its heads that an HTTP/1.1 connection buffers. Also bounds each chunk header and all
+// trailers of a message, which are buffered until their end and count neither as head nor as body.
+constexpr std::size_t httpReadAheadBytes = std::size_t { 32 } * 1024;
+
 struct http_header {
     std::string name;
     std::string value;
@@ -140,6 +144,7 @@
 class http_client {
 public:
     struct options {
+        std::size_t maxHeaderBytes = std::size_t { 8 } * 1024;
         std::size_t maxBodyBytes = std::size_t { 64 } * 1024 * 1024;
         std::size_t maxIdlePerEndpoint = 64; // Idle connections that are kept for reuse.
         // Maximum time to connect. TCP retransmits a lost SYN only after seconds, so without this limit a call with a
--- a/coltsfootbend/net/net_test.cpp
+++ b/coltsfootbend/net/net_test.cpp
@@ -106,6 +106,37 @@
     return all;
 }
 
+// Sends `beginning` and then `piece` until the server closes the connection, at most `limit` bytes. Returns the number
+// of bytes sent.
+std::size_t sendWithoutEnd(fiber_runtime& runtime, const endpoint& address, const std::string& beginning,
+    const std::string& piece, std::size_t limit)
+{
+    const auto stream = *connectTcp(runtime, address, soon());
+    stream->setDeadline(soon());
+    std::size_t sent = 0;
+    for (bool isOpen = stream->writeAll(beginning).has_value(); isOpen && sent < limit; sent += piece.size())
+        isOpen = stream->writeAll(piece).has_value();
+    stream->close();
+    return sent;
+}
+
+// Guards against a request whose chunk headers or trailers are read until the memory of the process is used up.
+TEST(Http, ARequestWhoseChunkHeaderOrTrailersDoNotEndIsGivenUp)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        constexpr std::size_t mebibyte = std::size_t { 1024 } * 1024;
+        // What the sockets between both ends hold is not bounded by the server.
+        constexpr std::size_t maxSentBytes = 12 * mebibyte;
+        const auto server = serveEcho(runtime);
+        const endpoint address { "127.0.0.1", server->port() };
+        const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::string piece(mebibyte / 16, 'a');
+        for (const std::string beginning : { "5;name=", "0\r\nName: " })
+            EXPECT_LT(sendWithoutEnd(runtime, address, head + beginning, piece, 256 * mebibyte), maxSentBytes);
+        server->close();
+    });
+}
+
 TEST(Http, BadInputGetsATypedErrorAndTheServerGoesOn)
 {
     onRuntime([](fiber_runtime& runtime) {
