Numbers of an engine's report that cannot be true end no rank agent

What was seen: a rank agent whose engine reports a group of size 0, 1, none or for a rank beyond it ends when its rank leads (SIGSEGV, or SIGABRT after bad_alloc, once in 12 s); a leader to which an engine reports a map with experts that do not exist ends again and again (SIGSEGV, twice in 12 s). The report reaches each next leader, so that one engine can end the agents of its group in turn.

Cause: the rank, the size of its group and the experts of a map were used as sizes and indices as the engine, or another agent, reported them.

A leader checks the place of its rank and each map, also those that other agents pass on. A leader that cannot use a map asks for it again after the interval of rounds, not at once.

Why it works: nothing is sized or indexed by these numbers before the check.

--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -99,6 +99,16 @@
     return rows;
 }
 
+// Returns whether `map` can be the map of one rank for a model with `sets` sets of `experts` experts. Maps are what
+// engines report.
+bool fitsModel(const rank_experts& map, std::uint32_t sets, std::uint32_t experts)
+{
+    const auto isOfModel = [experts](std::uint32_t held) { return held < experts; };
+    return map.size() == sets && std::all_of(map.begin(), map.end(), [&](const auto& set) {
+        return std::all_of(set.begin(), set.end(), isOfModel);
+    });
+}
+
 // Replaces earlier answers by later ones of the same rank.
 void replaceEarlier(std::vector<result<wire::rank_state>>& answers, const std::vector<result<wire::rank_state>>& later)
 {
@@ -224,7 +234,8 @@
         .wantsMap = m_requestsMap };
     // A leader whose engine does not answer, or whose rank has changed, does no round, so that another rank takes over.
     const auto localState = m_participant.answer(query, clock_type::now() + timeout);
-    if (!localState || localState->group != query.scope.group || leaderOf(m_term) != localState->rank)
+    if (!localState || localState->group != query.scope.group || leaderOf(m_term) != localState->rank
+        || !isPlaceInGroup(localState->rank, localState->ranks))
         return {};
     m_group = localState->group;
     m_localRank = localState->rank;
@@ -361,11 +372,12 @@
     const auto version = states.front()->mapVersion;
     if (!isMapKnown(*states.front())) {
         const bool isOwnChange = m_pendingVersion != 0 && version == m_pendingVersion;
-        const bool isReported = std::all_of(states.begin(), states.end(),
-            [&](const auto& state) { return state->map.size() == m_options.sets && state->mapVersion == version; });
-        m_requestsMap = !isOwnChange && !isReported;
+        const bool isReported = std::all_of(states.begin(), states.end(), [&](const auto& state) {
+            return state->mapVersion == version && fitsModel(state->map, m_options.sets, m_options.experts);
+        });
+        const bool wasRequested = std::exchange(m_requestsMap, !isOwnChange && !isReported);
         if (m_requestsMap)
-            return duration::zero();
+            return wasRequested ? m_options.roundInterval : duration::zero();
         m_mapVersion = version;
         if (isOwnChange) {
             m_map = m_pendingMap;
--- a/coltsfootbend/group/rank_engine.h
+++ b/coltsfootbend/group/rank_engine.h
@@ -29,6 +29,12 @@
 using group_epoch = std::uint64_t;
 using engine_map_version = std::uint64_t;
 
+// Largest size of a group. Bounds what is allocated for the ranks of a group, whose size is what an engine reports.
+constexpr rank_number maxGroupSize = 4096;
+
+// Returns whether a group of `ranks` ranks can have a rank with the number `rank`.
+constexpr bool isPlaceInGroup(rank_number rank, rank_number ranks) { return rank < ranks && ranks <= maxGroupSize; }
+
 // An engine's place in its group, as the engine reports it.
 struct group_membership {
     std::string name;
