A head whose status is none is no response

What callers saw: a server in trouble answers with the status 000, 001, 099 or 101. The gateway took the head for an interim response and read the body after it as the next head: a body that looks like a response reached the caller as the answer of the server (MIXED); with any other body a request waited until its deadline (504). Heads with 600 to 999 reached the caller as they were.

Cause: everything below 200 counted as interim, and the parser accepts any three digits.

Change: a status outside 100 to 599, and 101, for which no request asks, is a fault of the server: its connection ends, and another server is tried where the route allows it.

Evidence: OddStatuses.* failed before for each of the six statuses (200 with the body hidden in the odd answer, 600, 999) and pass now, with the 59 other tests of BrokenHeads, Exchange and EndlessResponses.

--- a/coltsfootbend/gateway/backend_connection.cpp
+++ b/coltsfootbend/gateway/backend_connection.cpp
@@ -25,7 +25,11 @@
 constexpr int maxInterimResponses = 16;
 // Number of late responses to earlier requests that are dropped before the connection is given up.
 constexpr int maxStaleAnswers = 3;
-constexpr unsigned firstFinalStatus = 200;
+// Statuses of HTTP. The parser accepts any three digits.
+constexpr int firstInterimStatus = 100;
+constexpr int statusSwitchingProtocols = 101;
+constexpr int firstFinalStatus = 200;
+constexpr int lastStatus = 599;
 
 http::request<http::string_body> toBeast(const http_request& request)
 {
@@ -40,6 +44,12 @@
     return message;
 }
 
+// Returns whether a head with `status` can belong to a response. No request asks for another protocol.
+bool isResponseStatus(int status)
+{
+    return status >= firstInterimStatus && status <= lastStatus && status != statusSwitchingProtocols;
+}
+
 } // namespace
 
 error backend_connection::toError(boost::system::error_code code) const
@@ -78,6 +88,9 @@
     if (code)
         return tl::unexpected(toError(code));
     http_head head { static_cast<int>(m_parser->get().result_int()), {} };
+    if (!isResponseStatus(head.status))
+        return fail(error_kind::BadInput, "the server sent the status " + std::to_string(head.status),
+            "Check the backend server's log");
     for (const auto& field : m_parser->get())
         head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
     return head;
@@ -91,7 +104,7 @@
         auto head = readOneHead(deadline);
         if (!head)
             return head;
-        if (static_cast<unsigned>(head->status) < firstFinalStatus) {
+        if (head->status < firstFinalStatus) {
             ++interimResponses; // An interim (1xx) response has no body, and the final response follows.
             continue;
         }
