Bodies of requests are bounded together

What was seen: 100 callers whose bodies of 4 MiB, which the configuration allows, are not complete yet make a gateway reach 1,216 MiB (260 allowed); 1,800 callers with 60,000 bytes each, 355 MiB. Such a gateway ends with all its requests.

Cause: bodies were bounded each and not in all (docs/design/BOUNDED-BUFFERS.md named it as not built), and each was copied once more for its server.

Change: serveHttp takes the body of a request from the buffer budget of the gateway (48 MiB by default, 16 KiB always) before it reads it, and keeps it until the response is complete. A body that finds no room is refused at once with 503: the request has not run. The message to a server refers to the body instead of copying it. buffer_budget moves to base, since net uses it.

Why it works: what callers send beyond the budget stays in the kernel's buffers and the connection ends.

Http.RequestsWhoseBodiesFindNoRoomTogetherAreRefused is new; without the option there is no limit to test.

--- a/coltsfootbend/gateway/buffer_budget.h
+++ b/coltsfootbend/base/buffer_budget.h
@@ -1,8 +1,9 @@
 #pragma once
 
-// Bounds what a gateway buffers for all requests together: bodies that wait for their end or for a slow caller, and
-// incomplete events. Servers and callers can make a gateway hold data by sending without end or by reading slowly, and
-// a process that exceeds the memory of its VM ends with all its requests. Deterministic.
+// Bounds what a process buffers for all requests together: their bodies, bodies of responses that wait for their end or
+// for a slow caller, and incomplete events. Servers and callers can make a process hold data by sending without end, by
+// sending at the same time or by reading slowly, and a process that exceeds the memory of its VM ends with all its
+// requests. Deterministic.
 //
 //     buffer_budget budget(48 * mebibyte);
 //     buffer_share share(budget);
@@ -33,7 +34,7 @@
     std::size_t m_used = 0;
 };
 
-// What one request buffers. Returns it to the budget when it is destroyed.
+// What one request, or the response to it, buffers. Returns it to the budget when it is destroyed.
 class buffer_share {
 public:
     // Every request may buffer this much, so that those that buffer little go on while others use up the budget.
--- a/coltsfootbend/gateway/backend_connection.cpp
+++ b/coltsfootbend/gateway/backend_connection.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace coltsfootbend {
@@ -31,15 +31,16 @@
 constexpr int firstFinalStatus = 200;
 constexpr int lastStatus = 599;
 
-http::request<http::string_body> toBeast(const http_request& request)
+// Returns a message that refers to the body of `request`.
+http::request<http::span_body<const char>> toBeast(const http_request& request)
 {
-    http::request<http::string_body> message;
+    http::request<http::span_body<const char>> message;
     message.method_string(request.method);
     message.target(request.target);
     message.version(11);
     for (const auto& header : request.headers)
         message.insert(header.name, header.value);
-    message.body() = request.body;
+    message.body() = { request.body.data(), request.body.size() };
     message.prepare_payload();
     return message;
 }
--- a/coltsfootbend/gateway/body_relay.h
+++ b/coltsfootbend/gateway/body_relay.h
@@ -9,7 +9,7 @@
 //         if (!relay.add(*bytes)) ...
 //     relay.finish();
 
-#include "coltsfootbend/gateway/buffer_budget.h"
+#include "coltsfootbend/base/buffer_budget.h"
 #include "coltsfootbend/net/http.h"
 
 #include <string_view>
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -178,6 +178,7 @@
 
 void gateway_service::observeCallers()
 {
+    m_serverOptions.bodies = &m_context->buffers;
     m_serverOptions.onIncomplete = [this](incomplete_response reason, const std::string& why) {
         onIncompleteAnswer(toString(reason), "why=\"" + why + "\"");
     };
--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -303,6 +303,35 @@
     }
 }
 
+// Reads the body that follows the head in `parser`. Fails with `not_enough_memory` if `share` cannot hold it.
+boost::system::error_code readBody(byte_stream& stream, beast::flat_buffer& buffer,
+    http::request_parser<http::string_body>& parser, std::optional<buffer_share>& share)
+{
+    const auto fits = [&share](std::size_t size) { return !share || share->resize(size); };
+    const auto outOfBuffers = make_error_code(boost::system::errc::not_enough_memory);
+    if (!fits(static_cast<std::size_t>(parser.content_length().value_or(0))))
+        return outOfBuffers;
+    if (boost::algorithm::iequals(parser.get()[http::field::expect], "100-continue"))
+        (void)stream.writeAll("HTTP/1.1 100 Continue\r\n\r\n");
+    parser.eager(true);
+    boost::system::error_code code;
+    while (!code && !parser.is_done()) {
+        http::read_some(stream, buffer, parser, code);
+        if (!fits(parser.get().body().capacity()))
+            return outOfBuffers;
+    }
+    return code;
+}
+
+http_response bodiesUsedUp()
+{
+    auto response = errorResponse(503,
+        { error_kind::Overloaded, "not run: the buffers for the bodies of requests are used up",
+            "Come back after the time in Retry-After" });
+    response.head.headers.push_back({ "Retry-After", "1" });
+    return response;
+}
+
 // Reads one request, and sends the response. Returns whether the connection can be used for another request.
 bool serveOne(fiber_runtime& runtime, const byte_stream_ptr& stream, beast::flat_buffer& buffer,
     const http_server_options& options, const http_handler& handler, const std::function<bool()>& isLeaving,
@@ -324,15 +353,18 @@
                 "Send either one Content-Length or 'Transfer-Encoding: chunked'" }));
         return false;
     }
+    std::optional<buffer_share> share;
+    if (options.bodies)
+        share.emplace(*options.bodies);
     if (!code) {
         stream->setDeadline(clock_type::now() + options.readLimit);
-        const auto expect = parser.get()[http::field::expect];
-        if (boost::algorithm::iequals(expect, "100-continue"))
-            (void)stream->writeAll("HTTP/1.1 100 Continue\r\n\r\n");
-        http::read(*stream, buffer, parser, code);
+        code = readBody(*stream, buffer, parser, share);
     }
     if (code) {
-        if (isParseError(code)) {
+        if (code == boost::system::errc::not_enough_memory) {
+            beast_responder responder(runtime, stream, options, 11, false, isLeaving);
+            (void)responder.send(bodiesUsedUp());
+        } else if (isParseError(code)) {
             beast_responder responder(runtime, stream, options, 11, false, isLeaving);
             (void)responder.send(parseFailure(code));
         } else {
--- a/coltsfootbend/net/http.h
+++ b/coltsfootbend/net/http.h
@@ -6,6 +6,7 @@
 //     http_client client(runtime);
 //     auto answer = client.send(address, { .method = "GET", .target = "/health" }, deadline);
 
+#include "coltsfootbend/base/buffer_budget.h"
 #include "coltsfootbend/base/error.h"
 #include "coltsfootbend/net/byte_stream.h"
 #include "coltsfootbend/net/cancellation.h"
@@ -88,6 +89,9 @@
 struct http_server_options {
     std::size_t maxHeaderBytes = std::size_t { 16 } * 1024;
     std::size_t maxBodyBytes = std::size_t { 4 } * 1024 * 1024;
+    // Bounds the bodies of all requests that are received or handled; none if only each body is bounded. Must outlive
+    // the connections. A request whose body finds no room gets 503.
+    buffer_budget* bodies = nullptr;
     // Maximum wait for the first byte of a request.
     duration idleLimit = std::chrono::seconds(60);
     // Maximum time from the first byte of a request to the end of its head.
--- a/coltsfootbend/net/net_test.cpp
+++ b/coltsfootbend/net/net_test.cpp
@@ -137,6 +137,59 @@
     });
 }
 
+// Guards against a process that exceeds its memory because many requests with allowed bodies arrive at the same time.
+TEST(Http, RequestsWhoseBodiesFindNoRoomTogetherAreRefused)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        constexpr std::size_t bodyBytes = std::size_t { 256 } * 1024;
+        constexpr int fitting = 4;
+        buffer_budget bodies(fitting * bodyBytes);
+        const auto server = *listener::open(
+            runtime, { .address = { "127.0.0.1", 0 }, .tls = {} }, [&](const byte_stream_ptr& stream) {
+                serveHttp(
+                    runtime, stream, { .bodies = &bodies },
+                    [](const http_request& request, http_responder& responder) {
+                        (void)responder.send({ { 200, {} }, std::to_string(request.body.size()) });
+                    },
+                    [] { return false; });
+            });
+        const endpoint address { "127.0.0.1", server->port() };
+        const std::string head
+            = "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+        std::vector<byte_stream_ptr> waiting;
+        for (int i = 0; i < fitting; ++i) {
+            waiting.push_back(*connectTcp(runtime, address, soon()));
+            waiting.back()->setDeadline(soon());
+            ASSERT_TRUE(waiting.back()->writeAll(head + std::string(bodyBytes - 1, 'a')));
+        }
+        runtime.sleepFor(100ms);
+        const auto refused = sendRaw(runtime, address, head + std::string(bodyBytes, 'a'));
+        EXPECT_NE(refused.find("503"), std::string::npos);
+        EXPECT_NE(refused.find("Retry-After"), std::string::npos);
+        const auto refusedChunks = sendRaw(runtime, address,
+            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n40000\r\n" + std::string(bodyBytes, 'a')
+                + "\r\n0\r\n\r\n");
+        EXPECT_NE(refusedChunks.find("503"), std::string::npos);
+        EXPECT_NE(sendRaw(runtime, address, "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello")
+                      .find("200"),
+            std::string::npos)
+            << "small bodies always find room";
+        for (const auto& stream : waiting) {
+            ASSERT_TRUE(stream->writeAll("a"));
+            std::string answer(4096, '\0');
+            const auto got = stream->readSome(boost::asio::buffer(answer));
+            ASSERT_TRUE(got);
+            EXPECT_NE(answer.find("200"), std::string::npos);
+            stream->close();
+        }
+        runtime.sleepFor(100ms);
+        EXPECT_NE(sendRaw(runtime, address, head + std::string(bodyBytes, 'a')).find("200"), std::string::npos);
+        runtime.sleepFor(100ms);
+        EXPECT_EQ(bodies.used(), 0U);
+        server->close();
+    });
+}
+
 TEST(Http, BadInputGetsATypedErrorAndTheServerGoesOn)
 {
     onRuntime([](fiber_runtime& runtime) {
