--- a/coltsfootbend/measure/child_process.cpp
+++ b/coltsfootbend/measure/child_process.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -52,4 +53,16 @@
     return m_processId != 0;
 }
 
+std::size_t child_process::peakMemory() const
+{
+    constexpr std::size_t kibibyte = 1024;
+    std::ifstream status("/proc/" + std::to_string(m_processId) + "/status");
+    for (std::string name; status >> name;) {
+        std::size_t value = 0;
+        if (name == "VmHWM:" && status >> value)
+            return value * kibibyte;
+    }
+    return 0;
+}
+
 } // namespace coltsfootbend
