The daemon finds its settings by COLTSFOOTBEND_BOOT

Cause: the deploy file gave the path of the settings file as an argument, although the platform names it in COLTSFOOTBEND_BOOT. Where the file is elsewhere the system does not start.

--- a/coltsfootbend/daemon/daemon_test.cpp
+++ b/coltsfootbend/daemon/daemon_test.cpp
@@ -17,6 +17,7 @@
 
 using namespace std::chrono_literals;
 
+constexpr int exitSettings = 2;
 constexpr int exitStart = 3;
 constexpr auto startTime = 1500ms;
 constexpr auto endLimit = 10s;
@@ -90,6 +91,30 @@
     EXPECT_EQ(run.exitCode(), exitStart) << run.log();
 }
 
+// Guards against a process that does not start where its settings are not at the usual place.
+TEST(Daemon, ReadsTheSettingsThatTheEnvironmentNames)
+{
+    const auto directory
+        = std::filesystem::temp_directory_path() / ("coltsfootbend-environment." + std::to_string(::getpid()));
+    std::filesystem::create_directories(directory);
+    const auto path = directory / "elsewhere.toml";
+    std::ofstream(path) << allRoles("127.0.44.3", "127.0.44.3:18081");
+    const auto exitCodeWith = [&](const char* variable) {
+        if (variable)
+            ::setenv("COLTSFOOTBEND_BOOT", variable, 1);
+        else
+            ::unsetenv("COLTSFOOTBEND_BOOT");
+        child_process check({ COLTSFOOTBEND_DAEMON, "--check" }, directory / "check.log");
+        EXPECT_TRUE(check.start());
+        while (check.isRunning())
+            std::this_thread::sleep_for(10ms);
+        return WEXITSTATUS(check.exitStatus());
+    };
+    EXPECT_EQ(exitCodeWith(path.c_str()), EXIT_SUCCESS);
+    EXPECT_EQ(exitCodeWith(nullptr), exitSettings);
+    std::filesystem::remove_all(directory);
+}
+
 TEST(Daemon, EndsAfterAPlannedStop)
 {
     daemon_run run(allRoles("127.0.44.2", "127.0.44.2:18081"));
--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -18,12 +18,15 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <optional>
 #include <random>
 
 namespace coltsfootbend {
 
 namespace {
 
+// Environment variable with the path of the settings file, for a process that is started without --settings.
+constexpr const char* settingsVariable = "COLTSFOOTBEND_BOOT";
 constexpr int exitSettings = 2;
 constexpr int exitStart = 3;
 // Added to the drain limit for the services to stop. A service that takes longer does not keep the process from ending.
@@ -225,10 +228,20 @@
     bool m_leaving = false;
 };
 
+// Returns the path of the settings file; none if neither the arguments nor the environment name it.
+std::optional<std::string> findSettings(const cxxopts::ParseResult& arguments)
+{
+    if (arguments.count("settings") > 0)
+        return arguments["settings"].as<std::string>();
+    const char* path = std::getenv(settingsVariable);
+    return path ? std::optional<std::string>(path) : std::nullopt;
+}
+
 int runDaemon(int argc, char** argv)
 {
     cxxopts::Options options("coltsfootbend", "Load balancer for expert-parallel model groups: the daemon");
-    options.add_options()("s,settings", "TOML settings file", cxxopts::value<std::string>())(
+    options.add_options()(
+        "s,settings", "TOML settings file; default: that of COLTSFOOTBEND_BOOT", cxxopts::value<std::string>())(
         "check", "check the settings and exit")("version", "print the version and exit")("h,help", "print this");
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0) {
@@ -239,23 +252,23 @@
         std::cout << "coltsfootbend " COLTSFOOTBEND_VERSION "\n";
         return 0;
     }
-    if (arguments.count("settings") == 0) {
-        std::cerr << "coltsfootbend: no settings. Give --settings FILE; see --help\n";
+    const auto path = findSettings(arguments);
+    if (!path) {
+        std::cerr << "coltsfootbend: no settings. Give --settings FILE or set " << settingsVariable << "; see --help\n";
         return exitSettings;
     }
-    const auto path = arguments["settings"].as<std::string>();
-    const auto settings = loadSettings(path);
+    const auto settings = loadSettings(*path);
     if (!settings) {
         for (const auto& error : settings.error())
-            std::cerr << path << ": " << toString(error) << "\n";
+            std::cerr << *path << ": " << toString(error) << "\n";
         return exitSettings;
     }
     if (arguments.count("check") > 0) {
-        std::cout << path << ": good\n";
+        std::cout << *path << ": good\n";
         return 0;
     }
     startLog(argv[0], settings->logDirectory);
-    daemon_process(*settings, path).run();
+    daemon_process(*settings, *path).run();
 }
 
 } // namespace
