Resident memory is a metric, and refused bodies are logged and counted

Cause: nothing showed how near a process was to the memory of its VM, and a request that is refused for its body left no trace.

Change: the gauge resident_memory_bytes; E502 and refused_total{reason="buffers_used_up"} for such requests.

--- a/coltsfootbend/gateway/backend_connection.cpp
+++ b/coltsfootbend/gateway/backend_connection.cpp
@@ -89,9 +89,10 @@
     if (code)
         return tl::unexpected(toError(code));
     http_head head { static_cast<int>(m_parser->get().result_int()), {} };
-    if (!isResponseStatus(head.status))
+    if (!isResponseStatus(head.status)) {
         return fail(error_kind::BadInput, "the server sent the status " + std::to_string(head.status),
             "Check the backend server's log");
+    }
     for (const auto& field : m_parser->get())
         head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
     return head;
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -179,6 +179,12 @@
 void gateway_service::observeCallers()
 {
     m_serverOptions.bodies = &m_context->buffers;
+    m_serverOptions.onBodyRefused = [this] {
+        m_metrics->count("refused_total", { { "reason", "buffers_used_up" } });
+        logEvent(log_event::RequestRefused,
+            "id=- status=503 why=\"the buffers for the bodies of requests are used up\" buffered_bytes="
+                + std::to_string(m_context->buffers.used()));
+    };
     m_serverOptions.onIncomplete = [this](incomplete_response reason, const std::string& why) {
         onIncompleteAnswer(toString(reason), "why=\"" + why + "\"");
     };
--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -376,7 +376,7 @@
             return state->mapVersion == version && fitsModel(state->map, m_options.sets, m_options.experts);
         });
         const bool wasRequested = std::exchange(m_requestsMap, !isOwnChange && !isReported);
-        if (m_requestsMap)
+        if (m_requestsMap) // A map that does not fit now hardly fits at once.
             return wasRequested ? m_options.roundInterval : duration::zero();
         m_mapVersion = version;
         if (isOwnChange) {
--- a/coltsfootbend/metrics/metrics.cpp
+++ b/coltsfootbend/metrics/metrics.cpp
@@ -6,7 +6,9 @@
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <fstream>
 #include <sstream>
+#include <unistd.h>
 #include <utility>
 
 namespace coltsfootbend {
@@ -36,6 +38,17 @@
     return key + '}';
 }
 
+// Returns the resident memory of this process in bytes; 0 if the system does not report it.
+double residentMemory()
+{
+    std::ifstream statm("/proc/self/statm");
+    double allPages = 0;
+    double residentPages = 0;
+    if (!(statm >> allPages >> residentPages))
+        return 0;
+    return residentPages * static_cast<double>(::sysconf(_SC_PAGESIZE));
+}
+
 } // namespace
 
 struct metrics_service::summary {
@@ -46,7 +59,8 @@
     distribution values;
 };
 
-metrics_service::metrics_service() = default;
+metrics_service::metrics_service() { gauge("resident_memory_bytes", residentMemory); }
+
 metrics_service::~metrics_service() = default;
 
 void metrics_service::count(std::string_view name, const std::vector<metric_label>& labels, std::uint64_t by)
--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -364,6 +364,8 @@
         if (code == boost::system::errc::not_enough_memory) {
             beast_responder responder(runtime, stream, options, 11, false, isLeaving);
             (void)responder.send(bodiesUsedUp());
+            if (options.onBodyRefused)
+                options.onBodyRefused();
         } else if (isParseError(code)) {
             beast_responder responder(runtime, stream, options, 11, false, isLeaving);
             (void)responder.send(parseFailure(code));
--- a/coltsfootbend/net/http.h
+++ b/coltsfootbend/net/http.h
@@ -89,9 +89,11 @@
 struct http_server_options {
     std::size_t maxHeaderBytes = std::size_t { 16 } * 1024;
     std::size_t maxBodyBytes = std::size_t { 4 } * 1024 * 1024;
-    // Bounds the bodies of all requests that are received or handled; none if only each body is bounded. Must outlive
+    // Bounds the bodies of all requests that are received or handled; null if only each body is bounded. Must outlive
     // the connections. A request whose body finds no room gets 503.
     buffer_budget* bodies = nullptr;
+    // Called for each request that is refused because its body finds no room; may be empty.
+    std::function<void()> onBodyRefused;
     // Maximum wait for the first byte of a request.
     duration idleLimit = std::chrono::seconds(60);
     // Maximum time from the first byte of a request to the end of its head.
@@ -148,8 +150,8 @@
 class http_client {
 public:
     struct options {
-        std::size_t maxHeaderBytes = std::size_t { 8 } * 1024;
-        std::size_t maxBodyBytes = std::size_t { 64 } * 1024 * 1024;
+        std::size_t maxHeaderBytes = std::size_t { 8 } * 1024; // Of a response.
+        std::size_t maxBodyBytes = std::size_t { 64 } * 1024 * 1024; // Of a response.
         std::size_t maxIdlePerEndpoint = 64; // Idle connections that are kept for reuse.
         // Maximum time to connect. TCP retransmits a lost SYN only after seconds, so without this limit a call with a
         // late deadline would keep waiting long after the server is reachable again.
--- a/coltsfootbend/net/net_test.cpp
+++ b/coltsfootbend/net/net_test.cpp
@@ -144,10 +144,11 @@
         constexpr std::size_t bodyBytes = std::size_t { 256 } * 1024;
         constexpr int fitting = 4;
         buffer_budget bodies(fitting * bodyBytes);
+        int refusals = 0;
         const auto server = *listener::open(
             runtime, { .address = { "127.0.0.1", 0 }, .tls = {} }, [&](const byte_stream_ptr& stream) {
                 serveHttp(
-                    runtime, stream, { .bodies = &bodies },
+                    runtime, stream, { .bodies = &bodies, .onBodyRefused = [&refusals] { ++refusals; } },
                     [](const http_request& request, http_responder& responder) {
                         (void)responder.send({ { 200, {} }, std::to_string(request.body.size()) });
                     },
@@ -186,6 +187,7 @@
         EXPECT_NE(sendRaw(runtime, address, head + std::string(bodyBytes, 'a')).find("200"), std::string::npos);
         runtime.sleepFor(100ms);
         EXPECT_EQ(bodies.used(), 0U);
+        EXPECT_EQ(refusals, 2);
         server->close();
     });
 }
