A class that is owed a grant goes after a more urgent one that is served less

Cause: a class is owed a fraction of the part of all arrivals that was granted of late. A class that arrives in bursts is owed more at their beginning than the others get, and less than its mean within them. A larger fraction mends the latter and worsens the former.

Change: when a class is owed a grant, the waiting class up to it goes first of which the smallest part was granted over some bursts (half time 20 s). That bounds what the guarantee may do to the order, so its part is 0.6 instead of 0.55. The two counts that decay are one type now.

Ruled out: longer half times of the counts of all arrivals (1.2 to 10 s) make the property hold, but then a beginning overload is noticed too late; without the new order they break HardLoad at one gateway.

WaitOrder.AnOwedClassGoesAfterAMoreUrgentOne... fails without the new order.

--- a/coltsfootbend/limits/wait_order.cpp
+++ b/coltsfootbend/limits/wait_order.cpp
@@ -20,8 +20,10 @@
 // Window of the grant rate, and the shortest window from which the rate is computed.
 constexpr std::chrono::milliseconds rateWindow { 1000 };
 constexpr std::chrono::milliseconds minRateWindow { 200 };
-// Time after which an arrival or a grant counts half as much towards the part of the arrivals that is granted.
+// Time after which an arrival or a grant counts half as much towards the part of all arrivals that is granted.
 constexpr std::chrono::milliseconds countHalfTime { 700 };
+// The same for the part of the arrivals of one key. Several bursts long, so that keys are compared over all of them.
+constexpr std::chrono::seconds keyCountHalfTime { 20 };
 
 // Order of service: resumed streams, then by priority, and within a priority those that can still be served in time.
 using service_rank = std::uint32_t;
@@ -34,6 +36,30 @@
     return 1 + 2 * request.priority + (isLate ? 1 : 0);
 }
 
+// Counts events, each of which counts half as much after each half time.
+class decaying_count {
+public:
+    explicit decaying_count(duration halfTime)
+        : m_halfTime(halfTime)
+    {
+    }
+
+    void add(time_point now)
+    {
+        m_count = at(now) + 1;
+        m_decayedAt = now;
+    }
+    double at(time_point now) const
+    {
+        return m_count * std::exp2(-toMilliseconds(now - m_decayedAt) / toMilliseconds(m_halfTime));
+    }
+
+private:
+    duration m_halfTime;
+    double m_count = 0;
+    time_point m_decayedAt {};
+};
+
 // Ensures that each key with waiting requests gets a minimum part of the grants. With each of its arrivals a key is
 // owed a fraction of the part of all arrivals that has lately been granted, and a key that is owed a whole grant goes
 // first.
@@ -49,23 +75,37 @@
     // Records an arrival, which waits from now on.
     void recordArrival(const Key& key, time_point now)
     {
-        decay(now);
-        m_arrivals += 1;
+        m_arrivals.add(now);
         auto& state = m_keys[key];
         ++state.waiting;
-        state.owed = std::min(maxOwed, state.owed + m_part * std::min(1.0, m_grants / m_arrivals));
+        state.arrivals.add(now);
+        state.owed = std::min(maxOwed, state.owed + m_part * std::min(1.0, m_grants.at(now) / m_arrivals.at(now)));
     }
     // Records that a request no longer waits.
     void removeWaiting(const Key& key) { --m_keys.at(key).waiting; }
     // Records a grant to a request that waits.
     void recordGrant(const Key& key, time_point now)
     {
-        decay(now);
-        m_grants += 1;
+        m_grants.add(now);
         auto& state = m_keys.at(key);
+        state.grants.add(now);
         // Nothing is owed to a key of which no other request waits. What is owed to requests that left unserved stays.
         state.owed = state.waiting > 1 ? std::max(0.0, state.owed - 1) : 0;
     }
+    // Returns the key with waiting requests of which the smallest part of the arrivals was granted, among `last` and
+    // the keys before it. Precondition: a request of `last` waits. O(keys).
+    Key leastServedUpTo(const Key& last, time_point now) const
+    {
+        Key least = last;
+        double smallestShare = m_keys.at(last).servedShare(now);
+        for (auto at = m_keys.begin(); at->first < last; ++at) {
+            if (at->second.waiting == 0 || at->second.servedShare(now) >= smallestShare)
+                continue;
+            least = at->first;
+            smallestShare = at->second.servedShare(now);
+        }
+        return least;
+    }
     // Returns the key that is owed most, if that is a whole grant. O(keys).
     std::optional<Key> mostOwed() const
     {
@@ -84,21 +124,17 @@
     struct key_state {
         double owed = 0;
         std::size_t waiting = 0;
-    };
+        decaying_count arrivals { keyCountHalfTime };
+        decaying_count grants { keyCountHalfTime };
 
-    void decay(time_point now)
-    {
-        const double factor = std::exp2(-toMilliseconds(now - m_decayedAt) / toMilliseconds(countHalfTime));
-        m_arrivals *= factor;
-        m_grants *= factor;
-        m_decayedAt = now;
-    }
+        // Precondition: a request of the key waits, so that it has arrived.
+        double servedShare(time_point now) const { return grants.at(now) / arrivals.at(now); }
+    };
 
     double m_part;
     std::map<Key, key_state> m_keys;
-    double m_arrivals = 0;
-    double m_grants = 0;
-    time_point m_decayedAt {};
+    decaying_count m_arrivals { countHalfTime };
+    decaying_count m_grants { countHalfTime };
 };
 
 } // namespace
@@ -169,21 +205,24 @@
         return std::nullopt;
     }
 
-    std::optional<wait_ticket> guaranteed() const
+    std::optional<wait_ticket> guaranteed(time_point now) const
     {
         const auto resumptions = ranks.find(resumptionRank);
         if (resumptions != ranks.end() && resumptions->second.waiting > 0)
             return std::nullopt;
-        if (const auto priority = guaranteedToClasses.mostOwed())
-            return firstWhere([&](const waiting_request& request) { return request.priority == *priority; });
+        if (const auto owed = guaranteedToClasses.mostOwed()) {
+            // What is owed to a class must not make it better served than a more urgent one.
+            const auto priority = guaranteedToClasses.leastServedUpTo(*owed, now);
+            return firstWhere([&](const waiting_request& request) { return request.priority == priority; });
+        }
         if (const auto customer = guaranteedToCustomers.mostOwed())
             return firstWhere([&](const waiting_request& request) { return request.customer == *customer; });
         return std::nullopt;
     }
 
-    std::optional<wait_ticket> next() const
+    std::optional<wait_ticket> next(time_point now) const
     {
-        const auto owed = guaranteed();
+        const auto owed = guaranteed(now);
         return owed ? owed : firstWhere([](const waiting_request&) { return true; });
     }
 
@@ -269,20 +308,20 @@
 std::optional<wait_ticket> wait_order::next(time_point now)
 {
     m_state->updateLate(now);
-    return m_state->next();
+    return m_state->next(now);
 }
 
 std::optional<wait_ticket> wait_order::guaranteed(time_point now)
 {
     m_state->updateLate(now);
-    return m_state->guaranteed();
+    return m_state->guaranteed(now);
 }
 
 std::vector<wait_ticket> wait_order::firstInOrder(time_point now, std::size_t limit)
 {
     m_state->updateLate(now);
     std::vector<wait_ticket> first;
-    if (const auto preferred = m_state->next())
+    if (const auto preferred = m_state->next(now))
         first.push_back(*preferred);
     for (const auto& [rank, queue] : m_state->ranks) {
         for (const auto& [time, customer] : queue.shares.active()) {
--- a/coltsfootbend/limits/wait_order.h
+++ b/coltsfootbend/limits/wait_order.h
@@ -5,7 +5,7 @@
 // class and no customer starves. Deterministic; reads no clock. Blocks no fiber and chooses no server: see
 // `gateway/held_requests.h`.
 //
-//     wait_order order({ .guaranteedPart = 0.55 });
+//     wait_order order({ .guaranteedPart = 0.6 });
 //     const auto ticket = order.join(request, now);
 //     if (order.next(now) == ticket) // it is its turn
 //         order.grant(ticket, now);
@@ -51,7 +51,7 @@
     struct options {
         // Each priority class and each customer with waiting requests gets at least this fraction of what it would get
         // in proportion to its share of the arrivals.
-        double guaranteedPart = 0.55;
+        double guaranteedPart = 0.6;
     };
 
     explicit wait_order(const options&);
--- a/coltsfootbend/limits/wait_order_test.cpp
+++ b/coltsfootbend/limits/wait_order_test.cpp
@@ -237,6 +237,27 @@
     RC_ASSERT(trial.byClass[1].servedShare() + 0.01 >= trial.byClass[2].servedShare());
 }
 
+// Guards against a class that is owed grants, and is served better than a more urgent one for it.
+TEST(WaitOrder, AnOwedClassGoesAfterAMoreUrgentOneThatIsServedLess)
+{
+    wait_order order({ .guaranteedPart = 1 });
+    // Half of the patient requests are granted; the others leave.
+    for (int i = 0; i < 20; ++i) {
+        const auto granted = order.join(request(2), start);
+        const auto unserved = order.join(request(2), start);
+        order.grant(granted, start);
+        order.leave(unserved);
+    }
+    // All others leave unserved, so both classes are owed grants, and the patient one more.
+    for (int i = 0; i < 20; ++i)
+        order.leave(order.join(request(2), start));
+    for (int i = 0; i < 4; ++i)
+        order.leave(order.join(request(1), start));
+    const auto urgent = order.join(request(1), start);
+    (void)order.join(request(2), start);
+    EXPECT_EQ(order.guaranteed(start), urgent);
+}
+
 // Guards against an order that costs callers something while there is capacity for all.
 TEST(WaitOrder, AllAreServedAtHalfLoad)
 {
--- a/coltsfootbend/settings/settings.cpp
+++ b/coltsfootbend/settings/settings.cpp
@@ -234,7 +234,7 @@
     gateway.retries.ratio = reader.fraction("retry_ratio", 0.1, 0, 1);
     gateway.retries.window = fromMilliseconds(1000 * reader.fraction("retry_window_s", 10, 0.1, 3600));
     gateway.retries.extra = reader.fraction("retry_extra", 10, 0, 1e6);
-    gateway.guaranteedPart = reader.fraction("guaranteed_part", 0.55, 0, 0.9);
+    gateway.guaranteedPart = reader.fraction("guaranteed_part", 0.6, 0, 0.9);
     gateway.bufferBytes
         = static_cast<std::size_t>(reader.number("buffer_bytes", 48 * mebibyte, mebibyte, 16'384 * mebibyte));
     reader.rejectUnknownKeys();
--- a/coltsfootbend/settings/settings.h
+++ b/coltsfootbend/settings/settings.h
@@ -71,7 +71,7 @@
     retry_settings retries;
     // Part of the slots, relative to its share of the arrivals, that each priority class and each customer with waiting
     // requests gets at least.
-    double guaranteedPart = 0.55;
+    double guaranteedPart = 0.6;
     // Limit for what is buffered of all responses together.
     std::size_t bufferBytes = std::size_t { 48 } * 1024 * 1024;
 };
