--- a/coltsfootbend/group/odd_engine_state_test.cpp
+++ b/coltsfootbend/group/odd_engine_state_test.cpp
@@ -37,9 +37,9 @@
     result<rank_demand> demand(time_point) override
     {
         m_requests += 10'000;
-        return rank_demand {
-            .incarnation = {}, .epoch = 1, .counts = std::vector<std::uint64_t>(sets * experts, m_requests)
-        };
+        return rank_demand { .incarnation = {},
+            .epoch = 1,
+            .counts = std::vector<std::uint64_t>(std::size_t { sets } * experts, m_requests) };
     }
     result<rank_maps> maps(time_point) override
     {
