Starts and bursts: tests that fail

A start that meets a passing obstacle, an odd optional setting, a signal or a crowd of connections ends the process.

--- a/coltsfootbend/daemon/daemon_test.cpp
+++ b/coltsfootbend/daemon/daemon_test.cpp
@@ -1,16 +1,8 @@
 // Tests how the daemon's process ends, by running it.
 
-#include "coltsfootbend/base/time.h"
-#include "coltsfootbend/measure/child_process.h"
+#include "coltsfootbend/daemon/daemon_run.h"
 
 #include <csignal>
-#include <filesystem>
-#include <fstream>
-#include <gtest/gtest.h>
-#include <optional>
-#include <sys/wait.h>
-#include <thread>
-#include <unistd.h>
 
 namespace coltsfootbend {
 namespace {
@@ -20,7 +12,6 @@
 constexpr int exitSettings = 2;
 constexpr int exitStart = 3;
 constexpr auto startTime = 1500ms;
-constexpr auto endLimit = 10s;
 
 // Settings of a process with all roles and stand-ins, whose operators' service starts last.
 std::string allRoles(const std::string& host, const std::string& operators)
@@ -35,53 +26,6 @@
         + ":19002\"\n[standin.engine]\naddress = \"" + host + ":19003\"\nstep_ms = 6\n";
 }
 
-// Runs the daemon with settings in a directory of its own, which is removed with the object.
-class daemon_run {
-public:
-    explicit daemon_run(const std::string& settings)
-        : m_directory(std::filesystem::temp_directory_path() / ("coltsfootbend-daemon." + std::to_string(::getpid())))
-    {
-        std::filesystem::create_directories(m_directory);
-        const auto path = m_directory / "settings.toml";
-        std::ofstream(path) << settings;
-        m_process.emplace(
-            std::vector<std::string> { COLTSFOOTBEND_DAEMON, "--settings", path }, m_directory / "daemon.log");
-        EXPECT_TRUE(m_process->start());
-    }
-    ~daemon_run()
-    {
-        m_process.reset();
-        std::filesystem::remove_all(m_directory);
-    }
-    daemon_run(const daemon_run&) = delete;
-    daemon_run& operator=(const daemon_run&) = delete;
-
-    void signal(int number) { m_process->signal(number); }
-
-    // Returns the exit code; none if the process does not end within `endLimit` or ends by a signal.
-    std::optional<int> exitCode()
-    {
-        const auto until = clock_type::now() + endLimit;
-        while (m_process->isRunning()) {
-            if (clock_type::now() >= until)
-                return std::nullopt;
-            std::this_thread::sleep_for(10ms);
-        }
-        const int status = m_process->exitStatus();
-        return WIFEXITED(status) ? std::optional(WEXITSTATUS(status)) : std::nullopt;
-    }
-
-    std::string log() const
-    {
-        std::ifstream in(m_directory / "daemon.log");
-        return { std::istreambuf_iterator<char>(in), {} };
-    }
-
-private:
-    const std::filesystem::path m_directory;
-    std::optional<child_process> m_process;
-};
-
 // Guards against a process that hangs for ever after a failed start: it destroyed its services, and the end of its main
 // thread then resumed their fibers, which waited for a mutex in freed memory.
 TEST(Daemon, EndsWhenAServiceCannotStart)
--- /dev/null
+++ b/coltsfootbend/daemon/start_test.cpp
@@ -0,0 +1,322 @@
+// Tests that what a supervisor, a neighbour or a crowd of clients does to a process at its start and in a burst does
+// not end it. The processes are real.
+
+#include "coltsfootbend/daemon/daemon_run.h"
+#include "coltsfootbend/net/test_address.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <memory>
+#include <netinet/in.h>
+#include <string>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <vector>
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint16_t peersPort = 7340;
+constexpr std::uint16_t callersPort = 8227;
+constexpr std::uint16_t healthPort = 8220;
+// Long enough for a process to have ended if it ends at the obstacle.
+constexpr auto obstacleTime = 700ms;
+
+std::string quoted(std::uint16_t port) { return "\"" + toString(testAddress(port)) + "\""; }
+
+std::string commonSettings()
+{
+    return "vm = \"g\"\ndata_centre = \"z\"\npeers = " + quoted(peersPort) + "\ndeployment_store = " + quoted(8223)
+        + "\ndrain_limit_s = 2\n";
+}
+
+std::string gatewaySettings(
+    const std::string& common = {}, const std::string& gateway = {}, std::uint16_t callers = callersPort)
+{
+    return commonSettings() + common + "[gateway]\ncallers = " + quoted(callers) + "\nhealth = " + quoted(healthPort)
+        + "\n" + gateway;
+}
+
+std::string agentSettings() { return commonSettings() + "[rank_agent]\nengine = " + quoted(8228) + "\n"; }
+
+// A socket of the test, closed with the object.
+class test_socket {
+public:
+    explicit test_socket(int type)
+        : m_file(::socket(AF_INET, type | SOCK_CLOEXEC, 0))
+    {
+    }
+    ~test_socket() { close(); }
+    test_socket(const test_socket&) = delete;
+    test_socket& operator=(const test_socket&) = delete;
+
+    void close()
+    {
+        if (m_file >= 0)
+            (void)::close(m_file);
+        m_file = -1;
+    }
+    // Lets the socket bind although closed connections of earlier tests hold the port.
+    void reuseAddress() const
+    {
+        const int on = 1;
+        (void)::setsockopt(m_file, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    }
+    bool bind(const endpoint& address) const
+    {
+        const auto name = nameOf(address);
+        return ::bind(m_file, reinterpret_cast<const sockaddr*>(&name), sizeof name) == 0;
+    }
+    bool listen() const { return ::listen(m_file, 1) == 0; }
+    bool connect(const endpoint& address) const
+    {
+        const auto name = nameOf(address);
+        return ::connect(m_file, reinterpret_cast<const sockaddr*>(&name), sizeof name) == 0;
+    }
+    bool send(const std::string& text) const
+    {
+        return ::send(m_file, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
+    }
+
+private:
+    static sockaddr_in nameOf(const endpoint& address)
+    {
+        sockaddr_in name {};
+        name.sin_family = AF_INET;
+        name.sin_port = htons(address.port);
+        (void)::inet_pton(AF_INET, address.ip.c_str(), &name.sin_addr);
+        return name;
+    }
+
+    int m_file;
+};
+
+bool canConnect(std::uint16_t port)
+{
+    const auto until = clock_type::now() + 5s;
+    while (clock_type::now() < until) {
+        if (test_socket(SOCK_STREAM).connect(testAddress(port)))
+            return true;
+        std::this_thread::sleep_for(10ms);
+    }
+    return false;
+}
+
+class occupied_address : public testing::TestWithParam<std::pair<int, std::uint16_t>> { };
+
+// Guards against starts that end, one after the other, while the process before or a neighbour uses an address.
+TEST_P(occupied_address, AStartWaitsUntilAnAddressInUseIsFree)
+{
+    const auto [type, port] = GetParam();
+    test_socket neighbour(type);
+    if (type == SOCK_STREAM)
+        neighbour.reuseAddress();
+    ASSERT_TRUE(neighbour.bind(testAddress(port)));
+    if (type == SOCK_STREAM)
+        ASSERT_TRUE(neighbour.listen());
+    daemon_run run(gatewaySettings());
+    std::this_thread::sleep_for(obstacleTime);
+    ASSERT_TRUE(run.isRunning()) << run.log();
+    EXPECT_TRUE(
+        run.logs("E106 address=\"" + std::string(type == SOCK_STREAM ? "tcp " : "udp ") + toString(testAddress(port))))
+        << run.log();
+    neighbour.close();
+    EXPECT_TRUE(canConnect(callersPort)) << run.log();
+}
+
+INSTANTIATE_TEST_SUITE_P(Start, occupied_address,
+    testing::Values(std::pair(SOCK_STREAM, peersPort), std::pair(SOCK_DGRAM, peersPort),
+        std::pair(SOCK_STREAM, callersPort), std::pair(SOCK_STREAM, healthPort)));
+
+// Guards against starts that end for a minute after a connection that had the port of the process as its local port.
+TEST(Start, WaitsWhileAClosedConnectionHoldsThePort)
+{
+    constexpr std::uint16_t heldPort = 8327;
+    const test_socket server(SOCK_STREAM);
+    ASSERT_TRUE(server.bind(testAddress(9000)));
+    ASSERT_TRUE(server.listen());
+    test_socket client(SOCK_STREAM);
+    ASSERT_TRUE(client.bind(testAddress(heldPort)));
+    ASSERT_TRUE(client.connect(testAddress(9000)));
+    client.close();
+    daemon_run run(gatewaySettings({}, {}, heldPort));
+    std::this_thread::sleep_for(obstacleTime);
+    EXPECT_TRUE(run.isRunning()) << run.log();
+    EXPECT_TRUE(run.logs("E106 ")) << run.log();
+}
+
+// Guards against a start that ends because the process before still completes its requests.
+TEST(Start, WaitsForTheEndOfTheProcessBefore)
+{
+    daemon_run before(gatewaySettings());
+    ASSERT_TRUE(canConnect(callersPort));
+    const test_socket caller(SOCK_STREAM);
+    ASSERT_TRUE(caller.connect(testAddress(callersPort)));
+    ASSERT_TRUE(caller.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab"));
+    std::this_thread::sleep_for(100ms);
+    before.signal(SIGTERM);
+    daemon_run next(gatewaySettings());
+    EXPECT_EQ(before.exitCode(), EXIT_SUCCESS);
+    EXPECT_TRUE(next.logs("E100 ")) << next.log();
+    EXPECT_TRUE(canConnect(callersPort)) << next.log();
+}
+
+TEST(Start, ThatWaitsForAnAddressEndsWhenItIsAskedTo)
+{
+    test_socket neighbour(SOCK_STREAM);
+    neighbour.reuseAddress();
+    ASSERT_TRUE(neighbour.bind(testAddress(callersPort)));
+    ASSERT_TRUE(neighbour.listen());
+    daemon_run run(gatewaySettings());
+    ASSERT_TRUE(run.logs("E106 ")) << run.log();
+    run.signal(SIGTERM);
+    EXPECT_EQ(run.exitCode(1s), EXIT_SUCCESS) << run.log();
+}
+
+// Guards against starts that end, one after the other, while the settings file is being written.
+TEST(Start, ReadsASettingsFileThatIsBeingWrittenAgain)
+{
+    const auto whole = gatewaySettings();
+    for (const auto& part : { std::string(), whole.substr(0, whole.size() / 2), std::string("[[[") }) {
+        daemon_run run(part);
+        std::this_thread::sleep_for(obstacleTime);
+        ASSERT_TRUE(run.isRunning()) << run.log();
+        run.write(whole);
+        EXPECT_TRUE(run.logs("E100 ")) << run.log();
+    }
+}
+
+TEST(Start, EndsWithItsErrorsIfTheSettingsFileStaysBad)
+{
+    constexpr int exitSettings = 2;
+    daemon_run run("vm = 5\n");
+    EXPECT_EQ(run.exitCode(15s), exitSettings);
+    EXPECT_NE(run.log().find("line 1: 'vm' must be a text"), std::string::npos) << run.log();
+}
+
+// Guards against roles that do not start on a day on which an optional value is empty or unusual.
+TEST(Start, ReplacesOptionalSettingsThatCannotBeUsed)
+{
+    struct trial {
+        std::string settings;
+        std::string named;
+    };
+    const std::vector<trial> trials {
+        { gatewaySettings("peer_hints = [\"\", \"127.0.0.2:1\", \"host:1\"]\n"), "'peer_hints'" },
+        { gatewaySettings("peer_hints = 5\n"), "'peer_hints'" },
+        { gatewaySettings("unknown = 1\n"), "'unknown'" },
+        { gatewaySettings("drain_limit_ms = -1\n"), "'drain_limit_ms'" },
+        { gatewaySettings({}, "retry_ratio = 1.5\n"), "'gateway.retry_ratio'" },
+        { gatewaySettings({}, "retry_window_s = 0\n"), "'gateway.retry_window_s'" },
+        { gatewaySettings({}, "retry_extra = \"\"\n"), "'gateway.retry_extra'" },
+        { gatewaySettings({}, "[regions]\n\"z\" = \"\"\n"), "'regions'" },
+        { gatewaySettings({}, "[limits]\nmemory_mb = \"260\"\n"), "'limits.memory_mb'" },
+    };
+    for (const auto& trial : trials) {
+        daemon_run run(trial.settings);
+        EXPECT_TRUE(run.logs("E100 ")) << run.log();
+        const auto log = run.log();
+        EXPECT_NE(log.find("E107 "), std::string::npos) << log;
+        EXPECT_NE(log.find(trial.named), std::string::npos) << log;
+    }
+}
+
+// Guards against processes that end by a signal which a supervisor or a terminal may send.
+TEST(Start, SignalsThatMeanNothingToTheProcessDoNotEndIt)
+{
+    daemon_run run(gatewaySettings());
+    ASSERT_TRUE(run.logs("E100 "));
+    for (int series = 0; series < 3; ++series) {
+        for (const int number : { SIGHUP, SIGUSR1, SIGUSR2, SIGALRM, SIGPIPE, SIGHUP, SIGVTALRM, SIGPROF, SIGIO })
+            run.signal(number);
+    }
+    std::this_thread::sleep_for(obstacleTime);
+    ASSERT_TRUE(run.isRunning()) << run.log();
+    run.signal(SIGQUIT);
+    EXPECT_EQ(run.exitCode(), EXIT_SUCCESS) << run.log();
+}
+
+// Guards against settings that are never in force because the signal came while the file was being written.
+TEST(Start, AReloadOfAHalfWrittenFileIsRepeated)
+{
+    daemon_run run(gatewaySettings());
+    ASSERT_TRUE(run.logs("E100 "));
+    const auto changed = gatewaySettings({}, "retry_extra = 7\n");
+    run.write(changed.substr(0, changed.size() / 2));
+    run.signal(SIGHUP);
+    ASSERT_TRUE(run.logs("E104 ")) << run.log();
+    run.write(changed);
+    EXPECT_TRUE(run.logs("E103 ", 2s)) << run.log();
+}
+
+// Opens `count` connections to `address`, and sends `bytes` on each. Connections may be refused.
+std::vector<std::unique_ptr<test_socket>> openConnections(int count, const endpoint& address, const std::string& bytes)
+{
+    std::vector<std::unique_ptr<test_socket>> opened;
+    for (int i = 0; i < count; ++i) {
+        opened.push_back(std::make_unique<test_socket>(SOCK_STREAM));
+        if (opened.back()->connect(address) && !bytes.empty())
+            (void)opened.back()->send(bytes);
+    }
+    return opened;
+}
+
+void allowDescriptors()
+{
+    rlimit limit {};
+    ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &limit), 0);
+    limit.rlim_cur = limit.rlim_max;
+    ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &limit), 0);
+}
+
+// AddressSanitizer needs more address space and memory than the VMs have. With it the limits of the settings are used,
+// and the memory of the process is not compared with them.
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool isSanitized = true;
+#else
+constexpr bool isSanitized = false;
+#endif
+
+// Guards against a gateway that ends because a crowd of callers uses up the memory that its VM has.
+TEST(Start, ACrowdOfCallersDoesNotUseUpTheAddressSpace)
+{
+    allowDescriptors();
+    struct trial {
+        int callers;
+        int addressSpaceMebibytes;
+    };
+    for (const auto& trial : { trial { 1900, 260 }, trial { 900, 128 } }) {
+        const auto inSettings = "[limits]\nmemory_mb = " + std::to_string(trial.addressSpaceMebibytes / 2) + "\n";
+        const auto inProcess = "ulimit -v " + std::to_string(1024 * trial.addressSpaceMebibytes) + "; ulimit -n 4100";
+        daemon_run run(gatewaySettings({}, isSanitized ? inSettings : ""), isSanitized ? "ulimit -n 4100" : inProcess);
+        ASSERT_TRUE(canConnect(callersPort)) << run.log();
+        const auto callers = openConnections(
+            trial.callers, testAddress(callersPort), "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab");
+        std::this_thread::sleep_for(obstacleTime);
+        EXPECT_TRUE(run.isRunning()) << run.log();
+        EXPECT_TRUE(run.logs("E510 ")) << "connections beyond the limits are refused";
+        EXPECT_EQ(run.log().find("E105 "), std::string::npos) << run.log();
+        EXPECT_TRUE(canConnect(healthPort)) << "a crowd of callers does not shut out the platform's checks";
+    }
+}
+
+// Guards against an agent that exceeds the memory of its VM because of idle connections to its internal port.
+TEST(Start, ACrowdAtTheInternalPortDoesNotExceedTheMemoryOfTheVm)
+{
+    constexpr std::size_t memoryMegabytes = 128;
+    allowDescriptors();
+    daemon_run run(
+        agentSettings() + "[limits]\nmemory_mb = " + std::to_string(memoryMegabytes) + "\n", "ulimit -n 4100");
+    ASSERT_TRUE(canConnect(peersPort)) << run.log();
+    const auto strangers = openConnections(2000, testAddress(peersPort), {});
+    std::this_thread::sleep_for(obstacleTime);
+    EXPECT_TRUE(run.isRunning()) << run.log();
+    if (!isSanitized)
+        EXPECT_LT(run.peakMemory(), memoryMegabytes * 1024 * 1024);
+    EXPECT_TRUE(run.logs("E510 listener=peers")) << run.log();
+}
+
+} // namespace
+} // namespace coltsfootbend
