Starts wait for addresses in use and for a settings file that is being written

Callers saw a system that did not start: each process that met an address in use, by the process before, a neighbour or a connection in TIME_WAIT, ended with code 3, and so did each one that its supervisor started after it, for up to a minute. An empty or half written settings file ended it with code 2.

Cause: a passing obstacle at the start was treated as final.

Change: all addresses are tried before the first service starts, and the start waits for those in use (E106), no longer than TIME_WAIT or a planned stop can last. The settings file is read again for 10 s. SIGTERM ends a start that waits.

--- a/coltsfootbend/base/log_event.cpp
+++ b/coltsfootbend/base/log_event.cpp
@@ -72,6 +72,8 @@
     case log_event::RequestFaulted:
     case log_event::ProcessFaulted:
         return google::GLOG_ERROR;
+    case log_event::StartWaits:
+    case log_event::SettingReplaced:
     case log_event::StoreLost:
     case log_event::StoreCallFailed:
     case log_event::StorePollStalled:
--- a/coltsfootbend/base/log_event.h
+++ b/coltsfootbend/base/log_event.h
@@ -18,6 +18,8 @@
     SettingsReloaded = 103,
     SettingsRefused = 104,
     ProcessFaulted = 105,
+    StartWaits = 106,
+    SettingReplaced = 107,
     ConfigurationInForce = 200,
     ConfigurationAccepted = 201,
     ConfigurationRejected = 202,
--- a/coltsfootbend/daemon/daemon_run.h
+++ b/coltsfootbend/daemon/daemon_run.h
@@ -27,7 +27,7 @@
     // `limits` are commands of the shell that starts the program, such as "ulimit -n 64".
     explicit daemon_run(const std::string& settings, const std::string& limits = "true")
         : m_directory(std::filesystem::temp_directory_path()
-              / ("coltsfootbend-daemon." + std::to_string(::getpid()) + "." + std::to_string(++s_runs)))
+            / ("coltsfootbend-daemon." + std::to_string(::getpid()) + "." + std::to_string(++s_runs)))
     {
         std::filesystem::create_directories(m_directory);
         write(settings);
--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -1,6 +1,7 @@
 // The daemon: reads its settings, creates the services that they configure, and runs until a planned stop is complete.
 
 #include "coltsfootbend/base/log_event.h"
+#include "coltsfootbend/daemon/start_conditions.h"
 #include "coltsfootbend/engine/standin.h"
 #include "coltsfootbend/gateway/gateway_service.h"
 #include "coltsfootbend/group/rank_service.h"
@@ -55,16 +56,11 @@
     {
         if (auto composed = compose(); !composed)
             failStart(composed.error());
-        if (auto started = m_kernel.start(); !started)
-            failStart(started.error());
-        registerDrain();
-        logEvent(log_event::ProcessStarted,
-            "vm=" + m_settings.vm.text() + " life=" + std::to_string(m_incarnation.number()));
         m_signals.async_wait([this](boost::system::error_code code, int) {
             if (!code)
                 leave();
         });
-        awaitReload();
+        m_runtime.spawn([this] { start(); });
         runLogged([this] { m_runtime.run(); });
         logEvent(log_event::ProcessStopped, "vm=" + m_settings.vm.text());
         endProcess(EXIT_SUCCESS);
@@ -80,6 +76,22 @@
         std::_Exit(exitCode);
     }
 
+    // Starts the services once their addresses are free.
+    void start()
+    {
+        const auto deadline = addressDeadline(m_settings, clock_type::now());
+        if (auto free = awaitAddresses(m_runtime, listenAddresses(m_settings), deadline); !free)
+            failStart(free.error());
+        if (m_leaving)
+            return;
+        if (auto started = m_kernel.start(); !started)
+            failStart(started.error());
+        registerDrain();
+        logEvent(log_event::ProcessStarted,
+            "vm=" + m_settings.vm.text() + " life=" + std::to_string(m_incarnation.number()));
+        awaitReload();
+    }
+
     // Ends the process after a failed start. Services that did start have fibers already.
     [[noreturn]] static void failStart(const error& error)
     {
@@ -237,6 +249,16 @@
     return path ? std::optional<std::string>(path) : std::nullopt;
 }
 
+int checkSettings(const std::string& path)
+{
+    if (const auto settings = loadSettings(path); !settings) {
+        printErrors(path, settings.error());
+        return exitSettings;
+    }
+    std::cout << path << ": good\n";
+    return EXIT_SUCCESS;
+}
+
 int runDaemon(int argc, char** argv)
 {
     cxxopts::Options options("coltsfootbend", "Load balancer for expert-parallel model groups: the daemon");
@@ -257,16 +279,13 @@
         std::cerr << "coltsfootbend: no settings. Give --settings FILE or set " << settingsVariable << "; see --help\n";
         return exitSettings;
     }
-    const auto settings = loadSettings(*path);
+    if (arguments.count("check") > 0)
+        return checkSettings(*path);
+    const auto settings = awaitSettings(*path, clock_type::now() + settingsLimit);
     if (!settings) {
-        for (const auto& error : settings.error())
-            std::cerr << *path << ": " << toString(error) << "\n";
+        printErrors(*path, settings.error());
         return exitSettings;
     }
-    if (arguments.count("check") > 0) {
-        std::cout << *path << ": good\n";
-        return 0;
-    }
     startLog(argv[0], settings->logDirectory);
     daemon_process(*settings, *path).run();
 }
--- /dev/null
+++ b/coltsfootbend/daemon/start_conditions.cpp
@@ -0,0 +1,99 @@
+#include "coltsfootbend/daemon/start_conditions.h"
+
+#include "coltsfootbend/base/log_event.h"
+
+#include <algorithm>
+#include <boost/asio/error.hpp>
+#include <iostream>
+#include <thread>
+#include <utility>
+
+namespace coltsfootbend {
+
+namespace {
+
+// How long Linux keeps a closed connection in TIME_WAIT.
+constexpr std::chrono::seconds timeWaitLength { 60 };
+// Added to the time that an address may be in use, for the end of the process before and for slow timers.
+constexpr std::chrono::seconds addressMargin { 5 };
+
+void addIfUsed(std::vector<listen_address>& addresses, const endpoint& address, transport_kind transport)
+{
+    if (address.port != 0)
+        addresses.push_back({ .address = address, .transport = transport });
+}
+
+error cannotListen(const listen_address& listening, boost::system::error_code code)
+{
+    return { error_kind::Unavailable, toString(listening) + ": cannot listen: " + code.message(),
+        "Check that the address is this VM's and that no other process uses it" };
+}
+
+} // namespace
+
+void printErrors(const std::string& path, const std::vector<error>& errors)
+{
+    for (const auto& error : errors)
+        std::cerr << path << ": " << toString(error) << "\n";
+}
+
+tl::expected<daemon_settings, std::vector<error>> awaitSettings(const std::string& path, time_point deadline)
+{
+    auto settings = loadSettings(path);
+    if (!settings) {
+        printErrors(path, settings.error());
+        std::cerr << "coltsfootbend: reads " << path << " again until it can be used, for " << settingsLimit.count()
+                  << " s\n";
+    }
+    while (!settings && clock_type::now() < deadline) {
+        std::this_thread::sleep_for(startRetryInterval);
+        settings = loadSettings(path);
+    }
+    return settings;
+}
+
+std::vector<listen_address> listenAddresses(const daemon_settings& settings)
+{
+    std::vector<listen_address> addresses;
+    if (settings.platformStandin)
+        addIfUsed(addresses, *settings.platformStandin, transport_kind::Tcp);
+    if (settings.engineStandin)
+        addIfUsed(addresses, settings.engineStandin->address, transport_kind::Tcp);
+    addIfUsed(addresses, settings.peers, transport_kind::Tcp);
+    if (settings.gateway || settings.rankAgent)
+        addIfUsed(addresses, settings.peers, transport_kind::Udp);
+    if (settings.gateway) {
+        addIfUsed(addresses, settings.gateway->health, transport_kind::Tcp);
+        addIfUsed(addresses, settings.gateway->callers, transport_kind::Tcp);
+    }
+    if (settings.entry) {
+        addIfUsed(addresses, settings.entry->callers, transport_kind::Tcp);
+        addIfUsed(addresses, settings.entry->operators, transport_kind::Tcp);
+    }
+    return addresses;
+}
+
+time_point addressDeadline(const daemon_settings& settings, time_point now)
+{
+    return now + std::max<duration>(timeWaitLength, settings.drainLimit) + addressMargin;
+}
+
+result<void> awaitAddresses(fiber_runtime& runtime, const std::vector<listen_address>& addresses, time_point deadline)
+{
+    for (const auto& listening : addresses) {
+        bool isLogged = false;
+        while (const auto code = probeAddress(listening)) {
+            if (code != boost::asio::error::address_in_use || clock_type::now() >= deadline)
+                return tl::unexpected(cannotListen(listening, code));
+            if (!std::exchange(isLogged, true)) {
+                logEvent(log_event::StartWaits,
+                    "address=\"" + toString(listening) + "\" why=\"" + code.message()
+                        + "\" time_left_ms=" + std::to_string(remaining(clock_type::now(), deadline).count()));
+            }
+            runtime.sleepFor(startRetryInterval);
+        }
+    }
+    return {};
+}
+
+} // namespace coltsfootbend
--- /dev/null
+++ b/coltsfootbend/daemon/start_conditions.h
@@ -0,0 +1,43 @@
+#pragma once
+
+// What a process waits for before its services start. A passing obstacle does not end a start: an address may still be
+// used by the process before or by a connection that was closed a minute ago, and a settings file may be half written.
+// A supervisor would only start the next process, which meets the same obstacle.
+//
+//     auto settings = awaitSettings(path, clock_type::now() + settingsLimit);
+//     auto isFree = awaitAddresses(runtime, listenAddresses(*settings), addressDeadline(*settings, now));
+
+#include "coltsfootbend/base/error.h"
+#include "coltsfootbend/base/time.h"
+#include "coltsfootbend/net/address_probe.h"
+#include "coltsfootbend/settings/settings.h"
+
+#include <string>
+#include <vector>
+
+namespace coltsfootbend {
+
+// Time in which a settings file that is being written is complete.
+constexpr std::chrono::seconds settingsLimit { 10 };
+// Time between two attempts to start.
+constexpr std::chrono::milliseconds startRetryInterval { 100 };
+
+// Prints what is wrong with the settings file to standard error.
+void printErrors(const std::string& path, const std::vector<error>&);
+
+// Reads the settings file. While it cannot be used, prints its errors to standard error once and reads it again, until
+// `deadline`. Blocks the thread. Fails with the errors of the last attempt.
+tl::expected<daemon_settings, std::vector<error>> awaitSettings(const std::string& path, time_point deadline);
+
+// Returns the addresses at which the services of `settings` listen.
+std::vector<listen_address> listenAddresses(const daemon_settings&);
+
+// Returns until when an address may be in use although nothing is wrong: by a connection in TIME_WAIT, or by the
+// process before, which completes its requests.
+time_point addressDeadline(const daemon_settings&, time_point now);
+
+// Blocks the calling fiber until all addresses can be bound, and logs what it waits for. Fails with `Unavailable` at
+// `deadline`, and at once for an address that waiting does not help, such as one of another VM.
+result<void> awaitAddresses(fiber_runtime&, const std::vector<listen_address>&, time_point deadline);
+
+} // namespace coltsfootbend
