Optional settings that cannot be used end no start; assertions of the TOML library neither

Callers saw a role that does not start on any VM: a field of the platform that is empty or unusual made a line of the template a syntax error, or a value out of range, and each process of the role ended with code 2. A file with a line `[[[` aborted in an assertion of the TOML library.

Cause: what an operator's check must refuse was refused at a start as well.

TLS settings stay required as they stand. Assertions of the TOML library throw, and such a file is refused with an error. `--check` and a reload refuse as before.

--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -286,8 +286,10 @@
         printErrors(*path, settings.error());
         return exitSettings;
     }
-    startLog(argv[0], settings->logDirectory);
-    daemon_process(*settings, *path).run();
+    startLog(argv[0], settings->settings.logDirectory);
+    for (const auto& replaced : settings->replaced)
+        logEvent(log_event::SettingReplaced, toString(replaced));
+    daemon_process(settings->settings, *path).run();
 }
 
 } // namespace
--- a/coltsfootbend/daemon/start_conditions.cpp
+++ b/coltsfootbend/daemon/start_conditions.cpp
@@ -37,9 +37,9 @@
         std::cerr << path << ": " << toString(error) << "\n";
 }
 
-tl::expected<daemon_settings, std::vector<error>> awaitSettings(const std::string& path, time_point deadline)
+tl::expected<start_settings, std::vector<error>> awaitSettings(const std::string& path, time_point deadline)
 {
-    auto settings = loadSettings(path);
+    auto settings = loadStartSettings(path);
     if (!settings) {
         printErrors(path, settings.error());
         std::cerr << "coltsfootbend: reads " << path << " again until it can be used, for " << settingsLimit.count()
@@ -47,7 +47,7 @@
     }
     while (!settings && clock_type::now() < deadline) {
         std::this_thread::sleep_for(startRetryInterval);
-        settings = loadSettings(path);
+        settings = loadStartSettings(path);
     }
     return settings;
 }
--- a/coltsfootbend/daemon/start_conditions.h
+++ b/coltsfootbend/daemon/start_conditions.h
@@ -5,7 +5,8 @@
 // A supervisor would only start the next process, which meets the same obstacle.
 //
 //     auto settings = awaitSettings(path, clock_type::now() + settingsLimit);
-//     auto isFree = awaitAddresses(runtime, listenAddresses(*settings), addressDeadline(*settings, now));
+//     auto isFree = awaitAddresses(runtime, listenAddresses(settings->settings), addressDeadline(settings->settings,
+//     now));
 
 #include "coltsfootbend/base/error.h"
 #include "coltsfootbend/base/time.h"
@@ -25,9 +26,9 @@
 // Prints what is wrong with the settings file to standard error.
 void printErrors(const std::string& path, const std::vector<error>&);
 
-// Reads the settings file. While it cannot be used, prints its errors to standard error once and reads it again, until
-// `deadline`. Blocks the thread. Fails with the errors of the last attempt.
-tl::expected<daemon_settings, std::vector<error>> awaitSettings(const std::string& path, time_point deadline);
+// Reads the settings file for a start. While it cannot be used, prints its errors to standard error once and reads it
+// again, until `deadline`. Blocks the thread. Fails with the errors of the last attempt.
+tl::expected<start_settings, std::vector<error>> awaitSettings(const std::string& path, time_point deadline);
 
 // Returns the addresses at which the services of `settings` listen.
 std::vector<listen_address> listenAddresses(const daemon_settings&);
--- a/coltsfootbend/settings/settings.cpp
+++ b/coltsfootbend/settings/settings.cpp
@@ -5,22 +5,39 @@
 #include <fstream>
 #include <set>
 #include <sstream>
-#include <toml++/toml.h>
+#include <stdexcept>
 #include <utility>
 
+namespace {
+
+[[noreturn]] void refuseToml() { throw std::logic_error("the TOML is not understood"); }
+
+} // namespace
+
+// The TOML library checks some of its input by assertions only. They stay on and throw, so that such input is refused.
+#undef NDEBUG
+#define TOML_ASSERT(condition) ((condition) ? static_cast<void>(0) : refuseToml())
+#include <toml++/toml.h>
+
 namespace coltsfootbend {
 
 namespace {
 
 constexpr std::int64_t mebibyte = std::int64_t { 1024 } * 1024;
 
+// An error in the settings, and whether a process can start in spite of it.
+struct settings_issue {
+    error what;
+    bool isOptional = false;
+};
+
 // Reads the keys of one table and collects the errors in them.
 class table_reader {
 public:
-    table_reader(const toml::table& table, std::string path, std::vector<error>& errors)
+    table_reader(const toml::table& table, std::string path, std::vector<settings_issue>& issues)
         : m_table(table)
         , m_path(std::move(path))
-        , m_errors(errors)
+        , m_issues(issues)
     {
     }
 
@@ -31,7 +48,7 @@
             return fallback;
         if (const auto value = node->value<std::string>(); value && !value->empty())
             return *value;
-        addError(key, node, "must be a text that is not empty", "Write it in double quotes");
+        add({ key, node, "must be a text that is not empty", "Write it in double quotes" }, !required);
         return fallback;
     }
 
@@ -55,8 +72,9 @@
         const auto value = node->value<double>();
         if (value && *value >= least && *value <= most)
             return *value;
-        addError(key, node, "must be a number from " + std::to_string(least) + " to " + std::to_string(most),
-            "Change it, or leave it out for " + std::to_string(fallback));
+        add({ key, node, "must be a number from " + std::to_string(least) + " to " + std::to_string(most),
+                "Change it, or leave it out for " + std::to_string(fallback) },
+            true);
         return fallback;
     }
 
@@ -66,13 +84,13 @@
         const auto* node = findNode(key, false, "");
         const auto* array = node ? node->as_array() : nullptr;
         if (node && !array)
-            addError(key, node, "must be a list of addresses", "Write it as [\"10.0.0.1:80\"]");
+            add({ key, node, "must be a list of addresses", "Write it as [\"10.0.0.1:80\"]" }, true);
         for (std::size_t i = 0; array && i < array->size(); ++i) {
             auto parsed = parseEndpoint(array->get(i)->value<std::string>().value_or(""));
             if (parsed)
                 values.push_back(*parsed);
             else
-                addError(key, node, parsed.error().message, parsed.error().remedy);
+                add({ key, node, parsed.error().message, parsed.error().remedy }, true);
         }
         return values;
     }
@@ -85,8 +103,9 @@
         const auto value = node->value_exact<std::int64_t>();
         if (value && *value >= least && *value <= most)
             return *value;
-        addError(key, node, "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most),
-            "Change it, or leave it out for " + std::to_string(fallback));
+        add({ key, node, "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most),
+                "Change it, or leave it out for " + std::to_string(fallback) },
+            true);
         return fallback;
     }
 
@@ -121,7 +140,8 @@
                 values.emplace(entry->first.str(), *value);
         }
         if (!isValid)
-            addError(key, node, "must be a table of texts that are not empty", "Write each entry as name = \"text\"");
+            add({ key, node, "must be a table of texts that are not empty", "Write each entry as name = \"text\"" },
+                true);
         return values;
     }
 
@@ -131,7 +151,7 @@
         if (!node)
             return std::nullopt;
         if (const auto* found = node->as_table())
-            return table_reader(*found, m_path + key + ".", m_errors);
+            return table_reader(*found, m_path + key + ".", m_issues);
         addError(key, node, "must be a table", "Write it as [" + m_path + key + "]");
         return std::nullopt;
     }
@@ -143,7 +163,7 @@
         const auto* array = node ? node->as_array() : nullptr;
         for (std::size_t i = 0; array && i < array->size(); ++i) {
             if (const auto* found = array->get(i)->as_table())
-                readers.emplace_back(*found, m_path + key + ".", m_errors);
+                readers.emplace_back(*found, m_path + key + ".", m_issues);
         }
         if (node && (!array || readers.size() != array->size()))
             addError(key, node, "must be a list of tables", "Write each as [[" + m_path + key + "]]");
@@ -152,22 +172,40 @@
 
     void addError(const std::string& key, const toml::node* node, const std::string& what, std::string remedy)
     {
-        const auto line = node ? node->source().begin.line : m_table.source().begin.line;
-        m_errors.push_back({ error_kind::BadInput, "line " + std::to_string(line) + ": '" + m_path + key + "' " + what,
-            std::move(remedy) });
+        add({ key, node, what, std::move(remedy) }, false);
     }
 
+    // Lets no process start with an error in this table, even in an optional setting.
+    void makeStrict() { m_isStrict = true; }
+
     // Reports the keys that were not read, which are most likely misspelt. Call last.
     void rejectUnknownKeys()
     {
         for (const auto& [key, node] : m_table) {
             const std::string name(key.str());
             if (!m_known.contains(name))
-                addError(name, &node, "is not a setting", "Remove it, or correct its spelling");
+                add({ name, &node, "is not a setting", "Remove it, or correct its spelling" }, true);
         }
     }
 
 private:
+    struct complaint {
+        std::string key;
+        const toml::node* node = nullptr;
+        std::string what;
+        std::string remedy;
+    };
+
+    void add(complaint complaint, bool isOptional)
+    {
+        const auto line = complaint.node ? complaint.node->source().begin.line : m_table.source().begin.line;
+        m_issues.push_back(
+            { { error_kind::BadInput,
+                  "line " + std::to_string(line) + ": '" + m_path + complaint.key + "' " + complaint.what,
+                  std::move(complaint.remedy) },
+                isOptional && !m_isStrict });
+    }
+
     const toml::node* findNode(const std::string& key, bool required, std::string remedy)
     {
         m_known.insert(key);
@@ -179,7 +217,8 @@
 
     const toml::table& m_table;
     const std::string m_path;
-    std::vector<error>& m_errors;
+    std::vector<settings_issue>& m_issues;
+    bool m_isStrict = false;
     std::set<std::string> m_known;
 };
 
@@ -188,6 +227,7 @@
     auto reader = parent.table(key);
     if (!reader)
         return std::nullopt;
+    reader->makeStrict(); // A default in place of what was meant could leave peers unverified.
     tls_settings tls { reader->text("certificate"), reader->text("key"), reader->text("authority", false) };
     reader->rejectUnknownKeys();
     return tls;
@@ -289,21 +329,23 @@
         root.addError("platform", nullptr, "is missing", "Give the address of the platform's service");
 }
 
-} // namespace
+limit_settings readLimits(table_reader& root)
+{
+    auto reader = root.table("limits");
+    if (!reader)
+        return {};
+    limit_settings limits;
+    if (const auto megabytes = reader->number("memory_mb", 0, 16, 1'048'576); megabytes > 0)
+        limits.memoryBytes = static_cast<std::size_t>(megabytes * mebibyte);
+    if (const auto descriptors = reader->number("file_descriptors", 0, 16, 1'048'576); descriptors > 0)
+        limits.descriptors = static_cast<std::size_t>(descriptors);
+    reader->rejectUnknownKeys();
+    return limits;
+}
 
-tl::expected<daemon_settings, std::vector<error>> parseSettings(std::string_view toml)
+daemon_settings readSettings(const toml::table& table, std::vector<settings_issue>& issues)
 {
-    std::vector<error> errors;
-    toml::table table;
-    try {
-        table = toml::parse(toml);
-    } catch (const toml::parse_error& problem) {
-        errors.push_back({ error_kind::BadInput,
-            "line " + std::to_string(problem.source().begin.line) + ": " + std::string(problem.description()),
-            "Correct the TOML" });
-        return tl::unexpected(std::move(errors));
-    }
-    table_reader root(table, "", errors);
+    table_reader root(table, "", issues);
     daemon_settings settings;
     settings.vm = vm_id(root.text("vm"));
     settings.dataCentre = data_centre_id(root.text("data_centre"));
@@ -327,6 +369,7 @@
     for (auto& [dataCentre, region] : root.textsByKey("regions"))
         settings.regions.emplace(data_centre_id(dataCentre), region_id(region));
     readStandins(root, settings);
+    settings.limits = readLimits(root);
     settings.logDirectory = root.text("log_directory", false);
     settings.firstConfigurationFile = root.text("first_configuration", false);
     settings.drainLimit = std::chrono::milliseconds(root.number("drain_limit_ms", 120'000, 0, 3'600'000));
@@ -336,21 +379,75 @@
     settings.keyLifetime = std::chrono::milliseconds(root.number("key_lifetime_ms", 600'000, 1000, 86'400'000));
     checkWhole(settings, root);
     root.rejectUnknownKeys();
-    if (!errors.empty())
-        return tl::unexpected(std::move(errors));
     return settings;
 }
 
-tl::expected<daemon_settings, std::vector<error>> loadSettings(const std::string& path)
+tl::expected<toml::table, error> parseToml(std::string_view text)
 {
-    std::ifstream file(path);
-    if (!file) {
-        return tl::unexpected(std::vector<error> {
-            { error_kind::NotFound, "cannot read '" + path + "'", "Give the path of a settings file" } });
+    try {
+        return toml::parse(text);
+    } catch (const toml::parse_error& problem) {
+        return tl::unexpected(error { error_kind::BadInput,
+            "line " + std::to_string(problem.source().begin.line) + ": " + std::string(problem.description()),
+            "Correct the TOML" });
+    } catch (const std::logic_error& problem) {
+        return tl::unexpected(error { error_kind::BadInput, problem.what(), "Correct the TOML" });
     }
+}
+
+tl::expected<std::string, error> readFile(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return tl::unexpected(
+            error { error_kind::NotFound, "cannot read '" + path + "'", "Give the path of a settings file" });
     std::ostringstream text;
     text << file.rdbuf();
-    return parseSettings(text.str());
+    return text.str();
+}
+
+} // namespace
+
+tl::expected<start_settings, std::vector<error>> parseStartSettings(std::string_view toml)
+{
+    const auto table = parseToml(toml);
+    if (!table)
+        return tl::unexpected(std::vector<error> { table.error() });
+    std::vector<settings_issue> issues;
+    start_settings read { .settings = readSettings(*table, issues), .replaced = {} };
+    const bool canStart
+        = std::all_of(issues.begin(), issues.end(), [](const settings_issue& issue) { return issue.isOptional; });
+    for (auto& issue : issues)
+        read.replaced.push_back(std::move(issue.what));
+    if (!canStart)
+        return tl::unexpected(std::move(read.replaced));
+    return read;
+}
+
+tl::expected<start_settings, std::vector<error>> loadStartSettings(const std::string& path)
+{
+    const auto text = readFile(path);
+    if (!text)
+        return tl::unexpected(std::vector<error> { text.error() });
+    return parseStartSettings(*text);
+}
+
+tl::expected<daemon_settings, std::vector<error>> parseSettings(std::string_view toml)
+{
+    auto read = parseStartSettings(toml);
+    if (!read)
+        return tl::unexpected(std::move(read.error()));
+    if (!read->replaced.empty())
+        return tl::unexpected(std::move(read->replaced));
+    return std::move(read->settings);
+}
+
+tl::expected<daemon_settings, std::vector<error>> loadSettings(const std::string& path)
+{
+    const auto text = readFile(path);
+    if (!text)
+        return tl::unexpected(std::vector<error> { text.error() });
+    return parseSettings(*text);
 }
 
 std::string takeReloadable(daemon_settings& current, const daemon_settings& next)
--- a/coltsfootbend/settings/settings.h
+++ b/coltsfootbend/settings/settings.h
@@ -91,6 +91,12 @@
     std::size_t slots = 0;
 };
 
+// What the VM leaves to this process. What is not set is taken from the system.
+struct limit_settings {
+    std::optional<std::size_t> memoryBytes;
+    std::optional<std::size_t> descriptors;
+};
+
 struct daemon_settings {
     vm_id vm;
     data_centre_id dataCentre;
@@ -113,6 +119,7 @@
     // Stand-ins inside this process for the platform's services and an engine, for trials on one machine.
     std::optional<endpoint> platformStandin;
     std::optional<engine_standin_settings> engineStandin;
+    limit_settings limits;
     std::string logDirectory;
     // Configuration that is submitted as the first one when the platform's table has none yet.
     std::string firstConfigurationFile;
@@ -126,6 +133,20 @@
 // As `parseSettings`, from a file.
 tl::expected<daemon_settings, std::vector<error>> loadSettings(const std::string& path);
 
+// Settings with which a process can start.
+struct start_settings {
+    daemon_settings settings;
+    // What is wrong with optional settings. Each of them has its default, or is left out of its list.
+    std::vector<error> replaced;
+};
+
+// Parses settings for a start, which optional settings must not prevent. Fails with all errors if a required setting is
+// missing or cannot be used. O(length).
+tl::expected<start_settings, std::vector<error>> parseStartSettings(std::string_view toml);
+
+// As `parseStartSettings`, from a file.
+tl::expected<start_settings, std::vector<error>> loadStartSettings(const std::string& path);
+
 // Applies from `next` the settings that a running process can change: limits, retries, weights. Returns the names of
 // the other settings that differ, separated by commas; those need a restart.
 std::string takeReloadable(daemon_settings& current, const daemon_settings& next);
--- a/coltsfootbend/settings/settings_test.cpp
+++ b/coltsfootbend/settings/settings_test.cpp
@@ -59,6 +59,29 @@
     EXPECT_EQ(toString(*parseEndpoint("[::1]:80")), "[::1]:80");
 }
 
+// Guards against an assertion of the TOML library, which would end the process.
+TEST(Settings, BracketsWithoutANameAreRefused)
+{
+    for (const auto* text : { "[[[", "[[[[a]]]]\n", "a = 1\n[[[\n", "[[[x]\n", "[[ [a]]\n", "[]\n", "[[]]\n", "[" })
+        EXPECT_NE(complaints(text).find("Correct the TOML"), std::string::npos) << text;
+}
+
+// Guards against an assertion of the TOML library on a file that is cut anywhere, or changed at any byte.
+TEST(Settings, EachPrefixAndEachChangedByteIsReadOrRefused)
+{
+    for (std::size_t length = 0; length < good.size(); ++length)
+        (void)parseSettings(good.substr(0, length));
+    for (std::size_t position = 0; position < good.size(); ++position) {
+        for (const char byte : { '[', ']', '{', '"', '\'', '=', '.', '\n', '\0', '\xff', '-', '_', '0' }) {
+            auto changed = good;
+            changed[position] = byte;
+            (void)parseSettings(changed);
+            changed.insert(position, 2, byte);
+            (void)parseSettings(changed);
+        }
+    }
+}
+
 RC_GTEST_PROP(Settings, AnyBytesAreReadOrRefused, (const std::string& bytes))
 {
     (void)parseSettings(bytes);
@@ -92,6 +115,31 @@
     EXPECT_EQ(bad.error().size(), 2U);
 }
 
+// Guards against starts that end because of a setting that could be left out.
+TEST(Settings, AStartReplacesOptionalSettingsThatCannotBeUsedAndNamesThem)
+{
+    const auto read = parseStartSettings(
+        std::string(gatewayText) + "guaranteed_part = 2\n[limits]\nmemory_mb = 260\nswap_mb = 1\n");
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->settings.gateway->guaranteedPart, 0.6);
+    EXPECT_EQ(read->settings.limits.memoryBytes, std::size_t { 260 } * 1024 * 1024);
+    ASSERT_EQ(read->replaced.size(), 2U);
+    EXPECT_NE(read->replaced[0].message.find("'gateway.guaranteed_part'"), std::string::npos);
+    EXPECT_NE(read->replaced[1].message.find("'limits.swap_mb'"), std::string::npos);
+    EXPECT_FALSE(parseSettings(std::string(gatewayText) + "guaranteed_part = 2\n")) << "an operator's check names it";
+}
+
+// Guards against a start that ends in a process which does not know its address or does not verify its peers.
+TEST(Settings, AStartNeedsWhatItsProcessCannotDoWithout)
+{
+    EXPECT_FALSE(parseStartSettings("data_centre = \"z\"\n" + std::string(gatewayText).substr(16)));
+    EXPECT_FALSE(parseStartSettings(std::string(gatewayText) + "callers2 = 1\n[rank_agent]\n"));
+    const std::string tls = "[peer_tls]\ncertificate = \"c\"\nkey = \"k\"\n";
+    ASSERT_TRUE(parseStartSettings(std::string(gatewayText) + tls));
+    EXPECT_FALSE(parseStartSettings(std::string(gatewayText) + tls + "autority = \"a\"\n"));
+    EXPECT_FALSE(parseStartSettings(std::string(gatewayText) + tls + "authority = 5\n"));
+}
+
 TEST(Settings, ReloadTakesLimitsAndNamesWhatNeedsARestart)
 {
     auto current = *parseSettings(gatewayText);
