An exception in a fiber loses what the fiber had in hand, and not the process

Callers saw processes that end by themselves, with all requests: an exception in any fiber outside the handler of a request, such as a failed allocation of a stack, ended the process (E105, SIGABRT).

Cause: the runtime had no boundary but the process; loops of services, connections and callbacks of HTTP/2 had none of their own.

Change: an exception ends its fiber only; loops go on with their next round (spawnLoop); connections, HTTP/2 callbacks and completion handlers have boundaries, and what other fibers wait for is released in any case. Stacks come from a pool, each with an inaccessible page below it; their memory goes back to the system after a burst.

--- a/coltsfootbend/config/config_service.cpp
+++ b/coltsfootbend/config/config_service.cpp
@@ -48,7 +48,7 @@
         (void)stream.send(wire::acknowledge {}, true);
     });
     if (m_settings.entry)
-        m_runtime.spawn([this] { pollLoop(); });
+        m_runtime.spawnLoop("configuration", [this] { pollLoop(); });
     return {};
 }
 
@@ -69,11 +69,11 @@
         [&](const peer_settings& entry) { return entry.id == message.sender; });
     if (sender == m_settings.entries.end() || sender->id == m_settings.vm)
         return;
-    m_pulling = true;
     m_runtime.spawn([this, entry = *sender] {
-        pullFrom(entry);
+        (void)runLogged("configuration", [&] { pullFrom(entry); });
         m_pulling = false;
     });
+    m_pulling = true;
 }
 
 void config_service::pullFrom(const peer_settings& entry)
--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -60,8 +60,11 @@
             if (!code)
                 leave();
         });
-        m_runtime.spawn([this] { start(); });
-        runLogged([this] { m_runtime.run(); });
+        m_runtime.spawn([this] {
+            if (!runLogged("start", [this] { start(); }))
+                failStart({ error_kind::Internal, "the start ended with an exception", "Report this" });
+        });
+        m_runtime.run();
         logEvent(log_event::ProcessStopped, "vm=" + m_settings.vm.text());
         endProcess(EXIT_SUCCESS);
     }
@@ -218,13 +221,18 @@
         m_leaving = true;
         logEvent(log_event::ProcessLeaving, "vm=" + m_settings.vm.text());
         const auto drainEnd = clock_type::now() + m_settings.drainLimit;
-        m_runtime.spawn([this, drainEnd] {
-            m_kernel.leave(drainEnd);
-            m_kernel.stop();
-            m_runtime.stop();
+        const bool isLeaving = runLogged("stop", [this, drainEnd] {
+            m_runtime.spawn([this, drainEnd] {
+                m_runtime.sleepUntil(drainEnd + stopLimit);
+                m_runtime.stop();
+            });
+            m_runtime.spawn([this, drainEnd] {
+                m_kernel.leave(drainEnd);
+                m_kernel.stop();
+                m_runtime.stop();
+            });
         });
-        m_runtime.spawn([this, drainEnd] {
-            m_runtime.sleepUntil(drainEnd + stopLimit);
+        if (!isLeaving)
             m_runtime.stop();
         });
     }
--- a/coltsfootbend/entry/entry_service.cpp
+++ b/coltsfootbend/entry/entry_service.cpp
@@ -102,7 +102,7 @@
     if (!opened)
         return tl::unexpected(opened.error());
     m_listener = *opened;
-    m_runtime.spawn([this] { expireLoop(); });
+    m_runtime.spawnLoop("expiry", [this] { expireLoop(); });
     return {};
 }
 
--- a/coltsfootbend/gateway/crash_detector.cpp
+++ b/coltsfootbend/gateway/crash_detector.cpp
@@ -95,8 +95,11 @@
 void crash_detector::check(
     fiber_runtime& runtime, const std::shared_ptr<shared_state>& state, const backend_instance& instance)
 {
-    runtime.sleepFor(gatherTime);
-    const auto hasTerminated = state->verifier.hasTerminated(state->suspected.at(instance).server);
+    std::optional<bool> hasTerminated;
+    (void)runLogged("crash check", [&] {
+        runtime.sleepFor(gatherTime);
+        hasTerminated = state->verifier.hasTerminated(state->suspected.at(instance).server);
+    });
     const auto suspect = state->suspected.extract(instance).mapped();
     if (hasTerminated.value_or(false) || hasStartedAgain(*state, suspect)) {
         report(*state, suspect);
--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -95,8 +95,8 @@
             = std::make_unique<table_follower>(m_runtime, *m_store, **metrics, name, owner, m_options.store);
         follower(name).start();
     }
-    m_runtime.spawn([this] { expireLoop(); });
-    m_runtime.spawn([this] { inquiryLoop(); });
+    m_runtime.spawnLoop("expiry", [this] { expireLoop(); });
+    m_runtime.spawnLoop("inquiries", [this] { inquiryLoop(); });
     return {};
 }
 
@@ -459,13 +459,13 @@
 {
     if (m_peerBeingRead)
         return;
-    m_peerBeingRead = peer;
-    if (withConfiguration)
-        m_configurationReadAt = clock_type::now();
     m_runtime.spawn([this, peer, withConfiguration] {
-        fetchFromPeer(peer, withConfiguration);
+        (void)runLogged("peer reading", [&] { fetchFromPeer(peer, withConfiguration); });
         m_peerBeingRead.reset();
     });
+    m_peerBeingRead = peer;
+    if (withConfiguration)
+        m_configurationReadAt = clock_type::now();
 }
 
 void deployment_watch::inquiryLoop()
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -135,10 +135,10 @@
     m_metrics->gauge("evacuated_data_centres", [this] { return static_cast<double>(m_watch->evacuated().size()); });
     m_metrics->gauge("configuration_version",
         [this] { return m_context->catalogue ? static_cast<double>(m_context->catalogue->version().number()) : 0.0; });
-    m_runtime.spawn([this] { subscribeLoop(); });
-    m_runtime.spawn([this] { receiveLoop(); });
-    m_runtime.spawn([this] { maintenanceLoop(); });
-    m_runtime.spawn([this] { groupLoop(); });
+    m_runtime.spawnLoop("subscriptions", [this] { subscribeLoop(); });
+    m_runtime.spawnLoop("datagrams", [this] { receiveLoop(); });
+    m_runtime.spawnLoop("maintenance", [this] { maintenanceLoop(); });
+    m_runtime.spawnLoop("groups", [this] { groupLoop(); });
     return listen();
 }
 
--- a/coltsfootbend/gateway/held_requests.cpp
+++ b/coltsfootbend/gateway/held_requests.cpp
@@ -179,7 +179,7 @@
     if (own.outcome)
         return std::exchange(own.outcome, std::nullopt);
     if (!state->isRunning) {
-        m_runtime.spawn([state, &runtime = m_runtime] { state->run(runtime); });
+        m_runtime.spawnLoop("waiting requests", [state, &runtime = m_runtime] { state->run(runtime); });
         state->isRunning = true;
     }
     while (!own.outcome && !own.wasWithdrawn)
--- a/coltsfootbend/gateway/second_attempt.cpp
+++ b/coltsfootbend/gateway/second_attempt.cpp
@@ -63,7 +63,8 @@
 
 void second_attempt::run(const std::shared_ptr<shared_state>& state, backend_connection_pool& connections)
 {
-    auto head = receiveHead(state, connections);
+    result<http_head> head = fail(error_kind::Internal, "the second attempt ended with an exception");
+    (void)runLogged("second attempt", [&] { head = receiveHead(state, connections); });
     if (state->isCancelled)
         return;
     state->head = std::move(head);
--- a/coltsfootbend/gateway/table_follower.cpp
+++ b/coltsfootbend/gateway/table_follower.cpp
@@ -37,8 +37,8 @@
     // A pending call that is never answered is logged only at its timeout; until then this age shows it.
     m_metrics.gauge(std::string(toString(m_table)) + "_unconfirmed_seconds",
         [this] { return m_confirmedAt ? toMilliseconds(clock_type::now() - *m_confirmedAt) / 1000 : -1.0; });
-    m_runtime.spawn([this] { follow(); });
-    m_runtime.spawn([this] { checkLoop(); });
+    m_runtime.spawnLoop("store", [this] { follow(); });
+    m_runtime.spawnLoop("store checks", [this] { checkLoop(); });
 }
 
 void table_follower::stop()
@@ -99,7 +99,10 @@
             "Read the table again");
     m_hasSnapshot = true;
     markRegained();
-    m_owner.receiveSnapshot(m_table, std::move(*page));
+    if (!runLogged("store", [&] { m_owner.receiveSnapshot(m_table, std::move(*page)); })) {
+        m_hasSnapshot = false;
+        return fail(error_kind::Internal, "the rows of the table could not be taken over", "Read the table again");
+    }
     recordConfirmation(sentAt);
     return {};
 }
--- a/coltsfootbend/group/rank_service.cpp
+++ b/coltsfootbend/group/rank_service.cpp
@@ -96,9 +96,9 @@
               m_datagrams->send(gateway,
                   wire::encode({ .sender = m_settings.vm, .senderIncarnation = {}, .version = {}, .content = reply }));
           });
-    m_runtime.spawn([this] { loadUpdateLoop(); });
-    m_runtime.spawn([this] { receiveLoop(); });
-    m_runtime.spawn([this] { leaderLoop(); });
+    m_runtime.spawnLoop("load updates", [this] { loadUpdateLoop(); });
+    m_runtime.spawnLoop("datagrams", [this] { receiveLoop(); });
+    m_runtime.spawnLoop("leader", [this] { leaderLoop(); });
     return {};
 }
 
--- a/coltsfootbend/group/relay_peers.cpp
+++ b/coltsfootbend/group/relay_peers.cpp
@@ -67,20 +67,23 @@
         {
         }
         std::optional<wire::relayed_answers> answers;
+        bool hasEnded = false;
         fiber_signal isDone;
     };
     const auto deadline = clock_type::now() + std::chrono::milliseconds(order.timeLeftMs);
     auto working = std::make_shared<work>(m_runtime);
     m_runtime.spawn([this, working, order, deadline] {
-        working->answers = answer(order, deadline);
+        (void)runLogged("relay", [&] { working->answers = answer(order, deadline); });
+        working->hasEnded = true;
         working->isDone.notify();
     });
-    while (!working->answers) {
+    while (!working->hasEnded) {
         if (!stream.send(wire::acknowledge {}, false))
             return;
         (void)working->isDone.waitUntil(clock_type::now() + acknowledgeInterval);
     }
-    (void)stream.send(std::move(*working->answers), true);
+    if (working->answers)
+        (void)stream.send(std::move(*working->answers), true);
 }
 
 wire::relayed_answers relay_node::answer(const wire::relayed_order& order, time_point deadline)
--- a/coltsfootbend/net/fiber_runtime.h
+++ b/coltsfootbend/net/fiber_runtime.h
@@ -9,6 +9,7 @@
 //     runtime.run();
 
 #include "coltsfootbend/base/time.h"
+#include "coltsfootbend/net/stack_pool.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -32,14 +33,21 @@
 
     boost::asio::io_context& io() { return m_io; }
 
-    // Schedules a new fiber that runs `work`. `work` must not throw: an exception is logged and ends the process.
+    // Schedules a new fiber that runs `work`. An exception that leaves `work` is logged and ends this fiber only, so
+    // what other fibers wait for must be released by destructors. Throws std::bad_alloc if there is no memory for its
+    // stack.
     void spawn(std::function<void()> work);
 
+    // Schedules a new fiber that runs the loop of a service. An exception that leaves `loop` is logged and loses the
+    // round in which it occurred: `loop` is called again after a pause, until it returns. `name` is for the log.
+    void spawnLoop(const char* name, std::function<void()> loop);
+
     // Blocks the calling fiber, but not the thread.
     void sleepUntil(time_point);
     void sleepFor(duration length) { sleepUntil(clock_type::now() + length); }
 
-    // Runs until `stop` is called. Must be called on the thread that created the runtime.
+    // Runs until `stop` is called. Must be called on the thread that created the runtime. An exception that leaves a
+    // completion handler is logged.
     void run();
     void stop();
     // Permits another call of `run` after `stop`.
@@ -56,9 +64,10 @@
     scheduler* m_scheduler = nullptr; // Owned by Boost.Fiber.
     bool m_stopped = false;
     std::size_t m_fibers = 0;
+    std::shared_ptr<stack_pool> m_stacks;
 };
 
-// Runs `work`. Logs an exception that leaves it, and throws it on: it ends the process.
-void runLogged(const std::function<void()>& work);
+// Runs `work`. Returns whether it returned; an exception that leaves it is logged with `name` (E105).
+bool runLogged(const char* name, const std::function<void()>& work);
 
 } // namespace coltsfootbend
--- a/coltsfootbend/net/h2.cpp
+++ b/coltsfootbend/net/h2.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+// Limit for the first bytes of a connection. One that never sends any would keep its memory for ever.
+constexpr std::chrono::seconds prefaceLimit { 10 };
 constexpr std::size_t maxQueuedBytes = std::size_t { 256 } * 1024;
 constexpr std::size_t readBufferBytes = std::size_t { 32 } * 1024;
 constexpr std::size_t maxWriteBytes = std::size_t { 64 } * 1024;
@@ -36,22 +38,33 @@
 
 } // namespace
 
-// The callbacks of the nghttp2 session. The user data of each is the connection.
+// The callbacks of the nghttp2 session. The user data of each is the connection. Exceptions must not pass through the
+// library, which is written in C; the connection of a callback that fails is closed.
 struct h2_connection::callbacks {
     static h2_connection& self(void* user) { return *static_cast<h2_connection*>(user); }
 
+    template <typename Work> static int guarded(const Work& work)
+    {
+        return runLogged("http2", work) ? 0 : NGHTTP2_ERR_CALLBACK_FAILURE;
+    }
+
     static int onHeader(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name, std::size_t nameLength,
         const std::uint8_t* value, std::size_t valueLength, std::uint8_t, void* user)
     {
         const std::string_view key(reinterpret_cast<const char*>(name), nameLength);
-        if (key == ":path")
-            self(user).m_paths[frame->hd.stream_id].assign(reinterpret_cast<const char*>(value), valueLength);
-        return 0;
+        if (key != ":path")
+            return 0;
+        return guarded(
+            [&] { self(user).m_paths[frame->hd.stream_id].assign(reinterpret_cast<const char*>(value), valueLength); });
     }
 
     static int onFrame(nghttp2_session* session, const nghttp2_frame* frame, void* user)
     {
-        auto& connection = self(user);
+        return guarded([&] { receiveFrame(self(user), session, frame); });
+    }
+
+    static void receiveFrame(h2_connection& connection, nghttp2_session* session, const nghttp2_frame* frame)
+    {
         const auto id = frame->hd.stream_id;
         if (frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST)
             acceptStream(connection, session, id);
@@ -62,7 +75,6 @@
                 stream->m_incomingSignal.notify();
             }
         }
-        return 0;
     }
 
     static void acceptStream(h2_connection& connection, nghttp2_session* session, std::int32_t id)
@@ -82,14 +94,15 @@
     static int onData(
         nghttp2_session*, std::uint8_t, std::int32_t id, const std::uint8_t* data, std::size_t length, void* user)
     {
-        auto& connection = self(user);
-        if (const auto stream = connection.find(id)) {
-            stream->m_incoming.append(reinterpret_cast<const char*>(data), length);
-            stream->m_incomingSignal.notify();
-        } else {
-            connection.consumed(id, length);
-        }
-        return 0;
+        return guarded([&] {
+            auto& connection = self(user);
+            if (const auto stream = connection.find(id)) {
+                stream->m_incoming.append(reinterpret_cast<const char*>(data), length);
+                stream->m_incomingSignal.notify();
+            } else {
+                connection.consumed(id, length);
+            }
+        });
     }
 
     static int onClose(nghttp2_session*, std::int32_t id, std::uint32_t code, void* user)
@@ -173,7 +186,7 @@
         return tl::unexpected(stream.error());
     std::shared_ptr<h2_connection> connection(new h2_connection(runtime, *stream, false, {}));
     connection->start();
-    runtime.spawn([connection] { connection->readLoop(); });
+    runtime.spawn([connection] { connection->runLoop([&] { connection->readLoop(); }); });
     return connection;
 }
 
@@ -181,24 +194,35 @@
 {
     std::shared_ptr<h2_connection> connection(new h2_connection(runtime, std::move(stream), true, handler));
     connection->start();
-    connection->readLoop();
+    connection->runLoop([&] { connection->readLoop(); });
 }
 
 void h2_connection::start()
 {
     auto self = shared_from_this();
-    m_runtime.spawn([self] { self->writeLoop(); });
+    m_runtime.spawn([self] { self->runLoop([&] { self->writeLoop(); }); });
     wakeWriter();
 }
 
+// Closes the connection when one of its loops ends, however it ends: the other one would wait for ever.
+void h2_connection::runLoop(const std::function<void()>& loop)
+{
+    (void)runLogged("http2", loop);
+    fail();
+}
+
 void h2_connection::readLoop()
 {
     auto self = shared_from_this();
     std::string buffer(readBufferBytes, '\0');
+    const auto prefaceDeadline = clock_type::now() + prefaceLimit;
     while (!m_closed) {
-        const auto got = m_stream->readSome(boost::asio::buffer(buffer));
+        const auto into = boost::asio::buffer(buffer);
+        const auto got
+            = m_bytesReceived == 0 ? m_stream->readSomeUntil(into, prefaceDeadline) : m_stream->readSome(into);
         if (!got)
             break;
+        m_bytesReceived += *got;
         m_bytesMoved += *got;
         const auto used = nghttp2_session_mem_recv(
             native(m_session.get()), reinterpret_cast<const std::uint8_t*>(buffer.data()), *got);
@@ -208,7 +232,6 @@
         if (nghttp2_session_want_read(native(m_session.get())) == 0)
             break;
     }
-    fail();
 }
 
 void h2_connection::writeLoop()
@@ -233,7 +256,6 @@
         if (!m_stream->writeAll(batch))
             break;
     }
-    fail();
 }
 
 void h2_connection::wakeWriter()
--- a/coltsfootbend/net/h2.h
+++ b/coltsfootbend/net/h2.h
@@ -107,6 +107,7 @@
 
     h2_connection(fiber_runtime&, byte_stream_ptr, bool isServer, stream_handler);
     void start();
+    void runLoop(const std::function<void()>& loop);
     void readLoop();
     void writeLoop();
     void wakeWriter();
@@ -125,6 +126,7 @@
     bool m_closed = false;
     bool m_writePending = false;
     std::uint64_t m_bytesMoved = 0;
+    std::uint64_t m_bytesReceived = 0;
     boost::fibers::mutex m_mutex;
     boost::fibers::condition_variable m_writable;
 };
--- a/coltsfootbend/net/http.cpp
+++ b/coltsfootbend/net/http.cpp
@@ -135,16 +135,16 @@
 
     void watch(std::function<void()> onDisconnect) override
     {
-        m_watch = std::make_shared<watch_state>(m_runtime);
-        m_runtime.spawn([stream = m_stream, watch = m_watch, onDisconnect = std::move(onDisconnect)] {
+        const auto watch = std::make_shared<watch_state>(m_runtime);
+        m_runtime.spawn([stream = m_stream, watch, onDisconnect = std::move(onDisconnect)] {
+            const watch_end end(*watch);
             // `cancelWait` cannot end a wait that begins after it. Such a wait would last until the caller sends or
             // disconnects, and `stopWatching` would delay the response until then.
             const bool closed = !watch->stopped && stream->waitForClose();
             if (closed && !watch->stopped)
                 onDisconnect();
-            watch->ended = true;
-            watch->changed.notify();
         });
+        m_watch = watch;
     }
 
     std::string peerName() const override { return m_stream->peerName(); }
@@ -177,6 +177,25 @@
         fiber_signal changed;
     };
 
+    // Tells `stopWatching` that the watching fiber has ended, however it ends.
+    class watch_end {
+    public:
+        explicit watch_end(watch_state& watch)
+            : m_watch(watch)
+        {
+        }
+        ~watch_end()
+        {
+            m_watch.ended = true;
+            m_watch.changed.notify();
+        }
+        watch_end(const watch_end&) = delete;
+        watch_end& operator=(const watch_end&) = delete;
+
+    private:
+        watch_state& m_watch;
+    };
+
     void abortBecause(incomplete_end end)
     {
         stopWatching();
--- a/coltsfootbend/permits/permit_service.cpp
+++ b/coltsfootbend/permits/permit_service.cpp
@@ -38,7 +38,7 @@
     , m_issuer(options)
     , m_hasRequest(runtime)
 {
-    runtime.spawn([this] { issueLoop(); });
+    runtime.spawnLoop("permits", [this] { issueLoop(); });
 }
 
 void permit_service::receiveRequest(const endpoint& gateway, const wire::permit_request& request)
--- a/coltsfootbend/quarantine/crash_archive.cpp
+++ b/coltsfootbend/quarantine/crash_archive.cpp
@@ -53,7 +53,7 @@
 
 result<void> crash_archive::start(kernel&)
 {
-    m_runtime.spawn([this] { run(); });
+    m_runtime.spawnLoop("crash archive", [this] { run(); });
     return {};
 }
 
--- a/coltsfootbend/worker/worker_service.cpp
+++ b/coltsfootbend/worker/worker_service.cpp
@@ -91,10 +91,10 @@
     m_peers = *peers;
     m_configuration = *configuration;
     registerHandlers();
-    m_runtime.spawn([this] { announceLoop(); });
-    m_runtime.spawn([this] { expireLoop(); });
+    m_runtime.spawnLoop("announcements", [this] { announceLoop(); });
+    m_runtime.spawnLoop("expiry", [this] { expireLoop(); });
     if (m_settings.platform)
-        m_runtime.spawn([this] { registerLedger(); });
+        m_runtime.spawnLoop("ledger", [this] { registerLedger(); });
     return {};
 }
 
@@ -270,18 +270,21 @@
 void worker_service::runOnBackend(const run_ptr& started)
 {
     const auto attempt = started->request.attempt;
-    const auto done = m_backend.stream(m_worker.backend, toBackend(started->request), started->deadline,
-        { .onHead =
-                [&](const http_head& head) {
-                    m_executor.backendHead(attempt, head.status, findHeader(head.headers, "Content-Type").value_or(""));
-                    performActions();
-                },
-            .onBytes =
-                [&](std::string_view bytes) {
-                    m_executor.backendBytes(attempt, bytes);
-                    performActions();
-                    return !started->cancelled;
-                } });
+    const http_client::streaming streaming { .onHead
+        =
+            [&](const http_head& head) {
+                m_executor.backendHead(attempt, head.status, findHeader(head.headers, "Content-Type").value_or(""));
+                performActions();
+            },
+        .onBytes =
+            [&](std::string_view bytes) {
+                m_executor.backendBytes(attempt, bytes);
+                performActions();
+                return !started->cancelled;
+            } };
+    result<void> done = fail(error_kind::Lost, "handling the answer of the engine ended with an exception");
+    (void)runLogged("attempt",
+        [&] { done = m_backend.stream(m_worker.backend, toBackend(started->request), started->deadline, streaming); });
     started->onBackend = false;
     if (done) {
         m_executor.backendEnd(clock_type::now(), attempt);
