Connections of a process follow the memory, address space and descriptors of its VM

Callers saw gateways and agents that end in a crowd: 1,900 connections with half a request each end a gateway with 260 MiB of address space, 900 one with 128 MiB, and 2,000 idle connections to its internal port make an agent take 189 MiB of the 128 MiB of its VM.

Cause: listeners were bounded by fixed numbers, 2,048 callers and 4,096 connections each to the internal port and the health address, whatever the VM has.

Change: all listeners of a process share a budget of memory, address space and descriptors, from the settings (`limits`) and the system's limits. Callers leave a fifth to others, other processes a twentieth, so that health checks get through. What does not fit is refused at once (E510).

--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -7,6 +7,7 @@
 #include "coltsfootbend/group/rank_service.h"
 #include "coltsfootbend/net/tls.h"
 #include "coltsfootbend/operators/operator_service.h"
+#include "coltsfootbend/settings/process_limits.h"
 #include "coltsfootbend/store/standin.h"
 #include "coltsfootbend/worker/worker_service.h"
 #include "platform/deployment_decoder.h"
@@ -46,7 +47,8 @@
         : m_settings(std::move(settings))
         , m_settingsPath(std::move(settingsPath))
         , m_incarnation(drawIncarnation())
-        , m_signals(m_runtime.io(), SIGTERM, SIGINT)
+        , m_connections(connectionTotals(m_settings, systemLimits()))
+        , m_signals(m_runtime.io(), SIGTERM, SIGINT, SIGQUIT)
         , m_reloads(m_runtime.io(), SIGHUP)
     {
     }
@@ -105,7 +107,7 @@
     result<void> compose()
     {
         std::function<tls_context()> callerTls;
-        peer_service::options peers { .address = {}, .serverTls = {}, .clientTls = {} };
+        peer_service::options peers { .address = {}, .serverTls = {}, .clientTls = {}, .connections = &m_connections };
         if (m_settings.peers.port != 0)
             peers.address = m_settings.peers;
         if (m_settings.peerTls) {
@@ -163,7 +165,7 @@
             m_kernel.add(std::make_unique<crash_archive>(
                 m_runtime, std::make_unique<platform::store_client>(m_runtime, *m_settings.deploymentStore)));
             auto gateway = std::make_unique<gateway_service>(
-                m_runtime, m_settings, std::make_unique<platform::request_headers>());
+                m_runtime, m_settings, std::make_unique<platform::request_headers>(), &m_connections);
             m_onReload.emplace_back([service = gateway.get()] { service->applySettings(); });
             m_kernel.add(std::move(gateway));
         }
@@ -268,6 +270,7 @@
 }
 
 int runDaemon(int argc, char** argv)
+    connection_budget m_connections;
 {
     cxxopts::Options options("coltsfootbend", "Load balancer for expert-parallel model groups: the daemon");
     options.add_options()(
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -2,6 +2,7 @@
 
 #include "coltsfootbend/base/log_event.h"
 #include "coltsfootbend/base/text.h"
+#include "coltsfootbend/settings/process_limits.h"
 
 #include <algorithm>
 #include <cmath>
@@ -34,6 +35,8 @@
 constexpr std::chrono::milliseconds leaveMargin { 300 };
 // Part of that time in which the requests that have not been answered by then get their responses.
 constexpr std::chrono::milliseconds lastResponsesTime { 200 };
+// Connections to the health address: the platform's checks and readers of metrics.
+constexpr std::size_t maxHealthConnections = 256;
 // Number of gateways assumed until agents report it. High, because all gateways share the retry budget.
 constexpr std::uint32_t initialGatewayCount = 48;
 // Validity of a duty that an agent assigned. Agents assign duties ten times a second, but some may be unreachable for a
@@ -61,10 +64,11 @@
 
 } // namespace
 
-gateway_service::gateway_service(
-    fiber_runtime& runtime, const daemon_settings& settings, std::unique_ptr<header_codec> codec)
+gateway_service::gateway_service(fiber_runtime& runtime, const daemon_settings& settings,
+    std::unique_ptr<header_codec> codec, connection_budget* connections)
     : m_runtime(runtime)
     , m_settings(settings)
+    , m_connections(connections)
     , m_codec(std::move(codec))
     , m_usedServers(settings.vm, settings.dataCentre)
     , m_gatewayEstimate(initialGatewayCount)
@@ -145,8 +149,21 @@
 result<void> gateway_service::listen()
 {
     const auto& gateway = *m_settings.gateway;
-    auto health = listenHttp(m_runtime, gateway.health, {},
-        [this](const http_request& request, http_responder& responder) { serveHealth(request, responder); });
+    const auto refused
+        = [this](const char* name) { return [this, name](const std::string& why) { onRefusedConnection(name, why); }; };
+    auto health = listener::open(m_runtime,
+        { .address = gateway.health,
+            .tls = {},
+            .maxConnections = maxHealthConnections,
+            .budget = m_connections,
+            .connectionCost = callerConnectionCost(),
+            .onRefused = refused("health") },
+        [this](const byte_stream_ptr& stream) {
+            serveHttp(
+                m_runtime, stream, m_healthOptions,
+                [this](const http_request& request, http_responder& responder) { serveHealth(request, responder); },
+                [] { return false; });
+        });
     if (!health)
         return tl::unexpected(health.error());
     m_healthListener = *health;
@@ -155,7 +172,10 @@
         { .address = gateway.callers,
             .tls = {},
             .maxConnections = gateway.maxConnections,
-            .onRefused = [this](const std::string& why) { onRefusedConnection(why); } },
+            .budget = m_connections,
+            .connectionCost = callerConnectionCost(),
+            .keptFree = keptFreeByCallers,
+            .onRefused = refused("callers") },
         [this](const byte_stream_ptr& stream) { serveCaller(stream); });
     if (!callers)
         return tl::unexpected(callers.error());
@@ -169,11 +189,12 @@
     logEvent(log_event::AnswerIncomplete, "cause=" + cause + " " + details);
 }
 
-void gateway_service::onRefusedConnection(const std::string& why)
+void gateway_service::onRefusedConnection(const char* listener, const std::string& why)
 {
     m_metrics->count("connections_refused_total");
     logEvent(log_event::ConnectionRefused,
-        "why=\"" + why + "\" connections=" + std::to_string(m_callerListener ? m_callerListener->connections() : 0));
+        "listener=" + std::string(listener) + " why=\"" + why
+            + "\" connections=" + std::to_string(m_callerListener ? m_callerListener->connections() : 0));
 }
 
 void gateway_service::observeCallers()
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -21,7 +21,9 @@
 // Owns the state of one gateway process and runs its listeners and periodic work on fibers.
 class gateway_service final : public service {
 public:
-    gateway_service(fiber_runtime&, const daemon_settings&, std::unique_ptr<header_codec>);
+    // `connections` bounds the connections of all listeners of the process; may be null. It must outlive the service.
+    gateway_service(fiber_runtime&, const daemon_settings&, std::unique_ptr<header_codec>,
+        connection_budget* connections = nullptr);
     ~gateway_service() override;
 
     std::string_view name() const override { return "gateway"; }
@@ -46,7 +48,7 @@
     // Log and count what ends a caller's connection without a complete response.
     void observeCallers();
     void onIncompleteAnswer(const std::string& cause, const std::string& details);
-    void onRefusedConnection(const std::string& why);
+    void onRefusedConnection(const char* listener, const std::string& why);
     // Responds to requests for readiness and metrics.
     void serveHealth(const http_request&, http_responder&) const;
     // Subscribes to the load of the used engines, and reports to their agents what this gateway knows of the
@@ -66,6 +68,7 @@
 
     fiber_runtime& m_runtime;
     const daemon_settings& m_settings;
+    connection_budget* const m_connections;
     const std::unique_ptr<header_codec> m_codec;
     deployment_watch* m_watch = nullptr;
     metrics_service* m_metrics = nullptr;
@@ -75,6 +78,7 @@
     std::unique_ptr<gateway_context> m_context;
     std::unique_ptr<permit_network> m_permits;
     http_server_options m_serverOptions;
+    const http_server_options m_healthOptions {};
     idle_connections m_idleConnections;
     std::unique_ptr<datagram_socket> m_socket;
     std::shared_ptr<listener> m_callerListener;
--- a/coltsfootbend/net/byte_stream.cpp
+++ b/coltsfootbend/net/byte_stream.cpp
@@ -308,7 +308,7 @@
         self->m_acceptor.listen(asio::socket_base::max_listen_connections, code);
     if (code)
         return tl::unexpected(unavailable(self->m_options.address, "cannot listen: " + code.message()));
-    runtime.spawn([self] { self->acceptLoop(); });
+    runtime.spawnLoop("accept", [self] { self->acceptLoop(); });
     return self;
 }
 
@@ -328,22 +328,67 @@
     }
 }
 
+namespace {
+
+// Counts one connection of a listener until the connection ends, however it ends.
+class counted_connection {
+public:
+    counted_connection(std::size_t& count, const listener::options& options)
+        : m_count(count)
+        , m_options(options)
+    {
+        ++m_count;
+    }
+    ~counted_connection()
+    {
+        --m_count;
+        if (m_isCharged)
+            m_options.budget->release(m_options.connectionCost);
+    }
+    counted_connection(const counted_connection&) = delete;
+    counted_connection& operator=(const counted_connection&) = delete;
+
+    // Takes the cost of the connection from the budget of the process. Returns false if there is no room.
+    bool charge()
+    {
+        m_isCharged = m_options.budget && m_options.budget->admit(m_options.connectionCost, m_options.keptFree);
+        return m_isCharged || !m_options.budget;
+    }
+
+private:
+    std::size_t& m_count;
+    const listener::options& m_options;
+    bool m_isCharged = false;
+};
+
+} // namespace
+
+// A connection that is refused closes, and the client's load balancer tries another VM.
 void listener::admit(tcp::socket socket)
 {
     if (m_connections >= m_options.maxConnections) {
         reportRefused("too many connections");
-        return; // The socket closes, and the client's load balancer tries another VM.
+        return;
+    }
+    auto counted = std::make_shared<counted_connection>(m_connections, m_options);
+    if (!counted->charge()) {
+        reportRefused("no room for another connection");
+        return;
     }
-    ++m_connections;
-    auto shared = std::make_shared<tcp::socket>(std::move(socket));
-    m_runtime.spawn([self = shared_from_this(), shared] {
-        const auto tls = self->m_options.tls ? self->m_options.tls() : tls_context {};
-        if (auto stream = wrap(std::move(*shared), tls, asio::ssl::stream_base::server))
-            self->m_handler(*stream);
-        --self->m_connections;
+    const auto shared = std::make_shared<tcp::socket>(std::move(socket));
+    m_runtime.spawn([self = shared_from_this(), shared, counted = std::move(counted)]() mutable {
+        const auto untilTheEnd = std::move(counted);
+        self->serve(std::move(*shared));
     });
 }
 
+void listener::serve(tcp::socket socket)
+{
+    const auto tls = m_options.tls ? m_options.tls() : tls_context {};
+    if (auto stream = wrap(std::move(socket), tls, asio::ssl::stream_base::server))
+        m_handler(*stream);
+}
+
 void listener::reportRefused(const std::string& why) const
 {
     if (m_options.onRefused)
--- a/coltsfootbend/net/byte_stream.h
+++ b/coltsfootbend/net/byte_stream.h
@@ -10,6 +10,7 @@
 
 #include "coltsfootbend/base/error.h"
 #include "coltsfootbend/base/time.h"
+#include "coltsfootbend/net/connection_budget.h"
 #include "coltsfootbend/net/fiber_runtime.h"
 
 #include <array>
@@ -134,6 +135,12 @@
         // Called for each connection, so that new connections use a reloaded certificate; none for plain TCP.
         std::function<tls_context()> tls;
         std::size_t maxConnections = 4096;
+        // Bounds the connections of all listeners of the process; null if only `maxConnections` counts. Must outlive
+        // the connections.
+        connection_budget* budget = nullptr;
+        connection_resources connectionCost = {};
+        // Part of the budget that this listener leaves to others, from 0 to 1.
+        double keptFree = 0;
         // Called for each connection that is closed because there are too many, and after each failure to accept one;
         // may be empty.
         std::function<void(const std::string& why)> onRefused = {};
@@ -159,6 +166,7 @@
     void acceptLoop();
     // Serves a connection on a fiber of its own, unless there are too many.
     void admit(boost::asio::ip::tcp::socket);
+    void serve(boost::asio::ip::tcp::socket);
     void reportRefused(const std::string& why) const;
 
     fiber_runtime& m_runtime;
--- a/coltsfootbend/wire/peer.cpp
+++ b/coltsfootbend/wire/peer.cpp
@@ -1,5 +1,8 @@
 #include "coltsfootbend/wire/peer.h"
 
+#include "coltsfootbend/base/log_event.h"
+#include "coltsfootbend/settings/process_limits.h"
+
 #include <utility>
 
 namespace coltsfootbend {
@@ -139,7 +142,16 @@
 {
     if (!m_options.address)
         return {};
-    auto opened = listener::open(m_runtime, { .address = *m_options.address, .tls = m_options.serverTls },
+    auto opened = listener::open(m_runtime,
+        { .address = *m_options.address,
+            .tls = m_options.serverTls,
+            .budget = m_options.connections,
+            .connectionCost = peerConnectionCost(),
+            .keptFree = keptFreeByPeers,
+            .onRefused =
+                [](const std::string& why) {
+                    logEvent(log_event::ConnectionRefused, "listener=peers why=\"" + why + "\"");
+                } },
         [this](const byte_stream_ptr& connection) { serveConnection(connection); });
     if (!opened)
         return tl::unexpected(opened.error());
--- a/coltsfootbend/wire/peer.h
+++ b/coltsfootbend/wire/peer.h
@@ -87,6 +87,8 @@
         std::optional<endpoint> address;
         std::function<tls_context()> serverTls;
         std::function<tls_context()> clientTls;
+        // Bounds the connections of all listeners of the process; may be null. Must outlive the service.
+        connection_budget* connections = nullptr;
     };
 
     peer_service(fiber_runtime&, peer_identity, options);
