Signals that mean nothing to a process do not end it, and a reload of a half written file is repeated

Callers saw processes that end by a signal: SIGUSR1, SIGUSR2, SIGALRM and the like ended one at any time, SIGQUIT without a planned stop. A SIGHUP that came while the settings file was being written left the former settings in force for good.

Cause: default actions of signals; the file was read once.

A signal before `main` has the effect that the supervisor has set; the program cannot change that.

--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -15,6 +15,7 @@
 #include "platform/request_headers.h"
 #include "platform/store_client.h"
 
+#include <array>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -22,6 +23,7 @@
 #include <iostream>
 #include <optional>
 #include <random>
+#include <utility>
 
 namespace coltsfootbend {
 
@@ -34,6 +36,11 @@
 // Added to the drain limit for the services to stop. A service that takes longer does not keep the process from ending.
 constexpr std::chrono::seconds stopLimit { 1 };
 
+// Whether a reload was requested before the process could read its settings again.
+volatile std::sig_atomic_t reloadRequested = 0;
+
+void noteReloadRequest(int) { reloadRequested = 1; }
+
 incarnation drawIncarnation()
 {
     std::random_device device;
@@ -95,6 +102,8 @@
         logEvent(log_event::ProcessStarted,
             "vm=" + m_settings.vm.text() + " life=" + std::to_string(m_incarnation.number()));
         awaitReload();
+        if (reloadRequested != 0)
+            requestReload();
     }
 
     // Ends the process after a failed start. Services that did start have fibers already.
@@ -181,21 +190,34 @@
         m_reloads.async_wait([this](boost::system::error_code code, int) {
             if (code)
                 return;
-            reload();
             awaitReload();
+            requestReload();
         });
     }
 
+    void requestReload()
+    {
+        m_reloadDeadline = clock_type::now() + settingsLimit;
+        if (m_reloading)
+            return;
+        m_runtime.spawn([this] { reload(); });
+        m_reloading = true;
+    }
+
     // Reloads the settings. Addresses and roles need a restart; other changes apply when they are next read. Invalid
-    // settings change nothing.
+    // settings change nothing; they are read again for a while, because they may be half written.
     void reload()
     {
-        const auto next = loadSettings(m_settingsPath);
-        if (!next) {
-            for (const auto& error : next.error())
-                logEvent(log_event::SettingsRefused, toString(error));
-            return;
+        auto next = loadSettings(m_settingsPath);
+        for (bool isLogged = false; !next && clock_type::now() < m_reloadDeadline;
+             next = loadSettings(m_settingsPath)) {
+            if (!std::exchange(isLogged, true))
+                logRefused(next.error());
+            m_runtime.sleepFor(startRetryInterval);
         }
+        m_reloading = false;
+        if (!next)
+            return;
         const auto kept = takeReloadable(m_settings, *next);
         logEvent(
             log_event::SettingsReloaded, "vm=" + m_settings.vm.text() + (kept.empty() ? "" : " needs_restart=" + kept));
@@ -203,6 +225,12 @@
             changed();
     }
 
+    static void logRefused(const std::vector<error>& errors)
+    {
+        for (const auto& error : errors)
+            logEvent(log_event::SettingsRefused, toString(error));
+    }
+
     void registerDrain()
     {
         auto* peers = m_kernel.find<peer_service>("peers");
@@ -236,20 +264,26 @@
         });
         if (!isLeaving)
             m_runtime.stop();
-        });
     }
 
     daemon_settings m_settings;
     const std::string m_settingsPath;
     const incarnation m_incarnation;
     fiber_runtime m_runtime;
+    connection_budget m_connections;
     kernel m_kernel;
     boost::asio::signal_set m_signals;
     boost::asio::signal_set m_reloads;
     std::vector<std::function<void()>> m_onReload;
     bool m_leaving = false;
+    bool m_reloading = false;
+    time_point m_reloadDeadline;
 };
 
+// Signals whose default action would end the process, and which mean nothing to it. Supervisors and terminals send
+// them.
+constexpr std::array ignoredSignals { SIGPIPE, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGXFSZ };
+
 // Returns the path of the settings file; none if neither the arguments nor the environment name it.
 std::optional<std::string> findSettings(const cxxopts::ParseResult& arguments)
 {
@@ -270,7 +304,6 @@
 }
 
 int runDaemon(int argc, char** argv)
-    connection_budget m_connections;
 {
     cxxopts::Options options("coltsfootbend", "Load balancer for expert-parallel model groups: the daemon");
     options.add_options()(
@@ -309,9 +342,9 @@
 
 int main(int argc, char** argv)
 {
-    std::signal(SIGPIPE, SIG_IGN);
-    // A reload that is requested during the start does not end the process; the settings are read after this.
-    std::signal(SIGHUP, SIG_IGN);
+    for (const int number : coltsfootbend::ignoredSignals)
+        std::signal(number, SIG_IGN);
+    std::signal(SIGHUP, coltsfootbend::noteReloadRequest);
     try {
         return coltsfootbend::runDaemon(argc, argv);
     } catch (const std::exception& exception) {
