--- a/coltsfootbend/measure/child_process.h
+++ b/coltsfootbend/measure/child_process.h
@@ -8,6 +8,7 @@
 //     gateway.start();
 //     gateway.signal(SIGTERM);
 
+#include <memory>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -29,6 +30,8 @@
 
     // Starts the command. Returns false if the process could not be created.
     bool start();
+    // Returns another process with the same command and log, which is not started yet.
+    std::unique_ptr<child_process> another() const { return std::make_unique<child_process>(m_command, m_logPath); }
     // Sends signal `number`. Does nothing if the process is not running.
     void signal(int number) const;
     // Returns whether the process is running, and collects its exit status if it has ended.
