--- a/coltsfootbend/settings/settings.cpp
+++ b/coltsfootbend/settings/settings.cpp
@@ -1,6 +1,7 @@
 #include "coltsfootbend/settings/settings.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <fstream>
 #include <set>
@@ -25,6 +26,16 @@
 
 constexpr std::int64_t mebibyte = std::int64_t { 1024 } * 1024;
 
+bool isEmptyText(const toml::node& node) { return node.is_string() && node.value<std::string>()->empty(); }
+
+// Returns the number that is the whole of `text`.
+template <typename Number> std::optional<Number> numberIn(const std::string& text)
+{
+    Number value {};
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return code == std::errc {} && end == text.data() + text.size() ? std::optional(value) : std::nullopt;
+}
+
 // An error in the settings, and whether a process can start in spite of it.
 struct settings_issue {
     error what;
@@ -64,12 +75,15 @@
         return {};
     }
 
+    // Numbers may be texts, so that a template can fill in a value that may be missing: an empty text is left out.
     double fraction(const std::string& key, double fallback, double least, double most)
     {
         const auto* node = findNode(key, false, "");
         if (!node)
             return fallback;
-        const auto value = node->value<double>();
+        if (isEmptyText(*node))
+            return fallback;
+        const auto value = node->is_string() ? numberIn<double>(*node->value<std::string>()) : node->value<double>();
         if (value && *value >= least && *value <= most)
             return *value;
         add({ key, node, "must be a number from " + std::to_string(least) + " to " + std::to_string(most),
@@ -100,7 +114,10 @@
         const auto* node = findNode(key, false, "");
         if (!node)
             return fallback;
-        const auto value = node->value_exact<std::int64_t>();
+        if (isEmptyText(*node))
+            return fallback;
+        const auto value = node->is_string() ? numberIn<std::int64_t>(*node->value<std::string>())
+                                             : node->value_exact<std::int64_t>();
         if (value && *value >= least && *value <= most)
             return *value;
         add({ key, node, "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most),
--- a/coltsfootbend/settings/settings_test.cpp
+++ b/coltsfootbend/settings/settings_test.cpp
@@ -129,6 +129,20 @@
     EXPECT_FALSE(parseSettings(std::string(gatewayText) + "guaranteed_part = 2\n")) << "an operator's check names it";
 }
 
+// A template cannot tell whether the platform has a value, and writes each one as a text.
+TEST(Settings, NumbersMayBeTextsAndEmptyOnesAreLeftOut)
+{
+    const auto read = parseSettings(std::string(gatewayText) + "guaranteed_part = \"0.5\"\nbuffer_bytes = \"2000000\"\n"
+        + "max_connections = \"\"\n[limits]\nmemory_mb = \"\"\n");
+    ASSERT_TRUE(read) << toString(read.error().front());
+    EXPECT_EQ(read->gateway->guaranteedPart, 0.5);
+    EXPECT_EQ(read->gateway->bufferBytes, 2'000'000U);
+    EXPECT_EQ(read->gateway->maxConnections, gateway_settings {}.maxConnections);
+    EXPECT_FALSE(read->limits.memoryBytes);
+    for (const auto* odd : { "0.5x", " 0.5", "nan", "1e999", "-1", "2" })
+        EXPECT_FALSE(parseSettings(std::string(gatewayText) + "guaranteed_part = \"" + odd + "\"\n")) << odd;
+}
+
 // Guards against a start that ends in a process which does not know its address or does not verify its peers.
 TEST(Settings, AStartNeedsWhatItsProcessCannotDoWithout)
 {
