--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -200,7 +200,10 @@
         m_reloadDeadline = clock_type::now() + settingsLimit;
         if (m_reloading)
             return;
-        m_runtime.spawn([this] { reload(); });
+        m_runtime.spawn([this] {
+            (void)runLogged("reload", [this] { reload(); });
+            m_reloading = false;
+        });
         m_reloading = true;
     }
 
@@ -215,7 +218,6 @@
                 logRefused(next.error());
             m_runtime.sleepFor(startRetryInterval);
         }
-        m_reloading = false;
         if (!next)
             return;
         const auto kept = takeReloadable(m_settings, *next);
