--- a/coltsfootbend/daemon/daemon_run.h
+++ b/coltsfootbend/daemon/daemon_run.h
@@ -27,7 +27,7 @@
     // `limits` are commands of the shell that starts the program, such as "ulimit -n 64".
     explicit daemon_run(const std::string& settings, const std::string& limits = "true")
         : m_directory(std::filesystem::temp_directory_path()
-            / ("coltsfootbend-daemon." + std::to_string(::getpid()) + "." + std::to_string(++s_runs)))
+            / ("coltsfootbend-daemon." + std::to_string(::getpid()) + "." + std::to_string(nextNumber())))
     {
         std::filesystem::create_directories(m_directory);
         write(settings);
@@ -72,6 +72,12 @@
     }
 
 private:
+    static int nextNumber()
+    {
+        static int number = 0;
+        return ++number;
+    }
+
     static bool waitUntil(const std::function<bool()>& isDone, duration limit)
     {
         const auto until = clock_type::now() + limit;
@@ -83,8 +89,6 @@
         return true;
     }
 
-    static inline int s_runs = 0;
-
     const std::filesystem::path m_directory;
     std::optional<child_process> m_process;
 };
