--- a/review/standins-2/late_release.cc
+++ b/review/standins-2/late_release.cc
@@ -22,6 +22,7 @@
 constexpr double lateForSeconds = 5.5;
 constexpr double lateBySeconds = 2.5;
 constexpr double watchedSeconds = 9;
+constexpr double afterwardsSeconds = 4;
 
 int play(const std::string& program, const std::string& folder, bool hasTrouble)
 {
@@ -83,6 +84,7 @@
     record().line("ordinary changes done: " + std::to_string(group.switches.load()) + ", orders "
         + std::to_string(group.orders.load()));
     const auto from = seconds();
+    double firstMixedAt = -1;
     isDue = hasTrouble;
     while (hasTrouble && troubleAt < 0 && seconds() < from + 20)
         sleepMs(20);
@@ -90,11 +92,16 @@
         record().line("no pass was held within 20 s");
         return 2;
     }
-    const auto until = seconds() + watchedSeconds;
-    while (seconds() < until && group.mixedPasses == 0)
+    auto until = seconds() + watchedSeconds;
+    while (seconds() < until) {
         sleepMs(50);
+        // Watches a little longer, to see whether the ranks come back to one map.
+        if (group.mixedPasses > 0)
+            until = std::min(until, firstMixedAt < 0 ? (firstMixedAt = seconds()) + afterwardsSeconds : until);
+    }
     clients.stop();
-    record().line("passes " + std::to_string(group.passes.load()) + ", switches " + std::to_string(group.switches.load())
+    record().line("passes " + std::to_string(group.passes.load()) + ", of which with different maps "
+        + std::to_string(group.mixedPasses.load()) + ", switches " + std::to_string(group.switches.load())
         + ", orders " + std::to_string(group.orders.load()) + ", of which unanswered and late "
         + std::to_string(group.lateOrders.load()) + "; requests sent " + std::to_string(clients.sent.load()) + ", served "
         + std::to_string(clients.served.load()) + ", refused " + std::to_string(clients.refused.load()) + ", failed "
