--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Plays the case on loopback addresses. Exits with 1 if LOST was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 plays the same without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+target/review-2/planned_stop target/bin/coltsfootbend "$folder" review/5/record.txt "${TROUBLE:-1}"
+code=$?
+[ $code -le 1 ] || code=2
+exit $code
--- a/review/standins-2/group.hh
+++ b/review/standins-2/group.hh
@@ -67,6 +67,8 @@
     std::string idOf(int rank) const { return m_ranks[static_cast<std::size_t>(rank)].id; }
     std::uint64_t bornOf(int rank) const { return m_ranks[static_cast<std::size_t>(rank)].born; }
 
+    // How long a pass takes.
+    void setPassMs(double passMs) { m_passMs = passMs; }
     // Which experts the requests choose most; changes over time.
     void setHotExpert(int expert) { m_hot = expert; }
     void setFrozen(int rank, bool frozen)
@@ -86,6 +88,9 @@
     // Called after each order that a rank has carried out at once, before it is answered.
     std::function<void(int rank, const std::string& operation, std::uint64_t version, std::uint64_t step)> onOrder;
 
+    // Called when a run ends: complete, or dropped because its caller has left.
+    std::function<void(const std::string& id, bool isComplete)> onStreamEnd;
+
     std::atomic<int> orders { 0 };
     std::atomic<int> lateOrders { 0 };
     std::atomic<int> switches { 0 };
@@ -98,9 +103,8 @@
 
     void passLoop()
     {
-        constexpr double passMs = 30;
         while (true) {
-            sleepMs(passMs);
+            sleepMs(m_passMs);
             const std::lock_guard lock(m_mutex);
             bool hasWork = false;
             bool isHeld = false;
@@ -294,7 +298,8 @@
         return reply(fd, lock, status, "{}");
     }
 
-    // Answers a request with five events, one a pass. A request whose caller leaves is dropped.
+    // Answers a request with as many events as `X-Token-Counts` asks for, of five tokens each, one a pass. A request whose
+    // caller leaves is dropped.
     bool stream(int rank, const message& request, int fd, std::unique_lock<std::mutex>& lock)
     {
         auto& state = at(rank);
@@ -304,7 +309,9 @@
             return reply(fd, lock, 421, "", notRun);
         if (state.running >= slots)
             return reply(fd, lock, 503, "", notRun);
-        constexpr int events = 5;
+        constexpr int tokensPerEvent = 5;
+        const auto counts = request.header("x-token-counts");
+        const int events = std::max(1, std::atoi(counts.c_str() + counts.find(',') + 1) / tokensPerEvent);
         const int after = std::atoi(request.header("last-event-id").c_str());
         ++state.running;
         ++runs;
@@ -335,6 +342,8 @@
             lock.lock();
         }
         --state.running;
+        if (onStreamEnd)
+            onStreamEnd(id, isComplete);
         return isComplete;
     }
 
@@ -343,6 +352,7 @@
     std::vector<rank_state> m_ranks;
     std::uint64_t m_step = 0;
     std::atomic<int> m_hot { 0 };
+    std::atomic<double> m_passMs { 30 };
     double m_lateBy = 0;
     server m_server;
 };
@@ -426,7 +436,7 @@
         std::snprintf(id, sizeof id, "c%08d", ++sent);
         const std::string body = "{\"prompt\":\"p\"}";
         sendAll(fd, "POST /draft/2f HTTP/1.1\r\nHost: front.example\r\nX-Request-Id: " + std::string(id)
-                + "\r\nX-Model-Name: m\r\nX-Token-Counts: 200,5\r\nX-Prompt-Prefix: 5c1e07a2:40," + id
+                + "\r\nX-Model-Name: m\r\nX-Token-Counts: 200,25\r\nX-Prompt-Prefix: 5c1e07a2:40," + id
                 + ":160\r\nX-Deadline-Ms: 8000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
         reader from(fd);
         message answer;
