--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,7 +4,10 @@
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review-2/planned_stop target/bin/coltsfootbend "$folder" review/5/record.txt "${TROUBLE:-1}"
+target/review-2/planned_stop target/bin/coltsfootbend "$folder" review/5/record.txt "${TROUBLE:-1}" &
+program=$!
+trap 'kill -KILL "$program"; exit 2' TERM INT HUP
+wait "$program"
 code=$?
 [ $code -le 1 ] || code=2
 exit $code
