--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -132,7 +132,8 @@
         return false;
     }
     m_route = admitted->matched;
-    if (!m_context.stop.mayAccept(m_route->name, m_arrivedAt)) {
+    m_deadline = admitted->deadline;
+    if (isTooLateInStop(m_arrivedAt)) {
         refuseStopping();
         return false;
     }
@@ -140,7 +141,6 @@
     m_deployment = admitted->deployment;
     m_homeRegions = admitted->homeRegions;
     m_retryBudget = m_context.retryBudgets.budgetOf(m_deployment);
-    m_deadline = admitted->deadline;
     m_isReturning = admitted->isReturning;
     m_context.metrics.count("requests_total", { { "route", m_route->name } });
     return true;
@@ -170,6 +170,11 @@
             finishWithoutServer(final_reason::Deadline);
             return;
         }
+        // Checked before each attempt, because the request may have waited.
+        if (isTooLateInStop(now)) {
+            finishWithoutServer(final_reason::Stopping);
+            return;
+        }
         // Checked before each attempt, because the quarantine may begin while the request waits.
         if (const auto until = quarantinedUntil(now)) {
             refuseQuarantined(now, *until);
@@ -177,7 +182,11 @@
         }
         const auto outcome = m_context.held.acquire(
             m_context.picker, queuedRequest(),
-            [this] { return m_caller->isDisconnected || m_isStopped || quarantinedUntil(clock_type::now()); },
+            [this] {
+                const auto checkedAt = clock_type::now();
+                return m_caller->isDisconnected || m_isStopped || isTooLateInStop(checkedAt)
+                    || quarantinedUntil(checkedAt);
+            },
             [this] { return logFields(); });
         m_wasHeld = m_wasHeld || clock_type::now() - now >= minHoldTime;
         if (!outcome)
@@ -214,6 +223,12 @@
         duration::zero());
 }
 
+bool exchange::isTooLateInStop(time_point now) const
+{
+    return !m_hasBegunStream
+        && !m_context.stop.mayBegin(m_route->name, { .arrivedAt = m_arrivedAt, .deadline = m_deadline }, now);
+}
+
 pick_request exchange::pickRequest() const
 {
     return { .deployment = m_deployment,
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -109,6 +109,9 @@
     void refuseQuarantined(time_point now, time_point until);
     // Refuses a request that has not run because the process ends; its caller may turn to another one at once.
     void refuseStopping();
+    // Returns true if the process stops and would probably end before a server that gets the request now had answered
+    // it. A stream that has begun is continued as long as possible.
+    bool isTooLateInStop(time_point now) const;
     // Sends the request to one server and relays the response.
     next_step attemptOnServer(const picked_backend&);
     // Reads the head of the response and relays the rest.
--- a/coltsfootbend/gateway/exchange_takeover.cpp
+++ b/coltsfootbend/gateway/exchange_takeover.cpp
@@ -42,8 +42,8 @@
 
 bool exchange::mayUseSecondAttempt(time_point now)
 {
-    return !m_caller->isDisconnected && !m_isRecalled && !m_isStopped && !reasonAgainstRetry(true)
-        && !quarantinedUntil(now) && m_context.quarantine.mayTryAnotherServer(suspects());
+    return !m_caller->isDisconnected && !m_isRecalled && !m_isStopped && !isTooLateInStop(now)
+        && !reasonAgainstRetry(true) && !quarantinedUntil(now) && m_context.quarantine.mayTryAnotherServer(suspects());
 }
 
 void exchange::prepareSecondAttempt()
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -430,13 +430,14 @@
 }
 
 // Reports not ready at once, so that no new connections are routed here, serves the requests that still arrive, and
-// waits for those in progress and for those that are being received.
+// waits for those in progress and for those that are being received. `stop_admission` decides which requests are
+// served.
 void gateway_service::leave(time_point deadline)
 {
     m_leaving = true;
     const auto limit = deadline - leaveMargin;
     const auto stopAcceptingAt = std::min(limit, clock_type::now() + readinessPropagationDelay);
-    m_context->stop.begin({ .begunAt = clock_type::now(), .endsAt = limit });
+    m_context->stop.begin({ .begunAt = clock_type::now(), .acceptsUntil = stopAcceptingAt, .endsAt = limit });
     m_runtime.sleepUntil(stopAcceptingAt);
     m_callerListener->acceptPendingAndClose();
     m_idleConnections.closeAll();
--- a/coltsfootbend/gateway/stop_admission.cpp
+++ b/coltsfootbend/gateway/stop_admission.cpp
@@ -36,11 +36,16 @@
     return longest;
 }
 
-// Without a known answer a request is accepted during the first half of the stop.
-bool stop_admission::mayAccept(const std::string& route, time_point now) const
+// The length of an answer is not known before its end, so earlier answers are no proof. They decide only for requests
+// that arrived while the gateway still accepted connections: a refused caller could come back to this gateway then. A
+// caller on an open connection that sends its request later reaches another gateway. Without a known answer a request
+// may begin during the first half of the stop.
+bool stop_admission::mayBegin(const std::string& route, const request_times& request, time_point now) const
 {
-    if (!m_stop)
+    if (!m_stop || request.deadline <= m_stop->endsAt)
         return true;
+    if (request.arrivedAt >= m_stop->acceptsUntil)
+        return false;
     const auto longest = longestAnswer(route, now);
     return now + longest.value_or(now - m_stop->begunAt) <= m_stop->endsAt;
 }
