A stopping entry VM refuses what it cannot finish and answers what it has accepted

What callers saw, with the daemon's own interface: a stream that was sent 2 s into a planned stop of 4 s was begun and cut at its end; a request that was unanswered then, or was still being received when no other one ran, ended with its connection and without an answer.

`entry_service::leave` compared no request with the time that was left, and what was left at the end was dropped with the process. It waited for running requests only, not for those that were being received.

Change: while it leaves, an entry VM refuses a request whose deadline is after the end of the stop (`entry_leaving`, 503; under a key the outcome is unknown, because an earlier attempt may have run). `request_flow::endBy` moves the deadlines of running requests to that end, so that each is settled and answered. `leave` waits until the connections have ended and closes idle ones, as the gateway does.

Why it works: every accepted request has a deadline before the end of the stop, by which the flow ends in one of its three outcomes.

--- a/coltsfootbend/entry/caller_exchange.cpp
+++ b/coltsfootbend/entry/caller_exchange.cpp
@@ -169,6 +169,12 @@
     recordAttemptEnd(std::nullopt);
 }
 
+void caller_exchange::endBy(time_point limit)
+{
+    m_flow.endBy(limit);
+    push(0, timer_fired {}); // Ends the wait for the former deadline.
+}
+
 void caller_exchange::push(std::uint64_t operation, decltype(flow_event::payload) payload)
 {
     if (!m_done)
--- a/coltsfootbend/entry/caller_exchange.h
+++ b/coltsfootbend/entry/caller_exchange.h
@@ -21,6 +21,9 @@
     // Blocks until the caller has its final answer.
     void run(http_responder&);
 
+    // Ends the request by `limit`, because the process stops. The caller gets an answer if none was begun.
+    void endBy(time_point limit);
+
     // Returns the outcome that was reported to the caller. Valid after `run`.
     const finish_request& conclusion() const { return m_conclusion; }
 
--- a/coltsfootbend/entry/entry_service.cpp
+++ b/coltsfootbend/entry/entry_service.cpp
@@ -15,6 +15,10 @@
 
 // Interval of the checks for workers that stopped announcing themselves.
 constexpr std::chrono::milliseconds expireInterval { 250 };
+// Interval at which a leaving entry VM checks whether all connections have ended.
+constexpr std::chrono::milliseconds leavePollInterval { 20 };
+// Time kept free before the drain limit, for settling what is unanswered by then and for the last responses.
+constexpr std::chrono::milliseconds leaveMargin { 300 };
 
 int statusOf(const error& error)
 {
@@ -41,6 +45,17 @@
     return response;
 }
 
+// Returns the response to a request that the process may not finish before it ends, and that it does not begin. An
+// earlier attempt under the same key may have run elsewhere.
+http_response leavingResponse(const flow_request& request)
+{
+    const bool isFirstAttempt = !request.key || request.attemptNumber == 1;
+    return outcomeResponse({ .result = isFirstAttempt ? outcome::NotRun : outcome::Unknown,
+        .reason = refusal::EntryLeaving,
+        .retryAfter = std::chrono::seconds(1),
+        .sameKeyMayRetry = request.key.has_value() });
+}
+
 } // namespace
 
 load_report toLoadReport(const wire::load& load)
@@ -97,7 +112,7 @@
             serveHttp(
                 m_runtime, stream, { .maxBodyBytes = m_settings.entry->maxBodyBytes },
                 [this](const http_request& request, http_responder& responder) { handle(request, responder); },
-                [this] { return m_leaving; });
+                [this] { return m_leaving; }, &m_idleConnections);
         });
     if (!opened)
         return tl::unexpected(opened.error());
@@ -113,7 +128,7 @@
         (void)responder.send({ { isReady ? 200 : 503, {} }, isReady ? "ready\n" : "not ready\n" });
         return;
     }
-    if (m_startedAt.size() >= m_settings.entry->maxRequests) {
+    if (m_running.size() >= m_settings.entry->maxRequests) {
         (void)responder.send(notRunResponse({ error_kind::Overloaded, "this entry VM has all the requests it takes",
             "Send the request again after Retry-After" }));
         return;
@@ -135,6 +150,12 @@
         (void)responder.send(notRunResponse(parsed.error()));
         return;
     }
+    // No answer is certain to end before its deadline.
+    if (parsed->flow.deadline > m_answersUntil) {
+        m_metrics->count("requests_rejected_total", { { "kind", toString(refusal::EntryLeaving) } });
+        (void)responder.send(leavingResponse(parsed->flow));
+        return;
+    }
     serve(request, *parsed, responder);
 }
 
@@ -167,10 +188,10 @@
 {
     const auto number = ++m_requests;
     const auto startedAt = clock_type::now();
-    m_startedAt[number] = startedAt;
     const auto exchange = std::make_shared<caller_exchange>(*this, request, parsed);
+    m_running[number] = { startedAt, exchange };
     exchange->run(responder);
-    m_startedAt.erase(number);
+    m_running.erase(number);
     m_metrics->count("requests_total",
         { { "outcome", toString(exchange->conclusion().result) },
             { "reason", toString(exchange->conclusion().reason) } });
@@ -244,17 +265,23 @@
 
 duration entry_service::oldestRequestAge() const
 {
-    return m_startedAt.empty() ? duration::zero() : clock_type::now() - m_startedAt.begin()->second;
+    return m_running.empty() ? duration::zero() : clock_type::now() - m_running.begin()->second.startedAt;
 }
 
+// The closed listener makes the load balancer stop sending new connections. Requests in progress and those that are
+// being received on open connections are answered, by `m_answersUntil` in any case.
 void entry_service::leave(time_point deadline)
 {
     m_leaving = true;
-    // The closed listener makes the load balancer stop sending new connections; open connections finish their requests.
+    m_answersUntil = deadline - leaveMargin;
+    for (const auto& [number, running] : m_running)
+        running.exchange->endBy(m_answersUntil);
     m_listener->acceptPendingAndClose();
-    constexpr std::chrono::milliseconds pollInterval { 20 };
-    while (!m_startedAt.empty() && clock_type::now() < deadline)
-        m_runtime.sleepFor(pollInterval);
+    m_idleConnections.closeAll();
+    while (m_listener->connections() > 0 && clock_type::now() < deadline) {
+        m_runtime.sleepFor(leavePollInterval);
+        m_idleConnections.closeAll();
+    }
 }
 
 void entry_service::stop() { m_stopped = true; }
--- a/coltsfootbend/entry/entry_service.h
+++ b/coltsfootbend/entry/entry_service.h
@@ -58,7 +58,7 @@
     void stop() override;
 
     const worker_directory& directory() const { return m_directory; }
-    std::size_t inFlight() const { return m_startedAt.size(); }
+    std::size_t inFlight() const { return m_running.size(); }
     bool isLeaving() const { return m_leaving; }
     // Returns the age of the oldest request that is neither answered nor refused; zero when there is none.
     duration oldestRequestAge() const;
@@ -68,6 +68,11 @@
 private:
     friend class caller_exchange;
 
+    struct running_request {
+        time_point startedAt {};
+        std::shared_ptr<caller_exchange> exchange;
+    };
+
     void handle(const http_request&, http_responder&);
     void serve(const http_request&, const caller_request&, http_responder&);
     http_response issueTickets(const http_request&);
@@ -87,10 +92,12 @@
     worker_directory m_directory;
     serial_attempts m_attempts;
     std::map<deployment_id, std::unique_ptr<deployment_state>> m_deployments;
-    std::map<std::uint64_t, time_point> m_startedAt; // Start of each request in flight, by request number.
+    std::map<std::uint64_t, running_request> m_running; // The requests in flight, by request number.
     std::uint64_t m_requests = 0;
     std::mt19937_64 m_random; // Chooses ticket holders and nonces.
     bool m_leaving = false;
+    time_point m_answersUntil = time_point::max(); // In a planned stop all answers have ended by then.
+    idle_connections m_idleConnections;
     bool m_stopped = false;
 };
 
--- a/coltsfootbend/request/attempt.h
+++ b/coltsfootbend/request/attempt.h
@@ -77,6 +77,7 @@
     AnswerGone, // The request ran and its answer is no longer stored.
     AnswerBroken, // Part of the answer was delivered and the rest is unavailable.
     CallerGone,
+    EntryLeaving, // The entry VM stops before the request's deadline.
 };
 
 // Returns the name of `reason` for bodies, logs and metrics.
@@ -117,6 +118,8 @@
         return "answer_broken";
     case refusal::CallerGone:
         return "caller_gone";
+    case refusal::EntryLeaving:
+        return "entry_leaving";
     }
     return "none";
 }
--- a/coltsfootbend/request/request_flow.cpp
+++ b/coltsfootbend/request/request_flow.cpp
@@ -33,6 +33,15 @@
     return std::move(m_actions);
 }
 
+void request_flow::endBy(time_point limit)
+{
+    if (limit >= m_request.deadline)
+        return;
+    m_request.deadline = limit;
+    // What is not streamed has to be settled first.
+    m_timer = std::min(m_timer, m_state == state::Streaming ? limit : limit - m_limits.settleMargin);
+}
+
 template <typename Action> void request_flow::send(Action action)
 {
     action.operation = ++m_operation;
--- a/coltsfootbend/request/request_flow.h
+++ b/coltsfootbend/request/request_flow.h
@@ -181,6 +181,9 @@
     // Handles one event and returns the actions to perform, in order. Events of abandoned operations are ignored.
     std::vector<flow_action> handle(time_point now, const flow_event&);
 
+    // Moves the deadline forward to `limit` because the process stops. Without effect if the deadline is before it.
+    void endBy(time_point limit);
+
     // Returns when `timer_fired` is next due.
     time_point nextDeadline() const { return m_timer; }
     bool isDone() const { return m_state == state::Done; }
@@ -215,7 +218,7 @@
     void finish(outcome, refusal, std::chrono::milliseconds retryAfter = {}, bool sameKey = false);
     template <typename Action> void send(Action);
 
-    const flow_request m_request;
+    flow_request m_request; // Constant but for the deadline.
     const services m_services;
     const vm_id m_home;
     const limits m_limits;
--- a/coltsfootbend/wire/codec.cpp
+++ b/coltsfootbend/wire/codec.cpp
@@ -284,7 +284,7 @@
     }                                                                                                                  \
     }
 
-COLTSFOOTBEND_WIRE_ENUM(refusal, CallerGone)
+COLTSFOOTBEND_WIRE_ENUM(refusal, EntryLeaving)
 COLTSFOOTBEND_WIRE_ENUM(revoke_verdict, Forgotten)
 COLTSFOOTBEND_WIRE_ENUM(claim_verdict, Leaving)
 // NOLINTEND(readability-identifier-naming)
