A start that waits for its settings ends a planned stop as any other, and each end leaves a line

Cause: `main` set a handler for SIGHUP at once, and those for SIGTERM, SIGINT and SIGQUIT only once the settings had been read, up to 10 s later. Until then each of the three had its default effect.

Ruled out by reading: a SIGTERM while the process exits (the handler stays set until `_Exit`). Not ruled out: one before the first instruction of `main`, which only the supervisor can prevent.

Change: `daemon/process_signals` sets the handlers first; a request to stop that comes before the services can handle it ends the start with E101, E102 and code 0. E108 is the line of each other end that a process can write: code and reason, or the signal of a fault.

Tests: `Start.ThatWaitsForItsSettingsEndsAsPlannedWhenItIsAskedTo` failed before (no exit code, no E101, no E102, for each of the three signals), and passes now. `Start.EndsAsPlannedHoweverSoonItIsAskedTo` waits for the first handler, which was set later before, and passed then too. `Start.AProcessThatAFaultEndsLogsItsEnd` is for the new line.

--- a/coltsfootbend/base/log_event.cpp
+++ b/coltsfootbend/base/log_event.cpp
@@ -71,6 +71,7 @@
     case log_event::DeploymentRowUnreadable:
     case log_event::RequestFaulted:
     case log_event::ProcessFaulted:
+    case log_event::ProcessFailed:
         return google::GLOG_ERROR;
     case log_event::StartWaits:
     case log_event::SettingReplaced:
--- a/coltsfootbend/base/log_event.h
+++ b/coltsfootbend/base/log_event.h
@@ -20,6 +20,7 @@
     ProcessFaulted = 105,
     StartWaits = 106,
     SettingReplaced = 107,
+    ProcessFailed = 108,
     ConfigurationInForce = 200,
     ConfigurationAccepted = 201,
     ConfigurationRejected = 202,
--- a/coltsfootbend/daemon/daemon_run.h
+++ b/coltsfootbend/daemon/daemon_run.h
@@ -48,6 +48,11 @@
     void write(const std::string& settings) const { std::ofstream(m_directory / "settings.toml") << settings; }
     void signal(int number) { m_process->signal(number); }
     bool isRunning() { return m_process->isRunning(); }
+    // Waits until the process has set a handler for signal `number`. Returns false if it has not within ten seconds.
+    bool awaitHandler(int number) const
+    {
+        return waitUntil([&] { return m_process->handles(number); }, std::chrono::seconds(10));
+    }
     std::size_t peakMemory() const { return m_process->peakMemory(); }
 
     // Returns the exit code; none if the process does not end within `limit` or ends by a signal.
--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -1,6 +1,7 @@
 // The daemon: reads its settings, creates the services that they configure, and runs until a planned stop is complete.
 
 #include "coltsfootbend/base/log_event.h"
+#include "coltsfootbend/daemon/process_signals.h"
 #include "coltsfootbend/daemon/start_conditions.h"
 #include "coltsfootbend/engine/standin.h"
 #include "coltsfootbend/gateway/gateway_service.h"
@@ -15,7 +16,6 @@
 #include "platform/request_headers.h"
 #include "platform/store_client.h"
 
-#include <array>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -36,11 +36,6 @@
 // Added to the drain limit for the services to stop. A service that takes longer does not keep the process from ending.
 constexpr std::chrono::seconds stopLimit { 1 };
 
-// Whether a reload was requested before the process could read its settings again.
-volatile std::sig_atomic_t reloadRequested = 0;
-
-void noteReloadRequest(int) { reloadRequested = 1; }
-
 incarnation drawIncarnation()
 {
     std::random_device device;
@@ -69,6 +64,8 @@
             if (!code)
                 leave();
         });
+        if (isStopRequested())
+            leave();
         m_runtime.spawn([this] {
             if (!runLogged("start", [this] { start(); }))
                 failStart({ error_kind::Internal, "the start ended with an exception", "Report this" });
@@ -102,13 +99,14 @@
         logEvent(log_event::ProcessStarted,
             "vm=" + m_settings.vm.text() + " life=" + std::to_string(m_incarnation.number()));
         awaitReload();
-        if (reloadRequested != 0)
+        if (isReloadRequested())
             requestReload();
     }
 
     // Ends the process after a failed start. Services that did start have fibers already.
     [[noreturn]] static void failStart(const error& error)
     {
+        logEvent(log_event::ProcessFailed, "code=" + std::to_string(exitStart) + " why=\"" + toString(error) + "\"");
         std::cerr << "coltsfootbend: " << toString(error) << "\n";
         endProcess(exitStart);
     }
@@ -282,10 +280,6 @@
     time_point m_reloadDeadline;
 };
 
-// Signals whose default action would end the process, and which mean nothing to it. Supervisors and terminals send
-// them.
-constexpr std::array ignoredSignals { SIGPIPE, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGXFSZ };
-
 // Returns the path of the settings file; none if neither the arguments nor the environment name it.
 std::optional<std::string> findSettings(const cxxopts::ParseResult& arguments)
 {
@@ -305,6 +299,24 @@
     return EXIT_SUCCESS;
 }
 
+// Ends a start for which there are no usable settings, and returns the exit code. The log goes to standard output,
+// because the settings name its directory.
+int endWithoutSettings(const char* program, const std::string& path, const std::vector<error>& errors)
+{
+    startLog(program, {});
+    if (isStopRequested()) {
+        logEvent(log_event::ProcessLeaving, "vm=- why=\"asked to stop before " + path + " could be used\"");
+        logEvent(log_event::ProcessStopped, "vm=-");
+        stopLog();
+        return EXIT_SUCCESS;
+    }
+    printErrors(path, errors);
+    logEvent(log_event::ProcessFailed,
+        "code=" + std::to_string(exitSettings) + " why=\"the settings " + path + " cannot be used\"");
+    stopLog();
+    return exitSettings;
+}
+
 int runDaemon(int argc, char** argv)
 {
     cxxopts::Options options("coltsfootbend", "Load balancer for expert-parallel model groups: the daemon");
@@ -327,11 +339,9 @@
     }
     if (arguments.count("check") > 0)
         return checkSettings(*path);
-    const auto settings = awaitSettings(*path, clock_type::now() + settingsLimit);
-    if (!settings) {
-        printErrors(*path, settings.error());
-        return exitSettings;
-    }
+    const auto settings = awaitSettings(*path, clock_type::now() + settingsLimit, isStopRequested);
+    if (!settings)
+        return endWithoutSettings(argv[0], *path, settings.error());
     startLog(argv[0], settings->settings.logDirectory);
     for (const auto& replaced : settings->replaced)
         logEvent(log_event::SettingReplaced, toString(replaced));
@@ -344,9 +354,7 @@
 
 int main(int argc, char** argv)
 {
-    for (const int number : coltsfootbend::ignoredSignals)
-        std::signal(number, SIG_IGN);
-    std::signal(SIGHUP, coltsfootbend::noteReloadRequest);
+    coltsfootbend::installSignalHandlers();
     try {
         return coltsfootbend::runDaemon(argc, argv);
     } catch (const std::exception& exception) {
--- a/coltsfootbend/daemon/start_conditions.cpp
+++ b/coltsfootbend/daemon/start_conditions.cpp
@@ -37,7 +37,8 @@
         std::cerr << path << ": " << toString(error) << "\n";
 }
 
-tl::expected<start_settings, std::vector<error>> awaitSettings(const std::string& path, time_point deadline)
+tl::expected<start_settings, std::vector<error>> awaitSettings(
+    const std::string& path, time_point deadline, const std::function<bool()>& isStopRequested)
 {
     auto settings = loadStartSettings(path);
     if (!settings) {
@@ -45,7 +46,7 @@
         std::cerr << "coltsfootbend: reads " << path << " again until it can be used, for " << settingsLimit.count()
                   << " s\n";
     }
-    while (!settings && clock_type::now() < deadline) {
+    while (!settings && !isStopRequested() && clock_type::now() < deadline) {
         std::this_thread::sleep_for(startRetryInterval);
         settings = loadStartSettings(path);
     }
--- a/coltsfootbend/daemon/start_test.cpp
+++ b/coltsfootbend/daemon/start_test.cpp
@@ -41,6 +41,14 @@
 
 std::string agentSettings() { return commonSettings() + "[rank_agent]\nengine = " + quoted(8228) + "\n"; }
 
+// AddressSanitizer needs more address space and memory than the VMs have. With it the limits of the settings are used,
+// and the memory of the process is not compared with them.
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool isSanitized = true;
+#else
+constexpr bool isSanitized = false;
+#endif
+
 // A socket of the test, closed with the object.
 class test_socket {
 public:
@@ -175,6 +183,51 @@
     EXPECT_EQ(run.exitCode(1s), EXIT_SUCCESS) << run.log();
 }
 
+// Guards against starts that end by the signal of a planned stop while they wait for their settings: their supervisor
+// counts that as a process that ended by itself.
+TEST(Start, ThatWaitsForItsSettingsEndsAsPlannedWhenItIsAskedTo)
+{
+    for (const int number : { SIGTERM, SIGINT, SIGQUIT }) {
+        daemon_run run(gatewaySettings().substr(0, gatewaySettings().size() / 2));
+        ASSERT_TRUE(run.logs("until it can be used")) << run.log();
+        run.signal(number);
+        EXPECT_EQ(run.exitCode(1s), EXIT_SUCCESS) << run.log();
+        EXPECT_TRUE(run.logs("E101 ", 0s)) << run.log();
+        EXPECT_TRUE(run.logs("E102 ", 0s)) << run.log();
+    }
+}
+
+// Guards against starts that end by the signal of a planned stop because no part of the process handles it yet.
+TEST(Start, EndsAsPlannedHoweverSoonItIsAskedTo)
+{
+    for (const auto delay : { 0ms, 1ms, 2ms, 5ms, 10ms, 20ms, 50ms }) {
+        daemon_run run(gatewaySettings());
+        ASSERT_TRUE(run.awaitHandler(SIGTERM));
+        std::this_thread::sleep_for(delay);
+        run.signal(SIGTERM);
+        run.signal(SIGTERM);
+        EXPECT_EQ(run.exitCode(3s), EXIT_SUCCESS) << delay.count() << " ms: " << run.log();
+        EXPECT_TRUE(run.logs("E102 ", 0s)) << run.log();
+    }
+}
+
+// Guards against processes that end without a line that says why, so that nobody can tell a fault from a kill.
+TEST(Start, AProcessThatAFaultEndsLogsItsEnd)
+{
+    for (const int number : { SIGSEGV, SIGABRT, SIGBUS }) {
+        daemon_run run(gatewaySettings());
+        ASSERT_TRUE(run.logs("E100 "));
+        run.signal(number);
+        EXPECT_EQ(run.exitCode(), std::nullopt) << "it ends by the signal";
+        if (!isSanitized)
+            EXPECT_TRUE(run.logs("signal=" + std::string(number < 10 ? "0" : "") + std::to_string(number), 0s))
+                << run.log();
+    }
+    daemon_run run("vm = 5\n");
+    EXPECT_EQ(run.exitCode(15s), 2);
+    EXPECT_TRUE(run.logs("E108 code=2", 0s)) << run.log();
+}
+
 // Guards against starts that end, one after the other, while the settings file is being written.
 TEST(Start, ReadsASettingsFileThatIsBeingWrittenAgain)
 {
@@ -271,14 +324,6 @@
     ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &limit), 0);
 }
 
-// AddressSanitizer needs more address space and memory than the VMs have. With it the limits of the settings are used,
-// and the memory of the process is not compared with them.
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool isSanitized = true;
-#else
-constexpr bool isSanitized = false;
-#endif
-
 // Guards against a gateway that ends because a crowd of callers uses up the memory that its VM has.
 TEST(Start, ACrowdOfCallersDoesNotUseUpTheAddressSpace)
 {
--- a/coltsfootbend/measure/child_process.cpp
+++ b/coltsfootbend/measure/child_process.cpp
@@ -53,6 +53,18 @@
     return m_processId != 0;
 }
 
+bool child_process::handles(int number) const
+{
+    constexpr int hexadecimal = 16;
+    std::ifstream status("/proc/" + std::to_string(m_processId) + "/status");
+    std::string mask;
+    for (std::string name; status >> name;) {
+        if (name == "SigCgt:" && status >> mask)
+            return ((std::stoull(mask, nullptr, hexadecimal) >> static_cast<unsigned>(number - 1)) & 1U) != 0;
+    }
+    return false;
+}
+
 std::size_t child_process::peakMemory() const
 {
     constexpr std::size_t kibibyte = 1024;
--- a/coltsfootbend/measure/child_process.h
+++ b/coltsfootbend/measure/child_process.h
@@ -36,6 +36,8 @@
     void signal(int number) const;
     // Returns whether the process is running, and collects its exit status if it has ended.
     bool isRunning();
+    // Returns whether the process has set a handler for signal `number`.
+    bool handles(int number) const;
     // Returns the most resident memory that the process has had, in bytes; 0 if it is not running.
     std::size_t peakMemory() const;
     // Returns the exit status in the form of `waitpid`. Valid after `isRunning` has returned false.
