Gateways log that they serve nothing of a deployment, and that they serve again

The log of the users' FAULT has no warning before the store's end, and fits a gateway that gets no requests as well as one that refuses all: refusals are lines of their own at the level of information, one for each request.

`gateway/serving_monitor` reports a deployment of which three requests in a row over two seconds were not served, with their reasons and the state of its servers, and the first one that is served again (E308, `serving_changes_total`, gauge `deployments_unserved`). Requests that no route, key or configuration fits have no deployment and count together.

--- a/coltsfootbend/base/log_event.cpp
+++ b/coltsfootbend/base/log_event.cpp
@@ -82,6 +82,7 @@
     case log_event::WorkerSuspected:
     case log_event::BackendCrashed:
     case log_event::RequestQuarantine:
+    case log_event::ServingChanged:
     case log_event::LedgerIncomplete:
     case log_event::RequestUnknown:
     case log_event::RequestFailed:
--- a/coltsfootbend/base/log_event.h
+++ b/coltsfootbend/base/log_event.h
@@ -42,6 +42,7 @@
     BackendCrashed = 305,
     RequestQuarantine = 306,
     BackendNotice = 307,
+    ServingChanged = 308,
     LedgerHandedOver = 400,
     LedgerRestored = 401,
     LedgerIncomplete = 402,
--- a/coltsfootbend/gateway/backend_picker.cpp
+++ b/coltsfootbend/gateway/backend_picker.cpp
@@ -403,6 +403,23 @@
         m_sendPermitRequest(server, *serial);
 }
 
+backend_picker::server_summary backend_picker::summarise(const deployment_id& deployment, time_point now) const
+{
+    server_summary summary;
+    for (const auto& [id, state] : m_backends) {
+        if (state.server.deployment != deployment)
+            continue;
+        ++summary.listed;
+        summary.reporting += state.report && !hasStoppedReporting(state, now) ? 1 : 0;
+        summary.leaving += state.server.isLeaving || m_notices.isLeaving(state.server.instance()) ? 1 : 0;
+        summary.evacuated += m_evacuated.contains(state.server.dataCentre) ? 1 : 0;
+        summary.unavailable += m_notices.isUnavailable(state.server.instance(), now) ? 1 : 0;
+        summary.avoided += isAvoided(state, now) ? 1 : 0;
+        summary.groupClosed += isGroupOpen(state, now) ? 0 : 1;
+    }
+    return summary;
+}
+
 std::optional<refused_pick> backend_picker::keepPermitted(
     std::vector<backend_state*>& servers, const pick_request& request, time_point now)
 {
--- a/coltsfootbend/gateway/backend_picker.h
+++ b/coltsfootbend/gateway/backend_picker.h
@@ -118,6 +118,18 @@
     // Returns the state of all groups. O(groups * ranks).
     std::vector<group_status> groups(time_point now) const { return m_groups.statuses(now); }
 
+    // How many servers of a deployment are in each state; one may be in several.
+    struct server_summary {
+        std::size_t listed = 0;
+        std::size_t reporting = 0; // Their load was reported lately.
+        std::size_t leaving = 0;
+        std::size_t evacuated = 0;
+        std::size_t unavailable = 0; // By their own notices.
+        std::size_t avoided = 0; // After failures, or because they are silent.
+        std::size_t groupClosed = 0;
+    };
+    server_summary summarise(const deployment_id&, time_point now) const;
+
 private:
     struct backend_state {
         backend_server server;
--- a/coltsfootbend/gateway/exchange.cpp
+++ b/coltsfootbend/gateway/exchange.cpp
@@ -132,13 +132,13 @@
         return false;
     }
     m_route = admitted->matched;
+    m_deployment = admitted->deployment;
     m_deadline = admitted->deadline;
     if (isTooLateInStop(m_arrivedAt)) {
         refuseStopping();
         return false;
     }
     m_customer = admitted->caller;
-    m_deployment = admitted->deployment;
     m_homeRegions = admitted->homeRegions;
     m_retryBudget = m_context.retryBudgets.budgetOf(m_deployment);
     m_isReturning = admitted->isReturning;
@@ -158,6 +158,8 @@
 {
     while (true) {
         if (m_caller->isDisconnected) {
+            if (!m_hasBegunStream)
+                recordUnserved("the caller left");
             logEvent(log_event::CallerDisconnected, logFields() + " takeover=" + toString(m_takeover));
             return;
         }
@@ -503,7 +505,9 @@
         clearSuspicion();
     m_retryBudget->recordSuccess();
     if (isSuccess(head.status))
-        m_context.stop.onAnswered(m_route->name, clock_type::now() - m_arrivedAt, clock_type::now());
+        recordServed();
+    else
+        m_context.serving.onServed(m_deployment, clock_type::now());
     m_context.metrics.observe("answer_seconds", toMilliseconds(clock_type::now() - m_arrivedAt) / 1000);
     logEvent(log_event::RequestAnswered,
         logFields() + " backend=" + picked.server.id.text() + " status=" + std::to_string(head.status));
@@ -598,7 +602,7 @@
     recordOutcome(picked, backend_outcome::Answered, latency);
     clearSuspicion();
     m_retryBudget->recordSuccess();
-    m_context.stop.onAnswered(m_route->name, clock_type::now() - m_arrivedAt, clock_type::now());
+    recordServed();
     logEvent(log_event::RequestAnswered,
         logFields() + " backend=" + picked.server.id.text() + " events=" + std::to_string(m_events.eventCount()));
     (void)m_responder.end();
@@ -715,6 +719,7 @@
         logFields() + " outcome=cut events=" + std::to_string(m_events.eventCount())
             + " sent=" + std::to_string(m_sentCount) + " cause=" + toString(reason));
     m_context.metrics.count("streams_cut_total");
+    recordUnserved("cut");
     m_responder.abort();
 }
 
@@ -725,6 +730,7 @@
         return;
     }
     if (m_serverErrorResponse) {
+        recordUnserved("a server's status " + std::to_string(m_serverErrorResponse->head.status));
         logEvent(
             log_event::RequestAnswered, logFields() + " status=" + std::to_string(m_serverErrorResponse->head.status));
         (void)m_responder.send(*m_serverErrorResponse);
@@ -771,9 +777,22 @@
             + " time_left_ms=" + std::to_string(remaining(clock_type::now(), m_deadline).count()) + " why=\""
             + why.message + "\"" + (retryAfter ? " retry_after_s=" + formatSeconds(*retryAfter) : ""));
     m_context.metrics.count("answers_total", { { "status", std::to_string(status) } });
+    recordUnserved(std::to_string(status) + " " + why.message);
     (void)m_responder.send(response);
 }
 
+void exchange::recordServed()
+{
+    const auto now = clock_type::now();
+    m_context.stop.onAnswered(m_route->name, now - m_arrivedAt, now);
+    m_context.serving.onServed(m_deployment, now);
+}
+
+void exchange::recordUnserved(const std::string& reason)
+{
+    m_context.serving.onUnserved(m_deployment, reason, clock_type::now());
+}
+
 void exchange::countInFlight(const backend_instance& server, time_point now)
 {
     m_context.picker.onRequestSent(server, now);
--- a/coltsfootbend/gateway/exchange.h
+++ b/coltsfootbend/gateway/exchange.h
@@ -16,6 +16,7 @@
 #include "coltsfootbend/gateway/request_quarantine.h"
 #include "coltsfootbend/gateway/response_watchdog.h"
 #include "coltsfootbend/gateway/second_attempt.h"
+#include "coltsfootbend/gateway/serving_monitor.h"
 #include "coltsfootbend/gateway/stop_admission.h"
 #include "coltsfootbend/limits/patience_tracker.h"
 #include "coltsfootbend/limits/retry_budgets.h"
@@ -48,6 +49,8 @@
     catalogue_ptr catalogue;
     // Which requests are accepted during a planned stop.
     stop_admission stop = {};
+    // Whether any request of a deployment is served.
+    serving_monitor serving = {};
     // The exchanges that have been admitted and have not ended.
     std::set<exchange*> running = {};
     // Called after a server's response has changed the notices of that server (limit, backoff, leaving); may be empty.
@@ -205,6 +208,10 @@
     pick_request pickRequest() const;
     // Returns the priority of the next attempt; 0 comes first.
     std::uint32_t priority() const;
+    // Records that a server has answered the request, which took until now.
+    void recordServed();
+    // Records that the request ended without an answer of a server.
+    void recordUnserved(const std::string& reason);
     // Notifies the quarantine that this request was served without a crash.
     void clearSuspicion();
     // Returns the fingerprint by which the quarantine recognises a repetition of this request. Computed on first use.
--- a/coltsfootbend/gateway/gateway_service.cpp
+++ b/coltsfootbend/gateway/gateway_service.cpp
@@ -137,6 +137,7 @@
     m_metrics->gauge("requests_running", [this] { return static_cast<double>(m_runningRequests); });
     m_metrics->gauge("buffered_bytes", [this] { return static_cast<double>(m_context->buffers.used()); });
     m_metrics->gauge("evacuated_data_centres", [this] { return static_cast<double>(m_watch->evacuated().size()); });
+    m_metrics->gauge("deployments_unserved", [this] { return static_cast<double>(m_context->serving.unserved()); });
     m_metrics->gauge("configuration_version",
         [this] { return m_context->catalogue ? static_cast<double>(m_context->catalogue->version().number()) : 0.0; });
     m_runtime.spawnLoop("subscriptions", [this] { subscribeLoop(); });
@@ -393,6 +394,27 @@
             [this, now](const backend_instance& server) { return m_context->picker.conditionOf(server, now); }, now);
         m_quarantine->requests().checkPending(now);
         logGroups(now);
+        logServing(now);
+    }
+}
+
+void gateway_service::logServing(time_point now)
+{
+    for (const auto& change : m_context->serving.check(now)) {
+        std::string reasons;
+        for (const auto& [reason, count] : change.reasons)
+            reasons += (reasons.empty() ? "" : ", ") + reason + ": " + std::to_string(count);
+        const auto servers = m_context->picker.summarise(change.deployment, now);
+        logEvent(log_event::ServingChanged,
+            "deployment=" + (change.deployment.empty() ? "-" : change.deployment.text())
+                + " serving=" + (change.isServing ? "yes" : "no") + " unserved_for_ms="
+                + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(change.unservedFor).count())
+                + " reasons=\"" + reasons + "\" servers=" + std::to_string(servers.listed) + " reporting="
+                + std::to_string(servers.reporting) + " leaving=" + std::to_string(servers.leaving) + " evacuated="
+                + std::to_string(servers.evacuated) + " unavailable=" + std::to_string(servers.unavailable)
+                + " avoided=" + std::to_string(servers.avoided) + " group_closed=" + std::to_string(servers.groupClosed)
+                + " version=" + std::to_string(m_context->catalogue ? m_context->catalogue->version().number() : 0));
+        m_context->metrics.count("serving_changes_total", { { "serving", change.isServing ? "yes" : "no" } });
     }
 }
 
--- a/coltsfootbend/gateway/gateway_service.h
+++ b/coltsfootbend/gateway/gateway_service.h
@@ -65,6 +65,8 @@
     // Checks conditions that change with time alone: stalled groups and unresponsive servers.
     void groupLoop();
     void logGroups(time_point now);
+    // Logs for which deployments nothing is served any more, or something again, and what is known of their servers.
+    void logServing(time_point now);
 
     fiber_runtime& m_runtime;
     const daemon_settings& m_settings;
