--- a/coltsfootbend/group/group_state.cpp
+++ b/coltsfootbend/group/group_state.cpp
@@ -88,6 +88,7 @@
     if (static_cast<std::size_t>(armed) == reported.size())
         return waitFor(reported, "the previous leader may have armed its own rank");
     resolution.target = { first.preparedVersion, resolution.heldStep };
+    resolution.missing = missing;
     resolution.kind = armed > 0 ? group_action::DisarmWithoutLeader : group_action::ReleaseWithoutLeader;
     return resolution;
 }
@@ -122,9 +123,10 @@
             reported.begin(), reported.end(), [&](const auto* state) { return isArmedFor(*state, *armed); });
         if (!allArmed)
             resolution.kind = needsDisarm(reported, *armed) ? group_action::Disarm : group_action::Arm;
-        else if (resolution.heldStep != 0)
+        else if (resolution.heldStep != 0) {
             resolution.kind = group_action::Release;
-        else
+            resolution.isArmed = true;
+        } else
             return waitFor(reported, "all ranks are armed for a pass that has not begun");
         return resolution;
     }
--- a/coltsfootbend/group/group_state.h
+++ b/coltsfootbend/group/group_state.h
@@ -1,8 +1,9 @@
 #pragma once
 
 // Derives the next action of a group's leader from the states that all ranks report, for a map change that this leader
-// or a failed one has begun. A change only ever proceeds forward: once any rank may be armed for a pass, every rank is
-// armed for it before the pass may begin, because an order without an answer can still be carried out later.
+// or a failed one has begun. A change proceeds forward: once any rank may be armed for a pass, every rank is
+// armed for it before the pass may begin, because an order without an answer can still be carried out later. A change
+// is given up only once it is retired, so that no rank can be armed for it any more: see `map_leader::retireChange`.
 // Deterministic.
 //
 //     const auto resolution = resolve(states);
@@ -21,12 +22,12 @@
     Ready, // All ranks use the same map and no change is in progress.
     Wait, // A rank is missing, the group is incomplete, or all ranks are armed for a pass that has yet to begin.
     Arm, // Arm every rank for `target`, then release its pass.
-    Disarm, // A rank can no longer switch to `target`, so the ranks armed for it have to be disarmed.
-    Release, // Release the held pass: either all ranks are armed for it, or none.
+    Disarm, // A rank can no longer switch to `target`: retire the change, which disarms the ranks armed for it.
+    Release, // Release the held pass: either all ranks are armed for it, or none, and then the change is retired first.
     // Release the held pass although the previous leader's rank does not answer. Repeat the query of all ranks before
     // acting on this.
     ReleaseWithoutLeader,
-    DisarmWithoutLeader, // Disarm the ranks that the previous leader armed, before `ReleaseWithoutLeader`.
+    DisarmWithoutLeader, // The same, with some ranks that the previous leader has armed.
 };
 
 // The next action and its arguments.
@@ -35,6 +36,8 @@
     armed_switch target {}; // Switch to arm or disarm; the prepared switch for `ReleaseWithoutLeader`.
     std::vector<rank_number> heldBy; // Ranks that hold `heldStep`, for `Release` and after `Arm`.
     pass_number heldStep = 0; // Earliest held pass; 0 if no pass is held.
+    bool isArmed = false; // For `Release`: all ranks are armed for the pass.
+    std::optional<rank_number> missing; // The previous leader's rank, for the actions without it.
     const char* reason = ""; // Reason for `Wait`, for the log.
 
     bool operator==(const group_resolution&) const = default;
--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -23,6 +23,11 @@
 constexpr std::chrono::milliseconds holderReleaseTimeout { 150 };
 // Passes that are tried as the pass of a switch before the change is abandoned.
 constexpr int maxHoldTries = 3;
+// Timeouts of preparing a map without copies on one rank and on all.
+constexpr std::chrono::milliseconds markTimeout { 200 };
+constexpr std::chrono::milliseconds retireTimeout { 600 };
+// Interval at which a change is tried again to be retired.
+constexpr std::chrono::milliseconds retireInterval { 20 };
 // Range of the random increment of a map version, which makes versions differ between leaders that do not know of each
 // other.
 constexpr std::uint32_t maxVersionIncrement = 1U << 16U;
@@ -279,6 +284,8 @@
     updateEstimates(states);
     const auto resolution = resolve(states);
     logWaitReason(resolution, states);
+    if (isRetiring(resolution) && m_retirement->marked)
+        return retireAndRelease(resolution, states);
     switch (resolution.kind) {
     case group_action::Wait:
         return waitInterval;
@@ -289,25 +296,22 @@
         return duration::zero();
     case group_action::Disarm:
         logEvent(log_event::MapChangeFailed, "finish=disarm " + describe(resolution.target));
-        disarmAll(resolution.target.version);
-        return duration::zero();
+        return retireAndRelease(resolution, states);
     case group_action::Release:
         logEvent(log_event::MapChangeStep, "finish=release step=" + std::to_string(resolution.heldStep));
+        if (!resolution.isArmed)
+            return retireAndRelease(resolution, states);
         releaseAll(resolution.heldStep);
         return duration::zero();
     case group_action::DisarmWithoutLeader:
-        if (isConfirmed(resolution)) {
-            logEvent(log_event::MapChangeFailed, "finish=disarm_without_leader " + describe(resolution.target));
-            disarmAll(resolution.target.version);
-        }
-        return duration::zero();
     case group_action::ReleaseWithoutLeader:
-        if (isConfirmed(resolution)) {
-            logEvent(log_event::MapChangeFailed,
-                "finish=release_without_leader step=" + std::to_string(resolution.heldStep));
-            releaseAll(resolution.heldStep);
-        }
-        return duration::zero();
+        if (!isConfirmed(resolution))
+            return duration::zero();
+        logEvent(log_event::MapChangeFailed,
+            std::string(resolution.kind == group_action::DisarmWithoutLeader ? "finish=disarm_without_leader "
+                                                                             : "finish=release_without_leader ")
+                + describe(resolution.target));
+        return retireAndRelease(resolution, states);
     case group_action::Ready:
         return planAndChange(states);
     }
@@ -367,29 +371,35 @@
 
 bool map_leader::isMapKnown(const wire::rank_state& state) const { return m_map && m_mapVersion == state.mapVersion; }
 
-duration map_leader::planAndChange(const states_by_rank& states)
+bool map_leader::learnMap(const states_by_rank& states)
 {
     const auto version = states.front()->mapVersion;
-    if (!isMapKnown(*states.front())) {
-        const bool isOwnChange = m_pendingVersion != 0 && version == m_pendingVersion;
-        const bool isReported = std::all_of(states.begin(), states.end(), [&](const auto& state) {
-            return state->mapVersion == version && fitsModel(state->map, m_options.sets, m_options.experts);
-        });
-        const bool wasRequested = std::exchange(m_requestsMap, !isOwnChange && !isReported);
-        if (m_requestsMap) // A map that does not fit now hardly fits at once.
-            return wasRequested ? m_options.roundInterval : duration::zero();
-        m_mapVersion = version;
-        if (isOwnChange) {
-            m_map = m_pendingMap;
-            logEvent(log_event::MapChanged, "group=" + m_group + " version=" + std::to_string(version));
-        } else {
-            m_map.emplace(m_options.sets, rank_experts(states.size()));
-            for (std::size_t rank = 0; rank < states.size(); ++rank) {
-                for (std::size_t set = 0; set < m_options.sets; ++set)
-                    (*m_map)[set][rank] = states[rank]->map[set];
-            }
-        }
+    const bool isOwnChange = m_pendingVersion != 0 && version == m_pendingVersion;
+    const bool isReported = std::all_of(states.begin(), states.end(), [&](const auto& state) {
+        return state && state->mapVersion == version && fitsModel(state->map, m_options.sets, m_options.experts);
+    });
+    m_requestsMap = !isOwnChange && !isReported;
+    if (m_requestsMap)
+        return false;
+    m_mapVersion = version;
+    if (isOwnChange) {
+        m_map = m_pendingMap;
+        logEvent(log_event::MapChanged, "group=" + m_group + " version=" + std::to_string(version));
+        return true;
+    }
+    m_map.emplace(m_options.sets, rank_experts(states.size()));
+    for (std::size_t rank = 0; rank < states.size(); ++rank) {
+        for (std::size_t set = 0; set < m_options.sets; ++set)
+            (*m_map)[set][rank] = states[rank]->map[set];
     }
+    return true;
+}
+
+duration map_leader::planAndChange(const states_by_rank& states)
+{
+    const bool wasRequested = m_requestsMap;
+    if (!isMapKnown(*states.front()) && !learnMap(states)) // A map that does not fit now hardly fits at once.
+        return wasRequested ? m_options.roundInterval : duration::zero();
     if (!m_demand.isKnown())
         return m_options.roundInterval;
     std::vector<double> paces;
@@ -517,7 +527,8 @@
             wire::rank_query { .scope = queryScope(m_localRank) }, clock_type::now() + holdTimeout);
         if (current)
             step = std::max(step, current->step);
-        const auto target = step + m_timing.passesAhead();
+        // An order to release an earlier pass may still be carried out, so no pass is held that was released before.
+        const auto target = std::max(step + m_timing.passesAhead(), m_participant.lastReleasedStep(m_epoch) + 1);
         const auto state = holdPassAt(*chosen, target);
         if (state && state->heldStep == target && isOfFormation(*state))
             return target;
@@ -558,6 +569,152 @@
     (void)orderAll(wire::rank_disarm { .scope = {}, .version = version }, m_members, m_options.armTimeout);
 }
 
+bool map_leader::isRetiring(const group_resolution& resolution) const
+{
+    return m_retirement && m_retirement->step != 0 && m_retirement->step == resolution.heldStep
+        && m_retirement->term == m_term && m_retirement->group == m_group && m_retirement->epoch == m_epoch;
+}
+
+duration map_leader::retireAndRelease(const group_resolution& resolution, const states_by_rank& states)
+{
+    if (!retireChange(resolution, states))
+        return retireInterval;
+    if (resolution.heldStep != 0)
+        releaseAll(resolution.heldStep);
+    return duration::zero();
+}
+
+// An order to arm, disarm or release may be carried out at any later time, also by a repetition of one that was
+// confirmed. A change that is given up must therefore not be taken up again, and a pass that is released must not be
+// that of a change for which a rank can still be armed. Engines refuse to be armed for a map once they have prepared a
+// later one, and keep that through all changes of leaders and restarts of agents.
+bool map_leader::retireChange(const group_resolution& resolution, const states_by_rank& states)
+{
+    const auto* map = retirementMap(states);
+    if (!map)
+        return false;
+    beginRetirement(resolution, states);
+    if (!markRetirement(*map, states) || isSuperseded())
+        return false;
+    const auto armed = std::find_if(states.begin(), states.end(),
+        [](const auto& state) { return state && state->armedVersion > state->mapVersion; });
+    if (armed != states.end())
+        disarmAll((*armed)->armedVersion);
+    return retireOthers(*map, states.size()) && !isSuperseded();
+}
+
+void map_leader::beginRetirement(const group_resolution& resolution, const states_by_rank& states)
+{
+    engine_map_version highest = 0;
+    for (const auto& state : states) {
+        if (state)
+            highest = std::max(highest, state->highestVersion);
+    }
+    const bool isContinued = isRetiring(resolution);
+    // A version that was ordered earlier may have been prepared since.
+    if (isContinued && highest <= m_retirement->version + states.size())
+        return;
+    const auto version = highest + 1 + std::uniform_int_distribution<std::uint32_t>(0, maxVersionIncrement)(m_random);
+    m_retirement = retirement { .group = m_group,
+        .epoch = m_epoch,
+        .term = m_term,
+        .step = resolution.heldStep,
+        .version = version,
+        .marked = {},
+        .tried = 0,
+        .retired = {},
+        .missing = isContinued ? m_retirement->missing : resolution.missing };
+    logEvent(log_event::MapChangeStep,
+        "step=retire version=" + std::to_string(version) + " held=" + std::to_string(resolution.heldStep));
+}
+
+const group_map* map_leader::retirementMap(const states_by_rank& states)
+{
+    const auto& local = *states[m_localRank];
+    if (isMapKnown(local))
+        return &*m_map;
+    for (const auto version : { local.mapVersion, local.preparedVersion }) {
+        if (const auto* known = m_participant.knownMap(m_epoch, version))
+            return known;
+    }
+    return learnMap(states) ? &*m_map : nullptr;
+}
+
+// The marker comes before any disarm: as long as all ranks are armed or can be, another leader may arm them all and
+// release the pass. Each rank has a marker of its own, because one that was not confirmed may be prepared late.
+bool map_leader::markRetirement(const group_map& map, const states_by_rank& states)
+{
+    auto& current = *m_retirement;
+    std::vector<rank_number> candidates { m_localRank };
+    for (const auto& member : m_members)
+        candidates.push_back(member.rank);
+    const auto deadline = clock_type::now() + retireTimeout;
+    for (std::size_t i = 0; i < candidates.size() && !current.marked; ++i) {
+        if (isSuperseded() || clock_type::now() >= deadline)
+            break;
+        const auto rank = candidates[current.tried % candidates.size()];
+        const auto& state = states[rank];
+        const bool isArmed = state && state->armedVersion != 0 && !state->isArmUncertain;
+        if (state && !isArmed && prepareAt(rank, current.version + 1 + rank, map))
+            current.marked = rank;
+        else
+            ++current.tried;
+    }
+    if (current.marked)
+        current.retired.insert(*current.marked);
+    return current.marked.has_value();
+}
+
+bool map_leader::prepareAt(rank_number rank, engine_map_version version, const group_map& map)
+{
+    wire::rank_prepare prepare {
+        .scope = nextOrderScope(), .version = version, .map = map, .baseVersion = 0, .changes = {}
+    };
+    prepare.scope.engineIncarnation = queryScope(rank).engineIncarnation;
+    const auto deadline = clock_type::now() + markTimeout;
+    result<wire::rank_state> state = fail(error_kind::Unavailable, "the rank is not reached");
+    if (rank == m_localRank)
+        state = m_participant.answer(prepare, deadline);
+    for (const auto& member : m_members) {
+        if (member.rank == rank)
+            state = member.channel->ask(prepare, deadline);
+    }
+    if (state && state->group == m_group)
+        yieldToHigherTerm(*state);
+    return state && isOfFormation(*state) && state->preparedVersion == version;
+}
+
+bool map_leader::retireOthers(const group_map& map, std::size_t ranks)
+{
+    auto& current = *m_retirement;
+    wire::rank_prepare prepare { .scope = {}, .version = current.version, .map = map, .baseVersion = 0, .changes = {} };
+    std::vector<member> others;
+    for (const auto& member : m_members) {
+        if (!current.retired.contains(member.rank))
+            others.push_back(member);
+    }
+    std::vector<result<wire::rank_state>> answers;
+    if (!current.retired.contains(m_localRank)) {
+        answers = orderAll(prepare, others, retireTimeout);
+    } else if (!others.empty()) {
+        prepare.scope = nextOrderScope();
+        prepare.scope.engineIncarnation = 0;
+        answers = sendToAll(prepare, addresseesOf(others), retireTimeout).states;
+    }
+    for (const auto& answer : answers) {
+        // A rank may have prepared its marker late.
+        if (answer && isOfFormation(*answer) && answer->preparedVersion >= current.version && answer->armedVersion == 0)
+            current.retired.insert(answer->rank);
+    }
+    auto settled = current.retired;
+    if (current.missing)
+        settled.insert(*current.missing);
+    if (settled.size() < ranks)
+        return false;
+    logEvent(log_event::MapChangeStep, "step=retired version=" + std::to_string(current.version));
+    return true;
+}
+
 // Asks only the holder first: an order to all ranks takes a round trip through the whole group, during which passes may
 // be stopped.
 void map_leader::releaseHeldPass(pass_number step)
--- a/coltsfootbend/group/map_leader.h
+++ b/coltsfootbend/group/map_leader.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace coltsfootbend {
@@ -125,6 +126,28 @@
     bool armAll(const armed_switch&);
     // Orders all ranks to disarm the switch to the given version.
     void disarmAll(engine_map_version);
+    // Retires the change and releases the pass that is held for it. Returns the delay until the next round.
+    duration retireAndRelease(const group_resolution&, const states_by_rank&);
+    // Makes sure that no rank can be armed any more for a map that has been prepared until now, so that the pass that
+    // is held for it can be released. Returns false while that is not confirmed for every rank but the one of a
+    // previous leader that does not answer; the next round continues then.
+    bool retireChange(const group_resolution&, const states_by_rank&);
+    // Returns whether this leader has begun to retire the change for the pass that is held now.
+    bool isRetiring(const group_resolution&) const;
+    // Begins to retire a change, or continues if it is the same one.
+    void beginRetirement(const group_resolution&, const states_by_rank&);
+    // Prepares the retirement's marker on one rank that is not armed. Returns whether a rank is confirmed to have it.
+    bool markRetirement(const group_map&, const states_by_rank&);
+    // Prepares the retirement's version on all ranks that are not confirmed yet. Returns whether all of `ranks` ranks
+    // are.
+    bool retireOthers(const group_map&, std::size_t ranks);
+    // Orders one rank to prepare a map. Returns whether it is confirmed to have done so.
+    bool prepareAt(rank_number, engine_map_version, const group_map&);
+    // Returns a map that every rank can prepare without new copies; null, and requests the map in use, if none is
+    // known.
+    const group_map* retirementMap(const states_by_rank&);
+    // Takes the map in use from the ranks' reports. Returns false if they do not contain it.
+    bool learnMap(const states_by_rank&);
     // Releases the pass at the rank that holds it, or at all ranks if that rank does not confirm.
     void releaseHeldPass(pass_number step);
     // Orders all ranks to release the pass `step`.
@@ -163,6 +186,21 @@
     std::string m_waitReason;
     engine_map_version m_mapVersion = 0;
     std::optional<group_map> m_map; // Map in use, version `m_mapVersion` of epoch `m_epoch`; none if unknown.
+    // A change that this leader has begun to give up. One rank is marked: it prepares a version that no other one does,
+    // so that no leader finds one version prepared on all ranks and arms them for it. The other ranks prepare
+    // `version`.
+    struct retirement {
+        std::string group;
+        group_epoch epoch = 0;
+        leader_term term = 0;
+        pass_number step = 0; // The held pass; 0 if none is held.
+        engine_map_version version = 0;
+        std::optional<rank_number> marked;
+        std::size_t tried = 0; // Number of ranks that were not confirmed to be marked.
+        std::set<rank_number> retired; // Ranks that are confirmed.
+        std::optional<rank_number> missing; // The previous leader's rank, which arms itself last.
+    };
+    std::optional<retirement> m_retirement;
     // The last map that this leader has held a pass for.
     engine_map_version m_pendingVersion = 0;
     group_map m_pendingMap;
--- a/coltsfootbend/group/map_leader_test.cpp
+++ b/coltsfootbend/group/map_leader_test.cpp
@@ -30,6 +30,10 @@
     duration epochLength = std::chrono::hours(1); // Time after which a rank crashes and the group forms anew.
     duration messageLatency = 1ms; // Latency of a message between two agents.
     duration queryTimeout = 100ms; // Timeout of a query to the whole group.
+    duration latest = 400ms; // Longest delay of a late order.
+    duration leaderStallLength = stallLength; // How long a leader's VM is stalled on a condition.
+    // Orders to the rank that holds a pass are late from the moment at which a leader's VM is stalled, for this long.
+    duration holderLateTime {};
 
     // Ends the faults. The latency of messages remains.
     void end()
@@ -295,10 +299,20 @@
     return armed;
 }
 
-// Stalls the VM of the current leader for `length` whenever `condition` holds, with time to recover in between.
-void stallLeaders(fiber_runtime& runtime, const model_group& group, const model_agents& agents,
-    const stall_condition& condition, duration length, time_point until, trial_result& outcome)
+std::optional<rank_number> holderOf(const model_group& group)
 {
+    for (rank_number rank = 0; rank < group.ranks(); ++rank) {
+        if (group.at(rank).held)
+            return rank;
+    }
+    return std::nullopt;
+}
+
+// Stalls the VM of the current leader whenever `condition` holds, with time to recover in between.
+void stallLeaders(fiber_runtime& runtime, model_group& group, const model_agents& agents,
+    const stall_condition& condition, const trial_faults& faults, time_point until, trial_result& outcome)
+{
+    const auto length = faults.leaderStallLength;
     while (clock_type::now() < until) {
         runtime.sleepFor(200us);
         if (!condition(group))
@@ -308,7 +322,12 @@
             newest = std::max(newest, agent->participant->term());
         agents[leaderOf(newest)]->stalledUntil = clock_type::now() + length;
         ++outcome.stalls;
-        runtime.sleepFor(length + 800ms);
+        const auto lateTime = std::min(faults.holderLateTime, length + 800ms);
+        if (lateTime > duration::zero())
+            group.setLateRank(holderOf(group));
+        runtime.sleepFor(lateTime);
+        group.setLateRank(std::nullopt);
+        runtime.sleepFor(length + 800ms - lateTime);
     }
 }
 
@@ -366,8 +385,12 @@
         runtime.spawn([&] {
             const auto faultsEndAt = clock_type::now() + faultTime;
             const auto until = faultsEndAt + recoveryTime + observedTime;
-            auto group = std::make_shared<model_group>(model_group::options {
-                .ranks = ranks, .sets = sets, .experts = experts, .lateShare = faults.lateShare, .seed = seed });
+            auto group = std::make_shared<model_group>(model_group::options { .ranks = ranks,
+                .sets = sets,
+                .experts = experts,
+                .lateShare = faults.lateShare,
+                .latest = faults.latest,
+                .seed = seed });
             model_agents agents;
             for (rank_number rank = 0; rank < ranks; ++rank)
                 agents.push_back(
@@ -380,7 +403,8 @@
             }
             if (stallWhen) {
                 runtime.spawn([&, group] {
-                    stallLeaders(runtime, *group, agents, stallWhen, stallLength, faultsEndAt - stallLength, outcome);
+                    stallLeaders(
+                        runtime, *group, agents, stallWhen, faults, faultsEndAt - faults.leaderStallLength, outcome);
                 });
             }
             runPasses(runtime, *group, faults, faultsEndAt, outcome);
@@ -595,5 +619,33 @@
     EXPECT_TRUE(outcome.isProgressing);
 }
 
+// Guards against a change of mind: the next leader releases the held pass without the stalled one, gets no answer, and
+// arms the ranks for that pass once all are back. The release is carried out meanwhile.
+TEST_P(map_leader_trial, NeverMixesMapsWhenAReleaseTakesEffectAfterTheStalledLeaderIsBack)
+{
+    const auto held = [](const model_group& group) { return isHeldSomewhere(group) && armedRanks(group) == 0; };
+    const auto outcome = runGroup(GetParam(),
+        { .latest = 1500ms, .leaderStallLength = 600ms, .holderLateTime = 1200ms }, testSeed(11), 20s, held);
+    EXPECT_GE(outcome.stalls, 4);
+    EXPECT_EQ(outcome.mixedPasses, 0);
+    EXPECT_TRUE(outcome.isProgressing);
+}
+
+// Guards against orders of a change that another leader has given up: a disarm or a repeated arm that takes effect
+// late.
+TEST_P(map_leader_trial, NeverMixesMapsWhenOrdersOfAnAbandonedChangeTakeEffectLate)
+{
+    const auto someArmed = [](const model_group& group) {
+        const int armed = armedRanks(group);
+        return isHeldSomewhere(group) && armed > 0 && armed < static_cast<int>(ranks);
+    };
+    const auto outcome
+        = runGroup(GetParam(), { .lateShare = 0.2, .lostShare = 0.05, .latest = 1200ms, .leaderStallLength = 500ms },
+            testSeed(12), 20s, someArmed);
+    EXPECT_GE(outcome.stalls, 4);
+    EXPECT_EQ(outcome.mixedPasses, 0);
+    EXPECT_TRUE(outcome.isProgressing);
+}
+
 } // namespace
 } // namespace coltsfootbend
--- a/coltsfootbend/group/map_participant.cpp
+++ b/coltsfootbend/group/map_participant.cpp
@@ -121,8 +121,9 @@
     if (report.armed) {
         state.armedVersion = report.armed->version;
         state.armedStep = report.armed->step;
-    } else if (const auto uncertain = m_orders.uncertainSwitch(group.epoch);
-               uncertain && report.step < uncertain->step) {
+    } else if (const auto uncertain = m_orders.uncertainSwitch(group.epoch); uncertain && report.step < uncertain->step
+               && report.prepared.value_or(uncertain->version) == uncertain->version) {
+        // An engine that has prepared a later map refuses to be armed for this one.
         state.armedVersion = uncertain->version;
         state.armedStep = uncertain->step;
         state.isArmUncertain = true;
@@ -254,6 +255,14 @@
     return map;
 }
 
+const group_map* map_participant::knownMap(group_epoch epoch, engine_map_version version) const
+{
+    const group_formation formation { m_group, epoch, m_engineIncarnation };
+    const auto found = std::find_if(m_knownMaps.begin(), m_knownMaps.end(),
+        [&](const known_map& known) { return known.formation == formation && known.version == version; });
+    return found == m_knownMaps.end() ? nullptr : &found->map;
+}
+
 result<wire::rank_state> map_participant::prepare(const wire::rank_prepare& order, time_point deadline)
 {
     const auto map = resolveMap(order);
@@ -288,6 +297,7 @@
 
 result<wire::rank_state> map_participant::release(const wire::rank_release& order, time_point deadline)
 {
+    m_lastReleased = { order.scope.epoch, std::max(lastReleasedStep(order.scope.epoch), order.step) };
     const auto done
         = m_orders.release(formationOf(order.scope), order.step, deadline, [&] { return isCurrent(order.scope); });
     m_isArmed = false;
--- a/coltsfootbend/group/map_participant.h
+++ b/coltsfootbend/group/map_participant.h
@@ -42,6 +42,14 @@
     bool isArmed() const { return m_isArmed; }
     // True while a map is prepared but not yet in use, so that a change is in progress.
     bool isPrepared() const { return m_isPrepared; }
+    // Returns the last pass of `epoch` that this rank was ordered to release; 0 if there was none. The engine that held
+    // it may still carry such an order out.
+    pass_number lastReleasedStep(group_epoch epoch) const
+    {
+        return m_lastReleased.epoch == epoch ? m_lastReleased.step : 0;
+    }
+    // Returns the map `version` if it was ordered to be prepared here in the engine's formation; null otherwise.
+    const group_map* knownMap(group_epoch, engine_map_version version) const;
     // Makes this rank the leader and returns its new term, which is above all terms received.
     leader_term claimLeadership(rank_number rank);
     // Returns whether this process leads as `rank`. It does not if the highest term is of this rank but was claimed by
@@ -86,6 +94,11 @@
     time_point m_leaderReceivedAt {};
     bool m_isArmed = false;
     bool m_isPrepared = false;
+    struct released_pass {
+        group_epoch epoch = 0;
+        pass_number step = 0;
+    };
+    released_pass m_lastReleased;
     // Last map that was ordered to be prepared, and the term of that order.
     engine_map_version m_preparedVersion = 0;
     leader_term m_preparedTerm = 0;
--- a/coltsfootbend/measure/model_group.cpp
+++ b/coltsfootbend/measure/model_group.cpp
@@ -100,9 +100,9 @@
     }
 }
 
-std::optional<duration> model_group::drawDelay()
+std::optional<duration> model_group::drawDelay(rank_number rank)
 {
-    if (!chance(m_lateShare))
+    if (m_lateRank != rank && !chance(m_lateShare))
         return std::nullopt;
     const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.latest).count();
     return std::chrono::milliseconds(
@@ -111,7 +111,7 @@
 
 result<void> model_engine::order(group_epoch epoch, const model_group::order_action& work, time_point deadline)
 {
-    if (const auto late = m_place->group->drawDelay()) {
+    if (const auto late = m_place->group->drawDelay(m_place->rank)) {
         m_runtime.spawn([&runtime = m_runtime, place = m_place, epoch, work, late] {
             runtime.sleepFor(*late);
             (void)place->group->execute(place->rank, epoch, work);
--- a/coltsfootbend/measure/model_group.h
+++ b/coltsfootbend/measure/model_group.h
@@ -64,10 +64,12 @@
     bool beginPass();
     // Sets the share of later orders that are executed late.
     void setLateShare(double share) { m_lateShare = share; }
+    // Makes all later orders to one rank late; none ends this.
+    void setLateRank(std::optional<rank_number> rank) { m_lateRank = rank; }
 
     using order_action = std::function<bool(member&, pass_number)>;
-    // Draws whether an order is late. Returns its delay, or nothing if it is on time.
-    std::optional<duration> drawDelay();
+    // Draws whether an order to `rank` is late. Returns its delay, or nothing if it is on time.
+    std::optional<duration> drawDelay(rank_number rank);
     // Executes `work` on `rank`. Returns false if `work` does, or if `epoch` is not the current one.
     bool execute(rank_number rank, group_epoch epoch, const order_action& work)
     {
@@ -98,6 +100,7 @@
     const options m_options;
     std::minstd_rand m_random;
     double m_lateShare;
+    std::optional<rank_number> m_lateRank;
     std::vector<member> m_members;
     bool m_isOpen = true;
     group_epoch m_epoch = 0;
