The map of a retired change is a copy: the reference did not outlive the first order

Cause: `retirementMap` returned a pointer into the list of maps that the local rank knows, and preparing the marker on that rank changes the list. A leader of a real process could have sent a damaged map, or ended by the fault.

Change: it returns a copy.

--- a/coltsfootbend/group/map_leader.cpp
+++ b/coltsfootbend/group/map_leader.cpp
@@ -590,7 +590,7 @@
 // later one, and keep that through all changes of leaders and restarts of agents.
 bool map_leader::retireChange(const group_resolution& resolution, const states_by_rank& states)
 {
-    const auto* map = retirementMap(states);
+    const auto map = retirementMap(states);
     if (!map)
         return false;
     beginRetirement(resolution, states);
@@ -628,16 +628,17 @@
         "step=retire version=" + std::to_string(version) + " held=" + std::to_string(resolution.heldStep));
 }
 
-const group_map* map_leader::retirementMap(const states_by_rank& states)
+// Returns a copy, because preparing it changes the maps that the local rank knows.
+std::optional<group_map> map_leader::retirementMap(const states_by_rank& states)
 {
     const auto& local = *states[m_localRank];
     if (isMapKnown(local))
-        return &*m_map;
+        return m_map;
     for (const auto version : { local.mapVersion, local.preparedVersion }) {
         if (const auto* known = m_participant.knownMap(m_epoch, version))
-            return known;
+            return *known;
     }
-    return learnMap(states) ? &*m_map : nullptr;
+    return learnMap(states) ? m_map : std::nullopt;
 }
 
 // The marker comes before any disarm: as long as all ranks are armed or can be, another leader may arm them all and
--- a/coltsfootbend/group/map_leader.h
+++ b/coltsfootbend/group/map_leader.h
@@ -143,9 +143,9 @@
     bool retireOthers(const group_map&, std::size_t ranks);
     // Orders one rank to prepare a map. Returns whether it is confirmed to have done so.
     bool prepareAt(rank_number, engine_map_version, const group_map&);
-    // Returns a map that every rank can prepare without new copies; null, and requests the map in use, if none is
+    // Returns a map that every rank can prepare without new copies; none, and requests the map in use, if none is
     // known.
-    const group_map* retirementMap(const states_by_rank&);
+    std::optional<group_map> retirementMap(const states_by_rank&);
     // Takes the map in use from the ranks' reports. Returns false if they do not contain it.
     bool learnMap(const states_by_rank&);
     // Releases the pass at the rank that holds it, or at all ranks if that rank does not confirm.
