--- a/coltsfootbend/daemon/daemon_run.h
+++ b/coltsfootbend/daemon/daemon_run.h
@@ -8,6 +8,7 @@
 
 #include "coltsfootbend/base/time.h"
 #include "coltsfootbend/measure/child_process.h"
+#include "coltsfootbend/measure/process_usage.h"
 
 #include <filesystem>
 #include <fstream>
@@ -53,7 +54,12 @@
     {
         return waitUntil([&] { return m_process->handles(number); }, std::chrono::seconds(10));
     }
-    std::size_t peakMemory() const { return m_process->peakMemory(); }
+    // Returns the most memory that the process may have had, counted as the platform does; 0 if it is not running.
+    std::size_t peakMemory() const
+    {
+        const auto usage = usageOf(m_process->id());
+        return usage ? usage->memory() : 0;
+    }
 
     // Returns the exit code; none if the process does not end within `limit` or ends by a signal.
     std::optional<int> exitCode(duration limit = std::chrono::seconds(10))
--- a/coltsfootbend/measure/child_process.cpp
+++ b/coltsfootbend/measure/child_process.cpp
@@ -65,16 +65,4 @@
     return false;
 }
 
-std::size_t child_process::peakMemory() const
-{
-    constexpr std::size_t kibibyte = 1024;
-    std::ifstream status("/proc/" + std::to_string(m_processId) + "/status");
-    for (std::string name; status >> name;) {
-        std::size_t value = 0;
-        if (name == "VmHWM:" && status >> value)
-            return value * kibibyte;
-    }
-    return 0;
-}
-
 } // namespace coltsfootbend
--- a/coltsfootbend/measure/child_process.h
+++ b/coltsfootbend/measure/child_process.h
@@ -38,8 +38,8 @@
     bool isRunning();
     // Returns whether the process has set a handler for signal `number`.
     bool handles(int number) const;
-    // Returns the most resident memory that the process has had, in bytes; 0 if it is not running.
-    std::size_t peakMemory() const;
+    // Returns the id of the process; 0 if it is not running.
+    pid_t id() const { return m_processId; }
     // Returns the exit status in the form of `waitpid`. Valid after `isRunning` has returned false.
     int exitStatus() const { return m_exitStatus; }
 
