Store without history: tests that fail

Real processes on, a store that answers 410 to each request for changes, 350 routes: a gateway uses 0.27 of a core (its VM has 0.25), a rank agent 0.23 (0.15), and the two make 500 calls a second. The bound is what the store of the fleet answers each of its 1,045 processes.

--- a/coltsfootbend/gateway/deployment_test_support.h
+++ b/coltsfootbend/gateway/deployment_test_support.h
@@ -43,6 +43,8 @@
     std::uint64_t numbersGivenAgain = 0; // Revisions that were given out again after such returns.
     std::uint64_t position = 0; // Revision of the last change in other tables, reported by polls if it is higher.
     bool isRefusing = false; // All calls fail.
+    bool hasHistory = true; // Whether it can provide changes; without, each call for changes fails.
+    std::uint64_t versionsBehind = 0; // By how much reads of whole tables lag behind the newest version.
     bool stallsPolls = false; // Polls return no changes until their time is over.
     // Tables for which new calls are accepted and never answered. Polls that started earlier are not affected.
     std::set<watched_table> unansweredTables;
@@ -99,12 +101,18 @@
         ++m_store.callCount;
         if (m_store.unansweredTables.contains(table))
             return waitWithoutReply(deadline, poll);
+        if (!m_store.hasHistory) {
+            m_runtime.sleepFor(std::chrono::milliseconds(2));
+            return historyDropped();
+        }
         const int generation = m_store.pollGeneration;
         const auto era = m_store.era;
         while (!m_store.isRefusing && (m_store.stallsPolls || m_store.revisionOf(table).number <= after.number)
             && clock_type::now() < waitUntil) {
             if (generation != m_store.pollGeneration)
                 return waitWithoutReply(deadline, poll);
+            if (!m_store.hasHistory)
+                return historyDropped();
             if (era != m_store.era && !m_store.keepsPollsOpen)
                 return fail(error_kind::Lost, "the connection was reset");
             if (poll && poll->isCancelled())
@@ -123,14 +131,20 @@
     store_era latestEra() const override { return m_latestEra; }
 
 private:
+    static tl::unexpected<error> historyDropped()
+    {
+        return fail(error_kind::Stale, "the store has dropped these changes");
+    }
+
     result<row_page> page(watched_table table)
     {
         if (m_store.isRefusing)
             return fail(error_kind::Unavailable, "refused");
         m_latestEra = m_store.era;
-        const auto value
-            = std::to_string(m_store.versionOf(table)) + (table == watched_table::Configuration ? m_store.padding : "");
-        const auto revision = m_store.revisionOf(table);
+        const auto behind = m_store.versionsBehind;
+        const auto value = std::to_string(m_store.versionOf(table) - behind)
+            + (table == watched_table::Configuration ? m_store.padding : "");
+        const store_revision revision { m_store.era, m_store.revisionOf(table).number - behind };
         row_page rows { { { toString(table), value, revision, false } }, revision };
         if (table == watched_table::Configuration) {
             for (const auto& [dataCentre, isInForce] : m_store.evacuations)
--- /dev/null
+++ b/coltsfootbend/gateway/store_history_test.cpp
@@ -0,0 +1,72 @@
+// Tests that a process follows a store that has dropped its history: at once, and without using up its processor and
+// the store's calls.
+
+#include "coltsfootbend/gateway/deployment_test_support.h"
+
+namespace coltsfootbend {
+namespace {
+
+using namespace std::chrono_literals;
+
+// The fleet's 1,045 processes share 16,000 reading calls a second.
+constexpr int callsPerSecond = 15;
+
+// Guards against processes that read the tables again without a pause while the store has no history: they used more
+// than the processor share of their VMs, and all of them together more calls than the store answers.
+TEST(StoreHistory, AStoreWithoutHistoryIsNotReadWithoutAPause)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        constexpr int seconds = 4;
+        auto& gateway = start(runtime, processes, testAddress(27470), {});
+        ASSERT_EQ(waitForVersion(runtime, gateway, 1, 1s), 1U);
+        gateway.store.hasHistory = false;
+        gateway.store.version = 2;
+        const int before = gateway.store.callCount;
+        EXPECT_EQ(waitForVersion(runtime, gateway, 2, 500ms), 2U) << "the first time the tables are read at once";
+        runtime.sleepFor(2s);
+        gateway.store.version = 3;
+        EXPECT_EQ(waitForVersion(runtime, gateway, 3, 2s), 3U) << "changes are in force in time all the while";
+        runtime.sleepFor(seconds * 1s - 2s);
+        EXPECT_LE(gateway.store.callCount - before, (seconds + 2) * callsPerSecond);
+        gateway.store.hasHistory = true;
+        runtime.sleepFor(1100ms);
+        gateway.store.version = 4;
+        EXPECT_EQ(waitForVersion(runtime, gateway, 4, 500ms), 4U) << "followed by polls again";
+    });
+}
+
+// Guards against the same at a start: what it reads is older than the history that the store still has.
+TEST(StoreHistory, AProcessThatStartsWhileReadsAreBehindTheHistoryDoesNotReadWithoutAPause)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        constexpr int seconds = 4;
+        auto& agent = start(runtime, processes, testAddress(27471), deployment_watch::options::forAgents());
+        agent.store.version = 9;
+        agent.store.versionsBehind = 4;
+        agent.store.hasHistory = false;
+        runtime.sleepFor(seconds * 1s);
+        EXPECT_EQ(agent.version(), 5U);
+        EXPECT_LE(agent.store.callCount, seconds * callsPerSecond);
+        agent.store.versionsBehind = 0;
+        agent.store.hasHistory = true;
+        EXPECT_EQ(waitForVersion(runtime, agent, 9, 2s), 9U);
+    });
+}
+
+// Guards against a pause that delays changes: a history that is dropped once is no reason to wait.
+TEST(StoreHistory, TheTablesAreReadAtOnceEachTimeThatAnIntactHistoryIsDropped)
+{
+    onRuntime([](fiber_runtime& runtime, test_processes& processes) {
+        auto& gateway = start(runtime, processes, testAddress(27472), {});
+        for (std::uint64_t version = 2; version <= 5; ++version) {
+            gateway.store.hasHistory = true;
+            runtime.sleepFor(1500ms); // Polls are answered meanwhile.
+            gateway.store.hasHistory = false; // Also ends the polls.
+            gateway.store.version = version;
+            EXPECT_EQ(waitForVersion(runtime, gateway, version, 500ms), version);
+        }
+    });
+}
+
+} // namespace
+} // namespace coltsfootbend
