A store without history is read again with a pause that grows

Callers and operators saw: processes that use up the processor of their VM and the store's calls for as long as the store answers 410 to requests for changes. Cause: after 410 the table was read again at once, however often; a read is no help while the store has no history, or while reads lag behind the history that it still has, as after a start in a platform_compact. A history that is dropped after it has been followed costs no wait.

--- a/coltsfootbend/gateway/table_follower.cpp
+++ b/coltsfootbend/gateway/table_follower.cpp
@@ -28,6 +28,7 @@
     , m_owner(owner)
     , m_options(options)
     , m_retryDelay(options.initialRetryDelay)
+    , m_rereadDelay(options.initialRereadDelay)
     , m_pollDelay(options.pollDelay)
 {
 }
@@ -98,6 +99,7 @@
                 + toString(known),
             "Read the table again");
     m_hasSnapshot = true;
+    m_hasContinued = false;
     markRegained();
     if (!runLogged("store", [&] { m_owner.receiveSnapshot(m_table, std::move(*page)); })) {
         m_hasSnapshot = false;
@@ -213,6 +215,7 @@
         abandonPosition();
         return {};
     }
+    m_hasContinued = true;
     m_owner.receiveChanges(m_table, *done);
     recordConfirmation(asOf);
     return {};
@@ -223,7 +226,7 @@
     m_hasSnapshot = false;
     m_abandonedPosition = m_owner.position(m_table);
     const bool isLaterEra = m_store.latestEra() > m_abandonedPosition.era;
-    m_awaitTableUntil = clock_type::now() + (isLaterEra ? restoreDelay() : duration::zero());
+    m_awaitTableUntil = clock_type::now() + (isLaterEra ? restoreDelay() : rereadDelay());
     cancelPoll();
 }
 
@@ -250,6 +253,17 @@
     return fromMilliseconds(share * toMilliseconds(m_options.maxRestoreDelay));
 }
 
+duration table_follower::rereadDelay()
+{
+    if (m_hasContinued) {
+        m_rereadDelay = m_options.initialRereadDelay;
+        return duration::zero();
+    }
+    const auto delay = m_rereadDelay - jitter(m_rereadDelay / 4);
+    m_rereadDelay = std::min(2 * m_rereadDelay, m_options.maxRereadDelay);
+    return delay;
+}
+
 void table_follower::recordCall(const char* name, time_point sentAt, const result<row_page>& done)
 {
     m_metrics.count("store_calls_total",
