A start waits for its settings for as long as the file changes

Cause: the limit counted from the start of the process, not from the last sign that the file is being written. Change: it counts from the file's last change. A file that stays bad still ends the start after ten seconds, with its errors and code 2. Result: the new test fails before (the process ended after 10 s) and passes; the other tests of starts that wait pass.

--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -339,7 +339,7 @@
     }
     if (arguments.count("check") > 0)
         return checkSettings(*path);
-    const auto settings = awaitSettings(*path, clock_type::now() + settingsLimit, isStopRequested);
+    const auto settings = awaitSettings(*path, isStopRequested);
     if (!settings)
         return endWithoutSettings(argv[0], *path, settings.error());
     startLog(argv[0], settings->settings.logDirectory);
--- a/coltsfootbend/daemon/start_conditions.h
+++ b/coltsfootbend/daemon/start_conditions.h
@@ -4,7 +4,7 @@
 // used by the process before or by a connection that was closed a minute ago, and a settings file may be half written.
 // A supervisor would only start the next process, which meets the same obstacle.
 //
-//     auto settings = awaitSettings(path, clock_type::now() + settingsLimit, isStopRequested);
+//     auto settings = awaitSettings(path, isStopRequested);
 //     auto isFree = awaitAddresses(runtime, listenAddresses(settings->settings), addressDeadline(settings->settings,
 //     now));
 
@@ -19,7 +19,7 @@
 
 namespace coltsfootbend {
 
-// Time in which a settings file that is being written is complete.
+// Time after its last change in which a settings file that is being written is complete.
 constexpr std::chrono::seconds settingsLimit { 10 };
 // Time between two attempts to start.
 constexpr std::chrono::milliseconds startRetryInterval { 100 };
@@ -28,10 +28,10 @@
 void printErrors(const std::string& path, const std::vector<error>&);
 
 // Reads the settings file for a start. While it cannot be used, prints its errors to standard error once and reads it
-// again, until `deadline` or until `isStopRequested` returns true. Blocks the thread. Fails with the errors of the last
-// attempt.
+// again, until it has not changed for `settingsLimit` or `isStopRequested` returns true. Blocks the thread. Fails with
+// the errors of the last attempt.
 tl::expected<start_settings, std::vector<error>> awaitSettings(
-    const std::string& path, time_point deadline, const std::function<bool()>& isStopRequested);
+    const std::string& path, const std::function<bool()>& isStopRequested);
 
 // Returns the addresses at which the services of `settings` listen.
 std::vector<listen_address> listenAddresses(const daemon_settings&);
--- a/coltsfootbend/daemon/start_test.cpp
+++ b/coltsfootbend/daemon/start_test.cpp
@@ -247,6 +247,20 @@
     }
 }
 
+// Guards against a start that ends although its settings file is still being written, as on a machine that stood still.
+TEST(Start, WaitsForItsSettingsForAsLongAsTheFileChanges)
+{
+    const auto whole = gatewaySettings();
+    daemon_run run(whole.substr(0, whole.size() / 2));
+    for (std::size_t length = 0; length < 4; ++length) {
+        std::this_thread::sleep_for(3s);
+        ASSERT_TRUE(run.isRunning()) << run.log();
+        run.write(whole.substr(0, length));
+    }
+    run.write(whole);
+    EXPECT_TRUE(run.logs("E100 ")) << run.log();
+}
+
 TEST(Start, EndsWithItsErrorsIfTheSettingsFileStaysBad)
 {
     constexpr int exitSettings = 2;
