--- a/coltsfootbend/metrics/metrics.cpp
+++ b/coltsfootbend/metrics/metrics.cpp
@@ -8,6 +8,7 @@
 #include <boost/accumulators/statistics/sum.hpp>
 #include <fstream>
 #include <sstream>
+#include <sys/resource.h>
 #include <unistd.h>
 #include <utility>
 
@@ -49,6 +50,18 @@
     return residentPages * static_cast<double>(::sysconf(_SC_PAGESIZE));
 }
 
+// Returns the processor time that this process has used, in seconds.
+double processorSeconds()
+{
+    rusage usage {};
+    (void)::getrusage(RUSAGE_SELF, &usage);
+    const auto seconds = [](const timeval& time) {
+        constexpr double microseconds = 1e6;
+        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / microseconds;
+    };
+    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
 } // namespace
 
 struct metrics_service::summary {
@@ -59,7 +72,11 @@
     distribution values;
 };
 
-metrics_service::metrics_service() { gauge("resident_memory_bytes", residentMemory); }
+metrics_service::metrics_service()
+{
+    gauge("resident_memory_bytes", residentMemory);
+    gauge("processor_seconds", processorSeconds);
+}
 
 metrics_service::~metrics_service() = default;
 
