A start waits for usable settings for as long as it takes

Cause: what passes by itself was final after a limit, whatever it counts from. Change: a start reads its settings until they can be used or it is asked to stop.

--- a/coltsfootbend/daemon/main.cpp
+++ b/coltsfootbend/daemon/main.cpp
@@ -299,22 +299,15 @@
     return EXIT_SUCCESS;
 }
 
-// Ends a start for which there are no usable settings, and returns the exit code. The log goes to standard output,
-// because the settings name its directory.
-int endWithoutSettings(const char* program, const std::string& path, const std::vector<error>& errors)
+// Ends a start that was asked to stop before it had usable settings, and returns the exit code. The log goes to
+// standard output, because the settings name its directory.
+int endWithoutSettings(const char* program, const std::string& path)
 {
     startLog(program, {});
-    if (isStopRequested()) {
-        logEvent(log_event::ProcessLeaving, "vm=- why=\"asked to stop before " + path + " could be used\"");
-        logEvent(log_event::ProcessStopped, "vm=-");
-        stopLog();
-        return EXIT_SUCCESS;
-    }
-    printErrors(path, errors);
-    logEvent(log_event::ProcessFailed,
-        "code=" + std::to_string(exitSettings) + " why=\"the settings " + path + " cannot be used\"");
+    logEvent(log_event::ProcessLeaving, "vm=- why=\"asked to stop before " + path + " could be used\"");
+    logEvent(log_event::ProcessStopped, "vm=-");
     stopLog();
-    return exitSettings;
+    return EXIT_SUCCESS;
 }
 
 int runDaemon(int argc, char** argv)
@@ -341,7 +334,7 @@
         return checkSettings(*path);
     const auto settings = awaitSettings(*path, isStopRequested);
     if (!settings)
-        return endWithoutSettings(argv[0], *path, settings.error());
+        return endWithoutSettings(argv[0], *path);
     startLog(argv[0], settings->settings.logDirectory);
     for (const auto& replaced : settings->replaced)
         logEvent(log_event::SettingReplaced, toString(replaced));
--- a/coltsfootbend/daemon/start_conditions.cpp
+++ b/coltsfootbend/daemon/start_conditions.cpp
@@ -4,9 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/error.hpp>
-#include <filesystem>
 #include <iostream>
-#include <optional>
 #include <thread>
 #include <utility>
 
@@ -25,16 +23,6 @@
         addresses.push_back({ .address = address, .transport = transport });
 }
 
-using file_time = std::filesystem::file_time_type;
-
-// Returns when the file last changed; none if there is no such file.
-std::optional<file_time> lastChangeOf(const std::string& path)
-{
-    std::error_code code;
-    const auto changedAt = std::filesystem::last_write_time(path, code);
-    return code ? std::nullopt : std::optional(changedAt);
-}
-
 error cannotListen(const listen_address& listening, boost::system::error_code code)
 {
     return { error_kind::Unavailable, toString(listening) + ": cannot listen: " + code.message(),
@@ -49,26 +37,24 @@
         std::cerr << path << ": " << toString(error) << "\n";
 }
 
-tl::expected<start_settings, std::vector<error>> awaitSettings(
-    const std::string& path, const std::function<bool()>& isStopRequested)
+std::optional<start_settings> awaitSettings(const std::string& path, const std::function<bool()>& isStopRequested)
 {
-    auto changedAt = lastChangeOf(path);
-    auto deadline = clock_type::now() + settingsLimit;
-    auto settings = loadStartSettings(path);
-    if (!settings) {
-        printErrors(path, settings.error());
-        std::cerr << "coltsfootbend: reads " << path << " again until it can be used, for " << settingsLimit.count()
-                  << " s after its last change\n";
-    }
-    while (!settings && !isStopRequested() && clock_type::now() < deadline) {
-        std::this_thread::sleep_for(startRetryInterval);
-        if (const auto latest = lastChangeOf(path); latest != changedAt) {
-            changedAt = latest;
-            deadline = clock_type::now() + settingsLimit;
+    std::vector<std::string> printed;
+    while (!isStopRequested()) {
+        auto settings = loadStartSettings(path);
+        if (settings)
+            return std::move(*settings);
+        std::vector<std::string> errors;
+        for (const auto& error : settings.error())
+            errors.push_back(toString(error));
+        if (errors != printed) {
+            printErrors(path, settings.error());
+            std::cerr << "coltsfootbend: reads " << path << " again until it can be used\n";
+            printed = std::move(errors);
         }
-        settings = loadStartSettings(path);
+        std::this_thread::sleep_for(startRetryInterval);
     }
-    return settings;
+    return std::nullopt;
 }
 
 std::vector<listen_address> listenAddresses(const daemon_settings& settings)
--- a/coltsfootbend/daemon/start_conditions.h
+++ b/coltsfootbend/daemon/start_conditions.h
@@ -14,12 +14,13 @@
 #include "coltsfootbend/settings/settings.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace coltsfootbend {
 
-// Time after its last change in which a settings file that is being written is complete.
+// Time in which a settings file that is being written at a reload is complete.
 constexpr std::chrono::seconds settingsLimit { 10 };
 // Time between two attempts to start.
 constexpr std::chrono::milliseconds startRetryInterval { 100 };
@@ -27,11 +28,9 @@
 // Prints what is wrong with the settings file to standard error.
 void printErrors(const std::string& path, const std::vector<error>&);
 
-// Reads the settings file for a start. While it cannot be used, prints its errors to standard error once and reads it
-// again, until it has not changed for `settingsLimit` or `isStopRequested` returns true. Blocks the thread. Fails with
-// the errors of the last attempt.
-tl::expected<start_settings, std::vector<error>> awaitSettings(
-    const std::string& path, const std::function<bool()>& isStopRequested);
+// Reads the settings file for a start. While it cannot be used, reads it again and prints its errors to standard error,
+// each time that they are others than before. Blocks the thread. Returns none once `isStopRequested` returns true.
+std::optional<start_settings> awaitSettings(const std::string& path, const std::function<bool()>& isStopRequested);
 
 // Returns the addresses at which the services of `settings` listen.
 std::vector<listen_address> listenAddresses(const daemon_settings&);
