A peer that answers no read is read again only after a pause

Seen: a gateway without the store reads the peer that an agent's datagram names. Cause: `readPeer` allows one read at a time, which paces nothing when reads fail at once. Change: after a read that brought nothing, that peer is not read for 0.3 s. Other peers are read meanwhile.

--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -6,6 +6,7 @@
 #include <iterator>
 #include <limits>
 #include <random>
+#include <tuple>
 #include <utility>
 
 namespace coltsfootbend {
@@ -457,17 +458,33 @@
 // Reads one peer at a time, because a large configuration saturates a small link.
 void deployment_watch::readPeer(const endpoint& peer, bool withConfiguration)
 {
-    if (m_peerBeingRead)
+    if (m_peerBeingRead || isReadingPaused(peer))
         return;
     m_runtime.spawn([this, peer, withConfiguration] {
-        (void)runLogged("peer reading", [&] { fetchFromPeer(peer, withConfiguration); });
+        bool hasNews = false;
+        (void)runLogged("peer reading", [&] { hasNews = fetchFromPeer(peer, withConfiguration); });
         m_peerBeingRead.reset();
+        if (!hasNews)
+            pauseReading(peer);
     });
     m_peerBeingRead = peer;
     if (withConfiguration)
         m_configurationReadAt = clock_type::now();
 }
 
+void deployment_watch::pauseReading(const endpoint& peer)
+{
+    const auto now = clock_type::now();
+    std::erase_if(m_unreadableUntil, [now](const auto& entry) { return entry.second <= now; });
+    m_unreadableUntil[peer] = now + m_options.peerRetryDelay;
+}
+
+bool deployment_watch::isReadingPaused(const endpoint& peer) const
+{
+    const auto found = m_unreadableUntil.find(peer);
+    return found != m_unreadableUntil.end() && clock_type::now() < found->second;
+}
+
 void deployment_watch::inquiryLoop()
 {
     while (!m_stopped) {
@@ -505,7 +522,7 @@
         readPeer(peer, withConfiguration);
 }
 
-void deployment_watch::fetchFromPeer(const endpoint& peer, bool withConfiguration)
+bool deployment_watch::fetchFromPeer(const endpoint& peer, bool withConfiguration)
 {
     constexpr auto none = std::numeric_limits<std::uint64_t>::max();
     const auto configuration
@@ -520,11 +537,13 @@
     const auto reply = m_peerService->client().ask(peer, request, clock_type::now() + peerReadTimeout);
     if (!reply) {
         m_peerService->client().drop(peer); // The next round may read another peer.
-        return;
+        return false;
     }
     const auto* reported = std::get_if<wire::deployment_reply>(&reply->content);
     if (!reported)
-        return;
+        return false;
+    const auto before = std::tuple(
+        table(watched_table::Configuration).revision(), table(watched_table::BackendServers).revision(), version());
     applyFromPeer(watched_table::Configuration,
         fromWire({ store_era(reported->configurationEra), reported->configurationRevision }, reported->configuration),
         reported->isConfigurationDifference);
@@ -532,6 +551,9 @@
         fromWire({ store_era(reported->serversEra), reported->serversRevision }, reported->servers),
         reported->isServersDifference);
     applyInForceFromPeer(reported->configurationInForce);
+    return before
+        != std::tuple(
+            table(watched_table::Configuration).revision(), table(watched_table::BackendServers).revision(), version());
 }
 
 void deployment_watch::applyInForceFromPeer(const std::vector<wire::stored_row>& rows)
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -24,6 +24,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -64,6 +65,9 @@
         // Time within which this process's own poll returns an update that other gateways know, its delay after a
         // change included. Later than that the poll is taken to be stalled.
         duration stalledPollDelay = std::chrono::milliseconds(500);
+        // Time for which a peer is not read again after a read that brought nothing. Datagrams name a peer hundreds of
+        // times a second; other peers are read meanwhile.
+        duration peerRetryDelay = std::chrono::milliseconds(300);
         // Longest time after the start of this process within which a deployment without engines counts as starting.
         duration maxStartingTime = std::chrono::seconds(10);
         // Data centre of this process.
@@ -191,7 +195,10 @@
     // Starts to read newer tables from a peer, unless another peer is being read. `withConfiguration` is false if only
     // the list of servers is needed.
     void readPeer(const endpoint&, bool withConfiguration);
-    void fetchFromPeer(const endpoint&, bool withConfiguration);
+    // Returns whether the peer provided anything new.
+    bool fetchFromPeer(const endpoint&, bool withConfiguration);
+    void pauseReading(const endpoint& peer);
+    bool isReadingPaused(const endpoint& peer) const;
     bool needsServers(const wire::deployment_knowledge&) const;
     bool needsConfiguration(const wire::deployment_knowledge&, time_point now) const;
     void applyFromPeer(watched_table, row_page, bool isDifference);
@@ -231,6 +238,7 @@
     std::optional<time_point> m_behindSince;
     std::optional<time_point> m_configurationReadAt;
     std::optional<endpoint> m_peerBeingRead; // The peer that is being read.
+    std::map<endpoint, time_point> m_unreadableUntil; // Peers whose last read brought nothing.
     std::multiset<time_point> m_snapshotRepliesSince; // Start times of the replies that are being sent.
     // Time of the first hint of newer state since the last change.
     std::optional<time_point> m_updateHintReceivedAt;
