The pause between calls of a store that refuses polls grows

Seen: a store that refuses polls and answers short calls, or fails by turns, was called 47.7 times a second by one gateway and one agent (real processes, 6 s); 126 times in 4 s by one process in the new test, where 15 a second are each process's part of the store's 16,000. Cause: each short call that was answered began the pause anew at 0.15 s, so it never grew. Change: only an answered poll begins it anew. The pause stays at most 1 s, so changes are still in force in time.

--- a/coltsfootbend/gateway/deployment_test_support.h
+++ b/coltsfootbend/gateway/deployment_test_support.h
@@ -45,6 +45,7 @@
     bool isRefusing = false; // All calls fail.
     bool hasHistory = true; // Whether it can provide changes; without, each call for changes fails.
     std::uint64_t versionsBehind = 0; // By how much reads of whole tables lag behind the newest version.
+    bool refusesPolls = false; // Calls that wait for changes fail, also those that wait already.
     bool stallsPolls = false; // Polls return no changes until their time is over.
     // Tables for which new calls are accepted and never answered. Polls that started earlier are not affected.
     std::set<watched_table> unansweredTables;
@@ -106,8 +107,10 @@
             return historyDropped();
         }
         const int generation = m_store.pollGeneration;
+        const bool isPoll = waitUntil > clock_type::now();
         const auto era = m_store.era;
-        while (!m_store.isRefusing && (m_store.stallsPolls || m_store.revisionOf(table).number <= after.number)
+        while (!m_store.isRefusing && !(isPoll && m_store.refusesPolls)
+            && (m_store.stallsPolls || m_store.revisionOf(table).number <= after.number)
             && clock_type::now() < waitUntil) {
             if (generation != m_store.pollGeneration)
                 return waitWithoutReply(deadline, poll);
@@ -119,6 +122,8 @@
                 return fail(error_kind::Lost, "cancelled");
             m_runtime.sleepFor(std::chrono::milliseconds(2));
         }
+        if (isPoll && m_store.refusesPolls)
+            return fail(error_kind::Unavailable, "refused");
         if (!m_store.isRefusing)
             m_latestEra = m_store.era;
         if (!m_store.isRefusing && m_store.newestRevision().number < after.number)
--- a/coltsfootbend/gateway/table_follower.cpp
+++ b/coltsfootbend/gateway/table_follower.cpp
@@ -142,6 +142,8 @@
         backOffAfterFailure();
         return;
     }
+    // Not after a short call: a store that answers those and refuses polls would be called without a growing pause.
+    m_retryDelay = m_options.initialRetryDelay;
     if (m_hasSnapshot)
         m_runtime.sleepFor(nextPollDelay(call.sentAt));
 }
@@ -345,7 +347,6 @@
 
 void table_follower::markRegained()
 {
-    m_retryDelay = m_options.initialRetryDelay;
     if (!m_lostSince)
         return;
     logEvent(log_event::StoreRegained,
