A connection holds at most 64 KiB that nobody has read

Seen: 2,000 callers that send on while their first request runs at a server that is quiet for 15 s: gateway at 90 MB resident and 217 MB that its sockets had received and it had not read, 298 MB as the platform counts them. Its VM has 260.

Cause: the budget of connections counts 75 KiB for each, which is stacks and a head. What the kernel receives meanwhile was bounded by the system's default only (108 to 125 KB a connection here).

Change: SO_RCVBUF of 32 KiB, which the kernel doubles, on listening sockets, whose connections inherit it, and on outgoing ones before they connect.

Not measured: a link with a delay, where a window of 32 to 64 KB a round trip bounds large bodies.

--- a/coltsfootbend/net/byte_stream.cpp
+++ b/coltsfootbend/net/byte_stream.cpp
@@ -34,6 +34,15 @@
 // to a caller (`http_server_options::writeLimit`).
 constexpr int connectedUnacknowledgedLimitMs = 3000;
 constexpr int acceptedUnacknowledgedLimitMs = 10'000;
+// What the kernel may hold of one connection until it is read. Without a bound it holds 108 KB from its start and up to
+// megabytes later, which count as memory of the process. The kernel doubles the value, for its own records.
+constexpr int receiveBufferBytes = 32 * 1024;
+
+// Best effort: without it, the bound of the system holds.
+void boundReceiveBuffer(int socket)
+{
+    (void)::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
+}
 
 void enableKeepAliveProbes(tcp::socket& socket, int unacknowledgedLimitMs)
 {
@@ -273,6 +282,10 @@
     if (code)
         return tl::unexpected(unavailable(address, "not an IP number"));
     beast::tcp_stream connecting(runtime.io());
+    connecting.socket().open(target.protocol(), code);
+    if (code)
+        return tl::unexpected(unavailable(address, code.message()));
+    boundReceiveBuffer(connecting.socket().native_handle());
     connecting.expires_at(deadline);
     if (const auto done = connecting.async_connect(target, useFiber); !done)
         return tl::unexpected(unavailable(address, done.error().message()));
@@ -304,6 +317,8 @@
         self->m_acceptor.set_option(tcp::acceptor::reuse_address(true), code);
     if (!code)
         self->m_acceptor.bind(address, code);
+    if (!code)
+        boundReceiveBuffer(self->m_acceptor.native_handle()); // Accepted connections inherit it.
     if (!code)
         self->m_acceptor.listen(asio::socket_base::max_listen_connections, code);
     if (code)
