Peers that ask for acknowledgements and read none are closed

Seen: connections to the peers' port that send HTTP/2 pings and read nothing, 1,900 to a gateway and 1,900 to an agent (which admits about 1,050), each VM's descriptors as `ulimit -n`: gateway 409 MB resident, 465 with unread bytes (VM: 260); agent 210 and 240 (VM: 128). With 1,000 to each: 209 and 213 MB resident. Neither ended: nothing killed it there.

Cause: the library holds up to 1,000 acknowledgements a connection, some 200 KB, until the peer reads. The budget of connections counts 96 KB for all of a peer's connection.

Change: 32 acknowledgements; a connection that makes more wait closes. Processes of ours send no pings, and settings once.

The test failed before ("the connection is still open").

--- a/coltsfootbend/net/h2.cpp
+++ b/coltsfootbend/net/h2.cpp
@@ -19,6 +19,8 @@
 constexpr std::int32_t streamWindowBytes = 512 * 1024;
 constexpr std::int32_t connectionWindowBytes = 16 * 1024 * 1024;
 constexpr std::uint32_t maxConcurrentStreams = 4096;
+// Acknowledgements of pings and settings that wait until the peer reads. A connection that makes more wait is closed.
+constexpr std::size_t maxWaitingAcknowledgements = 32;
 
 nghttp2_session* native(void* session) { return static_cast<nghttp2_session*>(session); }
 
@@ -160,6 +162,7 @@
     // The receive window is extended only when a fiber has consumed the bytes, which bounds the memory in use.
     nghttp2_option_set_no_auto_window_update(options, 1);
     nghttp2_option_set_peer_max_concurrent_streams(options, maxConcurrentStreams);
+    nghttp2_option_set_max_outbound_ack(options, maxWaitingAcknowledgements);
     nghttp2_session* session = nullptr;
     if (isServer)
         nghttp2_session_server_new2(&session, table, this, options);
--- a/coltsfootbend/net/net_test.cpp
+++ b/coltsfootbend/net/net_test.cpp
@@ -554,5 +554,34 @@
     });
 }
 
+// Guards against peers that ask for acknowledgements and read none: with up to 1,000 held for each, 1,900 connections
+// took 408 MB of a gateway whose VM has 260.
+TEST(H2, AFloodOfPingsClosesOnlyItsConnection)
+{
+    onRuntime([](fiber_runtime& runtime) {
+        const auto server = serveStreams(runtime);
+        const endpoint address { "127.0.0.1", server->port() };
+        const auto connection = *h2_connection::connect(runtime, address, {}, soon());
+        const auto flooding = *connectTcp(runtime, address, soon());
+        const std::string settings("\0\0\0\4\0\0\0\0\0", 9);
+        const std::string ping("\0\0\x08\6\0\0\0\0\0pingping", 17);
+        std::string bytes = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + settings;
+        for (int count = 0; count < 500; ++count)
+            bytes += ping;
+        ASSERT_TRUE(flooding->writeAll(bytes));
+        std::string buffer(4096, '\0');
+        io_result<std::size_t> got = 0;
+        while (got)
+            got = flooding->readSomeUntil(boost::asio::buffer(buffer), clock_type::now() + 1s);
+        EXPECT_TRUE(!got && got.error() != boost::asio::error::operation_aborted) << "the connection is still open";
+        const auto stream = *connection->open("/echo");
+        (void)stream->send("still here", true);
+        EXPECT_EQ(**stream->receive(soon()), "still here");
+        connection->close();
+        flooding->close();
+        server->close();
+    });
+}
+
 } // namespace
 } // namespace coltsfootbend
