The pause between calls of the store begins anew once it has been followed

Callers may have seen: after an outage, one later reset of the connection kept a gateway from the store for up to a second, and removed registrations in use for the 2.2 s after it; found by a review of the change. Cause: the pause began anew only after a poll that was answered, which takes up to 20 s in calm. Change: it also begins anew after a check that was answered while the poll is open, and while other processes follow the store. Names say what they hold.

--- a/coltsfootbend/gateway/deployment_watch.cpp
+++ b/coltsfootbend/gateway/deployment_watch.cpp
@@ -475,14 +475,14 @@
 void deployment_watch::pauseReading(const endpoint& peer)
 {
     const auto now = clock_type::now();
-    std::erase_if(m_unreadableUntil, [now](const auto& entry) { return entry.second <= now; });
-    m_unreadableUntil[peer] = now + m_options.peerRetryDelay;
+    std::erase_if(m_notReadUntil, [now](const auto& entry) { return entry.second <= now; });
+    m_notReadUntil[peer] = now + m_options.peerRetryDelay;
 }
 
 bool deployment_watch::isReadingPaused(const endpoint& peer) const
 {
-    const auto found = m_unreadableUntil.find(peer);
-    return found != m_unreadableUntil.end() && clock_type::now() < found->second;
+    const auto found = m_notReadUntil.find(peer);
+    return found != m_notReadUntil.end() && clock_type::now() < found->second;
 }
 
 void deployment_watch::inquiryLoop()
--- a/coltsfootbend/gateway/deployment_watch.h
+++ b/coltsfootbend/gateway/deployment_watch.h
@@ -238,7 +238,7 @@
     std::optional<time_point> m_behindSince;
     std::optional<time_point> m_configurationReadAt;
     std::optional<endpoint> m_peerBeingRead; // The peer that is being read.
-    std::map<endpoint, time_point> m_unreadableUntil; // Peers whose last read brought nothing.
+    std::map<endpoint, time_point> m_notReadUntil; // Peers whose last read brought nothing.
     std::multiset<time_point> m_snapshotRepliesSince; // Start times of the replies that are being sent.
     // Time of the first hint of newer state since the last change.
     std::optional<time_point> m_updateHintReceivedAt;
--- a/coltsfootbend/gateway/table_follower.cpp
+++ b/coltsfootbend/gateway/table_follower.cpp
@@ -56,6 +56,7 @@
         const bool hasCopy = m_hasSnapshot || !m_owner.revision(m_table).isNone();
         if (hasCopy && (m_owner.gatewaysFollowStore() || isOnStandby())) {
             markRegained();
+            m_retryDelay = m_options.initialRetryDelay; // Others call the store.
             m_runtime.sleepFor(stateCheckInterval);
             continue;
         }
@@ -99,7 +100,7 @@
                 + toString(known),
             "Read the table again");
     m_hasSnapshot = true;
-    m_hasContinued = false;
+    m_hasFollowedSinceRead = false;
     markRegained();
     if (!runLogged("store", [&] { m_owner.receiveSnapshot(m_table, std::move(*page)); })) {
         m_hasSnapshot = false;
@@ -182,6 +183,7 @@
         cancelPoll();
         return;
     }
+    m_retryDelay = m_options.initialRetryDelay; // The poll is open, so the store does not refuse polls.
     if (page && !page->rows.empty())
         restartPoll();
     m_owner.storeChecked(m_table);
@@ -217,7 +219,7 @@
         abandonPosition();
         return {};
     }
-    m_hasContinued = true;
+    m_hasFollowedSinceRead = true;
     m_owner.receiveChanges(m_table, *done);
     recordConfirmation(asOf);
     return {};
@@ -228,7 +230,7 @@
     m_hasSnapshot = false;
     m_abandonedPosition = m_owner.position(m_table);
     const bool isLaterEra = m_store.latestEra() > m_abandonedPosition.era;
-    m_awaitTableUntil = clock_type::now() + (isLaterEra ? restoreDelay() : rereadDelay());
+    m_awaitTableUntil = clock_type::now() + (isLaterEra ? restoreDelay() : nextRereadDelay());
     cancelPoll();
 }
 
@@ -255,9 +257,9 @@
     return fromMilliseconds(share * toMilliseconds(m_options.maxRestoreDelay));
 }
 
-duration table_follower::rereadDelay()
+duration table_follower::nextRereadDelay()
 {
-    if (m_hasContinued) {
+    if (m_hasFollowedSinceRead) {
         m_rereadDelay = m_options.initialRereadDelay;
         return duration::zero();
     }
--- a/coltsfootbend/gateway/table_follower.h
+++ b/coltsfootbend/gateway/table_follower.h
@@ -92,8 +92,7 @@
         // store saves the others the call.
         duration dutyJitter = std::chrono::milliseconds(500);
         // Delay of the next read of the table if the store could not provide the changes since the last one. It doubles
-        // with each such read up to the maximum, which leaves the other half of the two seconds within which a change
-        // must be in force to the call itself and to the other processes.
+        // with each such read up to the maximum: half of the two seconds within which a change must be in force.
         duration initialRereadDelay = std::chrono::milliseconds(100);
         duration maxRereadDelay = std::chrono::milliseconds(1000);
         // Longest delay from the notice that the store has come back from an older copy to the read of the table. With
@@ -168,9 +167,9 @@
     bool hasReceivedTable() const;
     // Returns a random delay for reading the table after the store has come back from an older copy.
     duration restoreDelay();
-    // Returns the delay for reading the table again after the store has dropped its history: none unless the last read
-    // could not be continued either.
-    duration rereadDelay();
+    // Returns the delay for reading the table again after the store has dropped its history: none if this process has
+    // followed the store since the last read. Without that, each call returns a longer one.
+    duration nextRereadDelay();
     void markLost(const error&);
     void markRegained();
     void cancelPoll();
@@ -195,7 +194,7 @@
     duration m_retryDelay;
     duration m_rereadDelay; // Of the next read that follows one which could not be continued.
     // Whether the store has provided changes, or the lack of any, since the last read of the table.
-    bool m_hasContinued = true;
+    bool m_hasFollowedSinceRead = true;
     duration m_pollDelay; // Of the last poll.
     // Cancels the pending poll; null when none is pending.
     cancellation* m_poll = nullptr;
