A read that a held poll has paced is no reason to wait

Seen: configuration_change_test.RepeatsStayWithinTheBudgetWhileNewVersionsComeInto- Force failed in make check and alone: a gateway was up to a second behind, where it used to be at the newest configuration. Its store answers each change by asking for a read of the whole table, after it has held the poll. Cause: the pause after reads that cannot be continued counted such polls too.

--- a/coltsfootbend/gateway/table_follower.cpp
+++ b/coltsfootbend/gateway/table_follower.cpp
@@ -216,6 +216,9 @@
     }
     // The store compares numbers only, so a page of another era may lack changes.
     if (!done || !done->revision.isInEraOf(call.after)) {
+        // A call that the store held open has paced the reads by itself.
+        if (clock_type::now() >= call.sentAt + m_options.promptAnswerTime)
+            m_hasFollowedSinceRead = true;
         abandonPosition();
         return {};
     }
